--- /dev/null
+++ b/src/archive/log.go
@@ -0,0 +1,168 @@
+package archive
+
+import (
+	"encoding/binary"
+	"math"
+
+	bolt "go.etcd.io/bbolt"
+
+	"sesamecleat/src/pilot"
+)
+
+// Save syncs one batch of a state host's log.
+func (s *Store) Save(batch []pilot.Save) error {
+	return Error.Wrap(s.db.Update(func(tx *bolt.Tx) error {
+		for _, save := range batch {
+			if err := writeSave(tx, save); err != nil {
+				return err
+			}
+		}
+		return nil
+	}))
+}
+
+// Disk reads and verifies everything a state host resumes from.
+func (s *Store) Disk() (disk pilot.Disk, err error) {
+	defer func() {
+		if p := recover(); p != nil {
+			err = DamageError.New("%v", p)
+		}
+	}()
+	err = s.db.View(func(tx *bolt.Tx) error {
+		disk, err = readDisk(tx)
+		return err
+	})
+	return disk, err
+}
+
+func writeSave(tx *bolt.Tx, save pilot.Save) error {
+	meta := tx.Bucket(metaBucket)
+	hard, err := pilot.EncodeHard(save.Hard)
+	if err != nil {
+		return err
+	}
+	if err := meta.Put(hardKey, seal(hard)); err != nil {
+		return err
+	}
+	log := tx.Bucket(logBucket)
+	if save.Snapshot != nil {
+		if err := writeSnapshot(meta, log, *save.Snapshot); err != nil {
+			return err
+		}
+	}
+	if len(save.Entries) == 0 {
+		return nil
+	}
+	if err := removeRange(log, save.Entries[0].Index, math.MaxUint64); err != nil {
+		return err
+	}
+	for _, e := range save.Entries {
+		b, err := pilot.EncodeEntry(e)
+		if err != nil {
+			return err
+		}
+		if err := log.Put(indexKey(e.Index), seal(b)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// writeSnapshot puts the snapshot in place and removes the entries it covers or contradicts.
+func writeSnapshot(meta, log *bolt.Bucket, snap pilot.Snapshot) error {
+	b, err := pilot.EncodeSnapshot(snap)
+	if err != nil {
+		return err
+	}
+	if err := meta.Put(snapshotKey, seal(b)); err != nil {
+		return err
+	}
+	keep := false
+	if v := log.Get(indexKey(snap.Index)); v != nil {
+		if e, err := readEntry(snap.Index, v); err == nil {
+			keep = e.Term == snap.Term
+		}
+	}
+	until := snap.Index
+	if !keep {
+		until = math.MaxUint64
+	}
+	return removeRange(log, 0, until)
+}
+
+// removeRange deletes the entries from one index up to another, both included.
+func removeRange(log *bolt.Bucket, from, to uint64) error {
+	var keys [][]byte
+	c := log.Cursor()
+	for k, _ := c.Seek(indexKey(from)); k != nil; k, _ = c.Next() {
+		if binary.BigEndian.Uint64(k) > to {
+			break
+		}
+		keys = append(keys, append([]byte(nil), k...))
+	}
+	for _, k := range keys {
+		if err := log.Delete(k); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func readDisk(tx *bolt.Tx) (pilot.Disk, error) {
+	var disk pilot.Disk
+	meta := tx.Bucket(metaBucket)
+	hard, err := open(meta.Get(hardKey), "hard state")
+	if err != nil {
+		return disk, err
+	}
+	if hard != nil {
+		if disk.Hard, err = pilot.DecodeHard(hard); err != nil {
+			return disk, DamageError.Wrap(err)
+		}
+	}
+	snap, err := open(meta.Get(snapshotKey), "snapshot")
+	if err != nil {
+		return disk, err
+	}
+	if snap != nil {
+		if disk.Snapshot, err = pilot.DecodeSnapshot(snap); err != nil {
+			return disk, DamageError.Wrap(err)
+		}
+	}
+	return disk, readLog(tx.Bucket(logBucket), &disk)
+}
+
+func readLog(log *bolt.Bucket, disk *pilot.Disk) error {
+	next := disk.Snapshot.Index + 1
+	return log.ForEach(func(k, v []byte) error {
+		if len(k) != sumSize {
+			return DamageError.New("log key of %d bytes", len(k))
+		}
+		index := binary.BigEndian.Uint64(k)
+		if index != next {
+			return DamageError.New("log entry %d is missing; the next one found is %d", next, index)
+		}
+		next++
+		e, err := readEntry(index, v)
+		if err != nil {
+			return err
+		}
+		disk.Entries = append(disk.Entries, e)
+		return nil
+	})
+}
+
+func readEntry(index uint64, v []byte) (pilot.Entry, error) {
+	b, err := open(v, "log entry")
+	if err != nil {
+		return pilot.Entry{}, err
+	}
+	e, err := pilot.DecodeEntry(b)
+	if err != nil {
+		return e, DamageError.Wrap(err)
+	}
+	if e.Index != index {
+		return e, DamageError.New("log entry %d stands at %d", e.Index, index)
+	}
+	return e, nil
+}
--- /dev/null
+++ b/src/berth/event.go
@@ -0,0 +1,175 @@
+package berth
+
+import (
+	"net/netip"
+	"time"
+)
+
+// Task is one piece of work to place.
+type Task struct {
+	ID       uint64
+	Route    string
+	Pool     string
+	Need     Need
+	Deadline time.Time
+	// Attempts bounds how often the task may start; 1 for what must not run twice.
+	Attempts int
+	// Queue bounds the tasks of the pool that may wait here.
+	Queue int
+	// Admitted says that the task was admitted with others and is not refused for the length of the queue.
+	Admitted bool
+	// Local says that the task must not be handed to another host.
+	Local bool
+	// Spill says that hosts of other failure domains may get the task.
+	Spill bool
+}
+
+// Verdict is what became of one try of a task.
+type Verdict uint8
+
+// The verdicts.
+const (
+	// Succeeded means that the target answered.
+	Succeeded Verdict = iota + 1
+	// Failed means that the target answered with an error.
+	Failed
+	// Lost means that no answer came and the task may have run.
+	Lost
+	// Busy means that the target or host refused the task and did not run it.
+	Busy
+	// Unsent means that the task did not reach the target or host.
+	Unsent
+	// Withdrawn means that the task was taken back before it was sent.
+	Withdrawn
+	// Refused means that the task was not placed; Finish says why.
+	Refused
+)
+
+// Reason says why a task was refused.
+type Reason uint8
+
+// The reasons.
+const (
+	NoReason Reason = iota
+	// NoTarget means that no target of the pool is known.
+	NoTarget
+	// NeverFits means that the task is larger than every target known.
+	NeverFits
+	// Overload means that too much work waits already.
+	Overload
+	// TooLate means that the task would miss its deadline.
+	TooLate
+)
+
+// Event is an input of a Planner.
+type Event interface{ event() }
+
+// Submit brings a task.
+type Submit struct{ Task Task }
+
+// Admission asks whether Count tasks like Task could run before the deadline.
+type Admission struct {
+	Task  Task
+	Count int
+}
+
+// Ended tells what became of a try.
+type Ended struct {
+	ID      uint64
+	Verdict Verdict
+	Took    time.Duration
+}
+
+// Withdraw takes a task back that has not started.
+type Withdraw struct{ ID uint64 }
+
+// Announced brings a target's announcement.
+type Announced struct{ Target Target }
+
+// Hosts tells the entry hosts of the failure domain that are there, this one included.
+type Hosts struct{ Hosts []Host }
+
+// Host is an entry host that shares the domain's targets.
+type Host struct {
+	Name   string
+	Weight int
+}
+
+// Headroom tells how many tasks another host could start at once, by pool.
+type Headroom struct {
+	Host string
+	// Near says that the host is in the same failure domain.
+	Near bool
+	Free map[string]int
+}
+
+// Gone tells that another host can no longer be reached.
+type Gone struct{ Host string }
+
+// Tick lets time pass.
+type Tick struct{}
+
+func (Submit) event()    {}
+func (Admission) event() {}
+func (Ended) event()     {}
+func (Withdraw) event()  {}
+func (Announced) event() {}
+func (Hosts) event()     {}
+func (Headroom) event()  {}
+func (Gone) event()      {}
+func (Tick) event()      {}
+
+// Action is an output of a Planner.
+type Action interface{ action() }
+
+// Start asks for a task to be started on a target.
+type Start struct {
+	ID     uint64
+	Target string
+	Addr   netip.AddrPort
+}
+
+// Handoff asks for a task to be given to another host.
+type Handoff struct {
+	ID   uint64
+	Host string
+}
+
+// Finish tells that a task will not be tried again.
+type Finish struct {
+	ID      uint64
+	Verdict Verdict
+	Reason  Reason
+	Retry   time.Duration
+}
+
+// Admitted answers an Admission.
+type Admitted struct {
+	OK     bool
+	Reason Reason
+	Retry  time.Duration
+}
+
+// Judged tells of a target's fate; Kind says which.
+type Judged struct {
+	Target string
+	Kind   Judgement
+}
+
+// Judgement is a change in what is thought of a target.
+type Judgement uint8
+
+// The judgements.
+const (
+	Joined Judgement = iota + 1
+	Left
+	Expired
+	Ejected
+	Restored
+)
+
+func (Start) action()    {}
+func (Handoff) action()  {}
+func (Finish) action()   {}
+func (Admitted) action() {}
+func (Judged) action()   {}
--- /dev/null
+++ b/src/berth/planner.go
@@ -0,0 +1,414 @@
+package berth
+
+import (
+	"container/list"
+	"math"
+	"sort"
+	"time"
+)
+
+// Constants of queues and retries.
+const (
+	// retryGain is the share of successes that may be spent on retries.
+	retryGain = 0.1
+	// retryBurst bounds the retries saved up.
+	retryBurst = 20.0
+	// refusedTries bounds how often a task that targets refuse is placed again.
+	refusedTries = 8
+	// lookAhead is how many waiting tasks are looked at for one that fits.
+	lookAhead = 8
+	// handoffReserve is how much room another host must report to be handed a task.
+	handoffReserve = 2
+	firstService   = 100 * time.Millisecond
+	serviceGain    = 0.05
+	// emptyRetry is when a pool without targets may have one.
+	emptyRetry = time.Second
+	minRetry   = 10 * time.Millisecond
+)
+
+type task struct {
+	Task
+	element  *list.Element
+	target   *target
+	host     string
+	started  int
+	refused  int
+	excluded map[string]bool
+}
+
+type pool struct {
+	name    string
+	targets []*target
+	queue   *list.List
+	service float64 // seconds
+	tokens  float64
+}
+
+type neighbour struct {
+	near bool
+	free map[string]int
+}
+
+// Planner places the tasks of one entry host; it belongs to one goroutine.
+type Planner struct {
+	self    string
+	domain  string
+	expiry  time.Duration
+	hosts   []Host
+	targets map[string]*target
+	pools   map[string]*pool
+	tasks   map[uint64]*task
+	others  map[string]neighbour
+	routes  map[string]float64
+	out     []Action
+}
+
+// NewPlanner returns a planner for the entry host self; a target that is silent for expiry is forgotten.
+func NewPlanner(self, domain string, expiry time.Duration) *Planner {
+	return &Planner{
+		self: self, domain: domain, expiry: expiry,
+		hosts:   []Host{{Name: self, Weight: 1}},
+		targets: make(map[string]*target),
+		pools:   make(map[string]*pool),
+		tasks:   make(map[uint64]*task),
+		others:  make(map[string]neighbour),
+		routes:  make(map[string]float64),
+	}
+}
+
+// Step takes one event and returns the actions it leads to.
+func (p *Planner) Step(now time.Time, ev Event) []Action {
+	p.out = nil
+	switch e := ev.(type) {
+	case Submit:
+		p.submit(now, e.Task)
+	case Admission:
+		p.admit(now, e)
+	case Ended:
+		p.ended(now, e)
+	case Withdraw:
+		p.withdraw(e.ID)
+	case Announced:
+		p.announced(now, e.Target)
+	case Hosts:
+		p.setHosts(now, e.Hosts)
+	case Headroom:
+		p.others[e.Host] = neighbour{near: e.Near, free: e.Free}
+	case Gone:
+		delete(p.others, e.Host)
+	case Tick:
+		p.tick(now)
+	}
+	return p.out
+}
+
+// Free returns how many more tasks each pool could start here at once.
+func (p *Planner) Free(now time.Time) map[string]int {
+	out := make(map[string]int)
+	for name, pool := range p.pools {
+		n := -pool.queue.Len()
+		for _, t := range pool.targets {
+			n += t.room(now, Need{})
+		}
+		out[name] = max(0, n)
+	}
+	return out
+}
+
+// Targets returns every target known, by name.
+func (p *Planner) Targets(now time.Time) []TargetState {
+	out := make([]TargetState, 0, len(p.targets))
+	for _, t := range p.targets {
+		out = append(out, t.state(now))
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Target.Name < out[j].Target.Name })
+	return out
+}
+
+// Waiting returns how many tasks wait for a target.
+func (p *Planner) Waiting() int {
+	n := 0
+	for _, pool := range p.pools {
+		n += pool.queue.Len()
+	}
+	return n
+}
+
+func (p *Planner) submit(now time.Time, t Task) {
+	k := &task{Task: t}
+	p.tasks[t.ID] = k
+	p.place(now, k)
+}
+
+// place starts, hands on, queues or refuses a task.
+func (p *Planner) place(now time.Time, k *task) {
+	pool := p.pool(k.Pool)
+	if reason, retry := p.refusal(now, pool, k, 1); reason != NoReason {
+		if reason != NeverFits && p.handOn(k, 0) {
+			return
+		}
+		p.finish(k, Refused, reason, retry)
+		return
+	}
+	if pool.queue.Len() == 0 {
+		if t := p.pick(now, pool, k); t != nil {
+			p.start(k, t)
+			return
+		}
+	}
+	if p.handOn(k, handoffReserve) {
+		return
+	}
+	k.element = pool.queue.PushBack(k)
+}
+
+// refusal says why count tasks like k cannot be taken on here.
+func (p *Planner) refusal(now time.Time, pool *pool, k *task, count int) (Reason, time.Duration) {
+	slots, fits, known := p.slots(now, pool, k)
+	switch {
+	case !known:
+		return NoTarget, emptyRetry
+	case !fits:
+		return NeverFits, emptyRetry
+	case slots == 0:
+		return NoTarget, emptyRetry
+	}
+	waiting := pool.queue.Len()
+	wait := pool.wait(waiting+count-slots, slots)
+	if !k.Admitted && waiting+count > max(k.Queue, slots) {
+		return Overload, wait
+	}
+	if now.Add(wait).After(k.Deadline) {
+		return TooLate, wait
+	}
+	return NoReason, 0
+}
+
+// wait returns how long until n tasks that find all slots taken have started.
+func (q *pool) wait(n, slots int) time.Duration {
+	if n <= 0 {
+		return 0
+	}
+	d := time.Duration(float64(n) / float64(slots) * q.service * float64(time.Second))
+	return max(d, minRetry)
+}
+
+// slots returns how many tasks like k the pool's owned targets run at once, whether any target of the pool
+// could ever run one, and whether any is known.
+func (p *Planner) slots(now time.Time, pool *pool, k *task) (n int, fits, known bool) {
+	for _, t := range pool.targets {
+		known = true
+		if !t.everFits(k.Need) {
+			continue
+		}
+		fits = true
+		if t.owned && !t.Leaving && (t.ejected.IsZero() || !now.Before(t.ejected)) {
+			n += max(1, t.capacity(k.Need))
+		}
+	}
+	return n, fits, known
+}
+
+// pick returns the fastest target with room, the least busy among equals.
+func (p *Planner) pick(now time.Time, pool *pool, k *task) *target {
+	var best *target
+	var bestCost float64
+	for _, t := range pool.targets {
+		if k.excluded[t.Name] || !t.everFits(k.Need) || t.room(now, k.Need) == 0 {
+			continue
+		}
+		cost := t.factor + float64(t.inflight)*1e-6
+		if best == nil || cost < bestCost {
+			best = t
+			bestCost = cost
+		}
+	}
+	return best
+}
+
+func (p *Planner) start(k *task, t *target) {
+	t.take(k.Need)
+	k.target = t
+	k.started++
+	p.out = append(p.out, Start{ID: k.ID, Target: t.Name, Addr: t.Addr})
+}
+
+// handOn gives a task to the host with the most room above the reserve.
+func (p *Planner) handOn(k *task, reserve int) bool {
+	if k.Local {
+		return false
+	}
+	best := ""
+	most := reserve
+	near := false
+	for name, o := range p.others {
+		if !o.near && !k.Spill {
+			continue
+		}
+		free := o.free[k.Pool]
+		better := free > most || (free == most && name < best)
+		if (o.near && !near && free > reserve) || (o.near == near && better) {
+			best, most, near = name, free, o.near
+		}
+	}
+	if best == "" {
+		return false
+	}
+	p.others[best].free[k.Pool]--
+	k.host = best
+	p.out = append(p.out, Handoff{ID: k.ID, Host: best})
+	return true
+}
+
+func (p *Planner) admit(now time.Time, a Admission) {
+	k := &task{Task: a.Task}
+	pool := p.pool(a.Task.Pool)
+	reason, retry := p.refusal(now, pool, k, a.Count)
+	if reason == NoTarget || reason == Overload {
+		if p.elsewhere(k) {
+			reason = NoReason
+		}
+	}
+	p.out = append(p.out, Admitted{OK: reason == NoReason, Reason: reason, Retry: retry})
+}
+
+// elsewhere reports whether another host has room for tasks like k.
+func (p *Planner) elsewhere(k *task) bool {
+	for _, o := range p.others {
+		if (o.near || k.Spill) && o.free[k.Pool] > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+func (p *Planner) ended(now time.Time, e Ended) {
+	k, ok := p.tasks[e.ID]
+	if !ok {
+		return
+	}
+	pool := p.pool(k.Pool)
+	if k.target != nil {
+		k.target.release(k.Need)
+		p.judge(now, pool, k, e)
+	}
+	p.settle(now, pool, k, e.Verdict)
+	p.pump(now, pool)
+}
+
+// settle finishes a task or places it again.
+func (p *Planner) settle(now time.Time, pool *pool, k *task, v Verdict) {
+	switch v {
+	case Succeeded:
+		pool.tokens = math.Min(retryBurst, pool.tokens+retryGain)
+		p.finish(k, v, NoReason, 0)
+	case Failed, Lost:
+		if k.started >= k.Attempts || pool.tokens < 1 || !now.Before(k.Deadline) {
+			p.finish(k, v, NoReason, 0)
+			return
+		}
+		pool.tokens--
+		p.again(now, pool, k)
+	case Busy, Unsent:
+		k.refused++
+		k.started = max(0, k.started-1)
+		if k.host != "" {
+			k.Local = true
+		}
+		if k.refused > refusedTries {
+			p.finish(k, Refused, Overload, pool.wait(1, 1))
+			return
+		}
+		if !now.Before(k.Deadline) {
+			p.finish(k, Refused, TooLate, pool.wait(1, 1))
+			return
+		}
+		p.again(now, pool, k)
+	default:
+		p.finish(k, v, NoReason, 0)
+	}
+}
+
+// again places a task once more, on another target if there is one.
+func (p *Planner) again(now time.Time, pool *pool, k *task) {
+	if k.target != nil && len(pool.targets) > len(k.excluded)+1 {
+		if k.excluded == nil {
+			k.excluded = make(map[string]bool)
+		}
+		k.excluded[k.target.Name] = true
+	}
+	k.target = nil
+	k.host = ""
+	p.place(now, k)
+}
+
+func (p *Planner) withdraw(id uint64) {
+	k, ok := p.tasks[id]
+	if !ok || k.element == nil {
+		return
+	}
+	p.pool(k.Pool).queue.Remove(k.element)
+	p.finish(k, Withdrawn, NoReason, 0)
+}
+
+func (p *Planner) finish(k *task, v Verdict, r Reason, retry time.Duration) {
+	delete(p.tasks, k.ID)
+	p.out = append(p.out, Finish{ID: k.ID, Verdict: v, Reason: r, Retry: retry})
+}
+
+// pump starts waiting tasks while targets have room.
+func (p *Planner) pump(now time.Time, pool *pool) {
+	for pool.queue.Len() > 0 && p.pumpOne(now, pool) {
+	}
+}
+
+func (p *Planner) pumpOne(now time.Time, pool *pool) bool {
+	looked := 0
+	for e := pool.queue.Front(); e != nil && looked < lookAhead; e = e.Next() {
+		looked++
+		k := e.Value.(*task)
+		t := p.pick(now, pool, k)
+		if t == nil {
+			continue
+		}
+		pool.queue.Remove(e)
+		k.element = nil
+		p.start(k, t)
+		return true
+	}
+	return false
+}
+
+func (p *Planner) tick(now time.Time) {
+	for _, t := range p.targets {
+		if now.Sub(t.heard) > p.expiry {
+			p.forget(t)
+		}
+	}
+	for _, pool := range p.pools {
+		p.dropLate(now, pool)
+		p.pump(now, pool)
+	}
+}
+
+// dropLate refuses waiting tasks whose deadline passed.
+func (p *Planner) dropLate(now time.Time, pool *pool) {
+	for e := pool.queue.Front(); e != nil; {
+		next := e.Next()
+		k := e.Value.(*task)
+		if !now.Before(k.Deadline) {
+			pool.queue.Remove(e)
+			p.finish(k, Refused, TooLate, pool.wait(pool.queue.Len(), max(1, len(pool.targets))))
+		}
+		e = next
+	}
+}
+
+func (p *Planner) pool(name string) *pool {
+	q, ok := p.pools[name]
+	if !ok {
+		q = &pool{name: name, queue: list.New(), service: firstService.Seconds(), tokens: retryBurst / 2}
+		p.pools[name] = q
+	}
+	return q
+}
--- /dev/null
+++ b/src/chart/codec.go
@@ -0,0 +1,256 @@
+package chart
+
+import (
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/zeebo/errs"
+)
+
+// Error is the class of this package's errors.
+var Error = errs.Class("chart")
+
+type wireRoute struct {
+	_             struct{} `cbor:",toarray"`
+	Name          string
+	Pool          string
+	Timeout       int64 // nanoseconds
+	NonIdempotent bool
+	Spill         bool
+	Attempts      int
+	Cores         int
+	Memory        int64 // bytes
+	Accelerators  int
+}
+
+type wirePool struct {
+	_     struct{} `cbor:",toarray"`
+	Name  string
+	Slots int
+	Queue int
+}
+
+type wireCopy struct {
+	_           struct{} `cbor:",toarray"`
+	Name        string
+	Incarnation uint64
+}
+
+type wireView struct {
+	_          struct{} `cbor:",toarray"`
+	Domain     string
+	Number     int
+	Expect     uint64
+	Epoch      uint64
+	Generation uint64
+	Since      int64 // nanoseconds since 1970
+	Copies     []wireCopy
+}
+
+type wireChange struct {
+	_     struct{} `cbor:",toarray"`
+	Route *wireRoute
+	Pool  *wirePool
+	NoR   string
+	NoP   string
+	View  *wireView
+}
+
+type wireEdit struct {
+	_        struct{} `cbor:",toarray"`
+	ID       string
+	Author   string
+	At       int64 // nanoseconds since 1970
+	Match    uint8
+	Revision uint64
+	Change   wireChange
+}
+
+type wireEntry struct {
+	_        struct{} `cbor:",toarray"`
+	Revision uint64
+	Author   string
+	At       int64 // nanoseconds since 1970
+	Change   wireChange
+}
+
+type wireResult struct {
+	_        struct{} `cbor:",toarray"`
+	ID       string
+	Status   uint8
+	Revision uint64
+	Findings []string
+}
+
+type wireTables struct {
+	_        struct{} `cbor:",toarray"`
+	Revision uint64
+	Rows     []wireEntry
+	Results  []wireResult
+}
+
+// EncodeEdit returns the edit's bytes.
+func EncodeEdit(e Edit) ([]byte, error) {
+	return cbor.Marshal(wireEdit{
+		ID: e.ID, Author: e.Author, At: e.At.UnixNano(),
+		Match: uint8(e.Match.Kind), Revision: e.Match.Revision, Change: toWireChange(e.Change),
+	})
+}
+
+// DecodeEdit returns the edit that was encoded.
+func DecodeEdit(b []byte) (Edit, error) {
+	var w wireEdit
+	if err := cbor.Unmarshal(b, &w); err != nil {
+		return Edit{}, Error.Wrap(err)
+	}
+	return Edit{
+		ID: w.ID, Author: w.Author, At: time.Unix(0, w.At).UTC(),
+		Match:  Match{Kind: MatchKind(w.Match), Revision: w.Revision},
+		Change: fromWireChange(w.Change),
+	}, nil
+}
+
+// EncodeEntries returns the bytes of a delta.
+func EncodeEntries(entries []Entry) ([]byte, error) {
+	out := make([]wireEntry, 0, len(entries))
+	for _, e := range entries {
+		out = append(out, toWireEntry(e))
+	}
+	return cbor.Marshal(out)
+}
+
+// DecodeEntries returns the delta that was encoded.
+func DecodeEntries(b []byte) ([]Entry, error) {
+	var in []wireEntry
+	if err := cbor.Unmarshal(b, &in); err != nil {
+		return nil, Error.Wrap(err)
+	}
+	out := make([]Entry, 0, len(in))
+	for _, w := range in {
+		out = append(out, fromWireEntry(w))
+	}
+	return out, nil
+}
+
+// EncodeResult returns the result's bytes.
+func EncodeResult(r Result) ([]byte, error) { return cbor.Marshal(toWireResult(r)) }
+
+// DecodeResult returns the result that was encoded.
+func DecodeResult(b []byte) (Result, error) {
+	var w wireResult
+	if err := cbor.Unmarshal(b, &w); err != nil {
+		return Result{}, Error.Wrap(err)
+	}
+	return fromWireResult(w), nil
+}
+
+// Snapshot returns the bytes of the whole tables.
+func (t *Tables) Snapshot() ([]byte, error) {
+	w := wireTables{Revision: t.revision}
+	for _, row := range t.Routes() {
+		w.Rows = append(w.Rows, toWireEntry(Entry{row.Revision, row.Author, row.At, PutRoute{row.Route}}))
+	}
+	for _, row := range t.Pools() {
+		w.Rows = append(w.Rows, toWireEntry(Entry{row.Revision, row.Author, row.At, PutPool{row.Pool}}))
+	}
+	for s, v := range t.views {
+		w.Rows = append(w.Rows, toWireEntry(Entry{Revision: t.revision, Change: SetView{Shard: s, View: v}}))
+	}
+	for _, id := range t.order {
+		w.Results = append(w.Results, toWireResult(t.results[id]))
+	}
+	return cbor.Marshal(w)
+}
+
+// Restore returns the tables of a snapshot.
+func Restore(b []byte) (*Tables, error) {
+	var w wireTables
+	if err := cbor.Unmarshal(b, &w); err != nil {
+		return nil, Error.Wrap(err)
+	}
+	t := NewTables()
+	for _, row := range w.Rows {
+		t.put(fromWireEntry(row))
+	}
+	t.recent = nil
+	t.revision = w.Revision
+	for _, r := range w.Results {
+		t.remember(fromWireResult(r))
+	}
+	return t, nil
+}
+
+func toWireEntry(e Entry) wireEntry {
+	return wireEntry{Revision: e.Revision, Author: e.Author, At: e.At.UnixNano(), Change: toWireChange(e.Change)}
+}
+
+func fromWireEntry(w wireEntry) Entry {
+	return Entry{Revision: w.Revision, Author: w.Author, At: time.Unix(0, w.At).UTC(), Change: fromWireChange(w.Change)}
+}
+
+func toWireResult(r Result) wireResult {
+	return wireResult{ID: r.ID, Status: uint8(r.Status), Revision: r.Revision, Findings: r.Findings}
+}
+
+func fromWireResult(w wireResult) Result {
+	return Result{ID: w.ID, Status: Status(w.Status), Revision: w.Revision, Findings: w.Findings}
+}
+
+func toWireChange(c Change) wireChange {
+	switch c := c.(type) {
+	case PutRoute:
+		r := c.Route
+		return wireChange{Route: &wireRoute{
+			Name: r.Name, Pool: r.Pool, Timeout: int64(r.Timeout), NonIdempotent: r.NonIdempotent,
+			Spill: r.Spill, Attempts: r.Attempts, Cores: r.Cores, Memory: r.Memory, Accelerators: r.Accelerators,
+		}}
+	case PutPool:
+		return wireChange{Pool: &wirePool{Name: c.Pool.Name, Slots: c.Pool.Slots, Queue: c.Pool.Queue}}
+	case RemoveRoute:
+		return wireChange{NoR: c.Name}
+	case RemovePool:
+		return wireChange{NoP: c.Name}
+	case SetView:
+		return wireChange{View: toWireView(c)}
+	}
+	return wireChange{}
+}
+
+func fromWireChange(w wireChange) Change {
+	switch {
+	case w.Route != nil:
+		r := w.Route
+		return PutRoute{Route{
+			Name: r.Name, Pool: r.Pool, Timeout: time.Duration(r.Timeout), NonIdempotent: r.NonIdempotent,
+			Spill: r.Spill, Attempts: r.Attempts, Cores: r.Cores, Memory: r.Memory, Accelerators: r.Accelerators,
+		}}
+	case w.Pool != nil:
+		return PutPool{Pool{Name: w.Pool.Name, Slots: w.Pool.Slots, Queue: w.Pool.Queue}}
+	case w.NoR != "":
+		return RemoveRoute{w.NoR}
+	case w.NoP != "":
+		return RemovePool{w.NoP}
+	case w.View != nil:
+		return fromWireView(*w.View)
+	}
+	return nil
+}
+
+func toWireView(c SetView) *wireView {
+	w := &wireView{
+		Domain: c.Shard.Domain, Number: c.Shard.Number, Expect: c.Expect,
+		Epoch: c.View.Epoch, Generation: c.View.Generation, Since: c.View.Since.UnixNano(),
+	}
+	for _, m := range c.View.Copies {
+		w.Copies = append(w.Copies, wireCopy{Name: m.Name, Incarnation: m.Incarnation})
+	}
+	return w
+}
+
+func fromWireView(w wireView) SetView {
+	v := View{Epoch: w.Epoch, Generation: w.Generation, Since: time.Unix(0, w.Since).UTC()}
+	for _, m := range w.Copies {
+		v.Copies = append(v.Copies, Copy{Name: m.Name, Incarnation: m.Incarnation})
+	}
+	return SetView{Shard: Shard{Domain: w.Domain, Number: w.Number}, Expect: w.Expect, View: v}
+}
--- /dev/null
+++ b/src/chart/row.go
@@ -0,0 +1,110 @@
+package chart
+
+import (
+	"fmt"
+	"regexp"
+	"time"
+)
+
+// Route says which pool serves a kind of request, and how.
+type Route struct {
+	Name string
+	Pool string
+	// Timeout bounds a request that brings no deadline of its own.
+	Timeout time.Duration
+	// NonIdempotent marks every request of the route as one that runs at most once.
+	NonIdempotent bool
+	// Spill lets requests go to other failure domains.
+	Spill bool
+	// Attempts bounds how often an idempotent request is tried.
+	Attempts int
+	// Cores, Memory (bytes) and Accelerators are what one task takes of a worker.
+	Cores        int
+	Memory       int64
+	Accelerators int
+}
+
+// Pool groups targets that announce its name.
+type Pool struct {
+	Name string
+	// Slots bounds the slots used of each of its minions; 0 leaves it to the target.
+	Slots int
+	// Queue bounds the requests that wait for a target at one entry host.
+	Queue int
+}
+
+// RouteRow is a route with the revision of its last change.
+type RouteRow struct {
+	Route    Route
+	Revision uint64
+	Author   string
+	At       time.Time
+}
+
+// PoolRow is a pool with the revision of its last change.
+type PoolRow struct {
+	Pool     Pool
+	Revision uint64
+	Author   string
+	At       time.Time
+}
+
+// Bounds of the rows.
+const (
+	NameLimit       = 64 // bytes
+	MinTimeout      = time.Millisecond
+	MaxTimeout      = 10 * time.Minute
+	DefaultTimeout  = 10 * time.Second
+	MaxAttempts     = 10
+	DefaultAttempts = 3
+	MaxQueue        = 1_000_000
+	DefaultQueue    = 4096
+	MaxSlots        = 1024
+	MaxCores        = 4096
+	MaxMemory       = int64(1) << 50 // bytes
+	MaxAccelerators = 64
+)
+
+var namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9._-]*$`)
+
+// ValidName reports whether name can name a route, a pool, a host or a failure domain.
+func ValidName(name string) bool {
+	return len(name) <= NameLimit && namePattern.MatchString(name)
+}
+
+// NewRoute returns a route with the default bounds.
+func NewRoute(name, pool string) Route {
+	return Route{Name: name, Pool: pool, Timeout: DefaultTimeout, Attempts: DefaultAttempts}
+}
+
+// NewPool returns a pool with the default bounds.
+func NewPool(name string) Pool {
+	return Pool{Name: name, Queue: DefaultQueue}
+}
+
+// Findings returns every fault of the route.
+func (r Route) Findings() []string {
+	var out []string
+	out = check(out, ValidName(r.Name), "route name %q: lower-case letters, digits, dot, dash and underscore are expected", r.Name)
+	out = check(out, ValidName(r.Pool), "pool name %q: lower-case letters, digits, dot, dash and underscore are expected", r.Pool)
+	out = check(out, r.Timeout >= MinTimeout && r.Timeout <= MaxTimeout, "timeout %s is out of range: %s to %s", r.Timeout, MinTimeout, MaxTimeout)
+	out = check(out, r.Attempts >= 1 && r.Attempts <= MaxAttempts, "attempts %d is out of range: 1 to %d", r.Attempts, MaxAttempts)
+	out = check(out, r.Cores >= 0 && r.Cores <= MaxCores, "cores %d is out of range: 0 to %d", r.Cores, MaxCores)
+	out = check(out, r.Memory >= 0 && r.Memory <= MaxMemory, "memory %d is out of range: 0 to %d", r.Memory, MaxMemory)
+	return check(out, r.Accelerators >= 0 && r.Accelerators <= MaxAccelerators, "accelerators %d is out of range: 0 to %d", r.Accelerators, MaxAccelerators)
+}
+
+// Findings returns every fault of the pool.
+func (p Pool) Findings() []string {
+	var out []string
+	out = check(out, ValidName(p.Name), "pool name %q: lower-case letters, digits, dot, dash and underscore are expected", p.Name)
+	out = check(out, p.Slots >= 0 && p.Slots <= MaxSlots, "slots %d is out of range: 0 to %d", p.Slots, MaxSlots)
+	return check(out, p.Queue >= 1 && p.Queue <= MaxQueue, "queue %d is out of range: 1 to %d", p.Queue, MaxQueue)
+}
+
+func check(out []string, ok bool, format string, args ...any) []string {
+	if ok {
+		return out
+	}
+	return append(out, fmt.Sprintf(format, args...))
+}
--- /dev/null
+++ b/src/chart/tables.go
@@ -0,0 +1,223 @@
+package chart
+
+import (
+	"sort"
+	"time"
+)
+
+// Sizes of what the tables remember beside their rows.
+const (
+	// ResultLimit is how many edit ids are remembered.
+	ResultLimit = 4096
+	// RecentLimit is how many changes can be handed on as a delta.
+	RecentLimit = 2048
+)
+
+// Entry is a change with the revision it made.
+type Entry struct {
+	Revision uint64
+	Author   string
+	At       time.Time
+	Change   Change
+}
+
+// Tables is both tables with their revision; it belongs to one goroutine.
+type Tables struct {
+	revision uint64
+	routes   map[string]RouteRow
+	pools    map[string]PoolRow
+	views    map[Shard]View
+	results  map[string]Result
+	order    []string
+	recent   []Entry
+}
+
+// NewTables returns empty tables at revision 0.
+func NewTables() *Tables {
+	return &Tables{
+		routes:  make(map[string]RouteRow),
+		pools:   make(map[string]PoolRow),
+		views:   make(map[Shard]View),
+		results: make(map[string]Result),
+	}
+}
+
+// Revision returns the revision of the last accepted edit.
+func (t *Tables) Revision() uint64 { return t.revision }
+
+// Route returns the row of a route.
+func (t *Tables) Route(name string) (RouteRow, bool) {
+	row, ok := t.routes[name]
+	return row, ok
+}
+
+// Pool returns the row of a pool.
+func (t *Tables) Pool(name string) (PoolRow, bool) {
+	row, ok := t.pools[name]
+	return row, ok
+}
+
+// View returns the view of a ledger shard.
+func (t *Tables) View(s Shard) (View, bool) {
+	v, ok := t.views[s]
+	return v, ok
+}
+
+// Routes returns all routes by name.
+func (t *Tables) Routes() []RouteRow {
+	out := make([]RouteRow, 0, len(t.routes))
+	for _, row := range t.routes {
+		out = append(out, row)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Route.Name < out[j].Route.Name })
+	return out
+}
+
+// Pools returns all pools by name.
+func (t *Tables) Pools() []PoolRow {
+	out := make([]PoolRow, 0, len(t.pools))
+	for _, row := range t.pools {
+		out = append(out, row)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Pool.Name < out[j].Pool.Name })
+	return out
+}
+
+// Apply carries out an edit, or repeats the result of an edit that was carried out before.
+func (t *Tables) Apply(e Edit) Result {
+	if old, ok := t.results[e.ID]; ok {
+		return old
+	}
+	res := t.decide(e)
+	res.ID = e.ID
+	if res.Status == Accepted {
+		t.revision++
+		res.Revision = t.revision
+		t.put(Entry{Revision: t.revision, Author: e.Author, At: e.At, Change: e.Change})
+	}
+	t.remember(res)
+	return res
+}
+
+// Follow takes over an entry that another process applied; an entry that is not the next one is left out.
+func (t *Tables) Follow(e Entry) bool {
+	if e.Revision != t.revision+1 {
+		return false
+	}
+	t.revision = e.Revision
+	t.put(e)
+	return true
+}
+
+// Since returns the entries after a revision, or false when they are no longer all held.
+func (t *Tables) Since(revision uint64) ([]Entry, bool) {
+	if revision >= t.revision {
+		return nil, revision == t.revision
+	}
+	missing := t.revision - revision
+	if missing > uint64(len(t.recent)) {
+		return nil, false
+	}
+	return append([]Entry(nil), t.recent[uint64(len(t.recent))-missing:]...), true
+}
+
+// Recent returns the changes still remembered, oldest first.
+func (t *Tables) Recent() []Entry { return append([]Entry(nil), t.recent...) }
+
+// Warnings returns the names that are not joined: routes to pools that are missing.
+func (t *Tables) Warnings() []string {
+	var out []string
+	for _, row := range t.Routes() {
+		if _, ok := t.pools[row.Route.Pool]; !ok {
+			out = append(out, "route "+row.Route.Name+" names pool "+row.Route.Pool+", which is not there")
+		}
+	}
+	return out
+}
+
+func (t *Tables) decide(e Edit) Result {
+	switch c := e.Change.(type) {
+	case PutRoute:
+		return t.decidePut(e.Match, c.Route.Findings(), t.routes[c.Route.Name].Revision)
+	case PutPool:
+		return t.decidePut(e.Match, c.Pool.Findings(), t.pools[c.Pool.Name].Revision)
+	case RemoveRoute:
+		return decideRemove(e.Match, t.routes[c.Name].Revision)
+	case RemovePool:
+		return decideRemove(e.Match, t.pools[c.Name].Revision)
+	case SetView:
+		return t.decideView(c)
+	}
+	return Result{Status: Invalid, Findings: []string{"the edit changes nothing"}}
+}
+
+func (t *Tables) decidePut(m Match, findings []string, current uint64) Result {
+	if len(findings) > 0 {
+		return Result{Status: Invalid, Findings: findings}
+	}
+	if !m.holds(current) {
+		return Result{Status: Conflict, Revision: current}
+	}
+	return Result{Status: Accepted}
+}
+
+func decideRemove(m Match, current uint64) Result {
+	if current == 0 {
+		return Result{Status: Absent}
+	}
+	if !m.holds(current) {
+		return Result{Status: Conflict, Revision: current}
+	}
+	return Result{Status: Accepted}
+}
+
+func (t *Tables) decideView(c SetView) Result {
+	current := t.views[c.Shard]
+	if current.Epoch != c.Expect || c.View.Epoch != c.Expect+1 {
+		return Result{Status: Conflict, Revision: current.Epoch}
+	}
+	return Result{Status: Accepted}
+}
+
+func (m Match) holds(current uint64) bool {
+	switch m.Kind {
+	case MatchAbsent:
+		return current == 0
+	case MatchRevision:
+		return current == m.Revision
+	default:
+		return true
+	}
+}
+
+func (t *Tables) put(e Entry) {
+	switch c := e.Change.(type) {
+	case PutRoute:
+		t.routes[c.Route.Name] = RouteRow{Route: c.Route, Revision: e.Revision, Author: e.Author, At: e.At}
+	case PutPool:
+		t.pools[c.Pool.Name] = PoolRow{Pool: c.Pool, Revision: e.Revision, Author: e.Author, At: e.At}
+	case RemoveRoute:
+		delete(t.routes, c.Name)
+	case RemovePool:
+		delete(t.pools, c.Name)
+	case SetView:
+		t.views[c.Shard] = c.View
+	}
+	t.recent = append(t.recent, e)
+	if len(t.recent) > 2*RecentLimit {
+		t.recent = append([]Entry(nil), t.recent[len(t.recent)-RecentLimit:]...)
+	}
+}
+
+func (t *Tables) remember(r Result) {
+	if r.ID == "" {
+		return
+	}
+	t.results[r.ID] = r
+	t.order = append(t.order, r.ID)
+	if len(t.order) <= ResultLimit {
+		return
+	}
+	delete(t.results, t.order[0])
+	t.order = t.order[1:]
+}
--- /dev/null
+++ b/src/deck/jobs.go
@@ -0,0 +1,148 @@
+package deck
+
+import (
+	"context"
+	"encoding/base64"
+	"encoding/json"
+	"sync"
+	"time"
+	"unicode/utf8"
+
+	"github.com/google/uuid"
+
+	"sesamecleat/src/helm"
+)
+
+// jobs keeps the submissions that run here, and the answers of those without a key for a while.
+type jobs struct {
+	mu      sync.Mutex
+	limit   int
+	cancels map[string]context.CancelFunc
+	answers map[string]helm.Answer
+	order   []string
+}
+
+func newJobs(limit int) *jobs {
+	return &jobs{limit: limit, cancels: make(map[string]context.CancelFunc), answers: make(map[string]helm.Answer)}
+}
+
+func newID() string { return uuid.NewString() }
+
+func (j *jobs) idOf(sub helm.Submission) string {
+	if sub.Key != "" {
+		return sub.Key
+	}
+	return sub.ID
+}
+
+// begin notes that a submission runs and returns its context with the function that ends it.
+func (j *jobs) begin(ctx context.Context, id string) (context.Context, func()) {
+	ctx, cancel := context.WithCancel(ctx)
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.cancels[id] = cancel
+	return ctx, func() {
+		cancel()
+		j.mu.Lock()
+		defer j.mu.Unlock()
+		delete(j.cancels, id)
+	}
+}
+
+// cancel stops what has not started of a submission, and reports whether it runs here.
+func (j *jobs) cancel(id string) bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	cancel, ok := j.cancels[id]
+	if ok {
+		cancel()
+	}
+	return ok
+}
+
+func (j *jobs) running(id string) bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	_, ok := j.cancels[id]
+	return ok
+}
+
+// keep holds the answer of a submission without a key, the oldest ones making room.
+func (j *jobs) keep(id string, a helm.Answer) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.answers[id] = a
+	j.order = append(j.order, id)
+	if len(j.order) > j.limit {
+		delete(j.answers, j.order[0])
+		j.order = j.order[1:]
+	}
+}
+
+func (j *jobs) answer(id string) (helm.Answer, bool) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	a, ok := j.answers[id]
+	return a, ok
+}
+
+type wireJobTask struct {
+	ID      string `json:"id"`
+	Outcome string `json:"outcome"`
+	Status  int    `json:"status,omitempty"`
+	Type    string `json:"type,omitempty"`
+	Body    string `json:"body,omitempty"`
+	Data    string `json:"data,omitempty"`
+	Code    string `json:"code,omitempty"`
+	Reason  string `json:"reason,omitempty"`
+}
+
+type wireJob struct {
+	Outcome string        `json:"outcome"`
+	Tasks   []wireJobTask `json:"tasks"`
+}
+
+const jsonType = "application/json"
+
+// jobDone returns the whole answer of a job.
+func jobDone(sub helm.Submission, answers []helm.Answer) helm.Answer {
+	w := wireJob{Outcome: string(helm.Done)}
+	for i, a := range answers {
+		t := wireJobTask{ID: sub.Tasks[i].ID, Outcome: string(a.Outcome), Status: a.Status, Type: a.Type}
+		if utf8.Valid(a.Body) {
+			t.Body = string(a.Body)
+		} else {
+			t.Data = base64.StdEncoding.EncodeToString(a.Body)
+		}
+		w.Tasks = append(w.Tasks, t)
+	}
+	body, _ := json.Marshal(w) // cannot fail for plain values
+	return helm.Answer{Outcome: helm.Done, Status: 200, Type: jsonType, Body: body}
+}
+
+// jobFailed returns each task's outcome without any answer; a job of which no task started did not run.
+func jobFailed(sub helm.Submission, answers []helm.Answer) helm.Answer {
+	w := wireJob{Outcome: string(helm.Failed)}
+	started := false
+	var retry time.Duration
+	for i, a := range answers {
+		t := wireJobTask{ID: sub.Tasks[i].ID, Outcome: string(a.Outcome), Code: string(a.Code), Reason: a.Reason}
+		switch a.Outcome {
+		case helm.NotRun:
+			retry = max(retry, a.Retry)
+		case "":
+			t.Outcome, t.Code, t.Reason = string(helm.Unknown), string(helm.CodeRunning), "the task was running when the job failed"
+			started = true
+		default:
+			started = true
+		}
+		w.Tasks = append(w.Tasks, t)
+	}
+	if !started {
+		return notRun(answers[0].Code, "no task of the job started: "+answers[0].Reason, retry)
+	}
+	body, _ := json.Marshal(w) // cannot fail for plain values
+	return helm.Answer{
+		Outcome: helm.Failed, Code: helm.CodeTaskFailed, Reason: "a task of the job was not done", Type: jsonType, Body: body,
+	}
+}
--- /dev/null
+++ b/src/drill/summary.go
@@ -0,0 +1,90 @@
+package drill
+
+import (
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Summary is what a load came to.
+type Summary struct {
+	Sent, Done, Failed, NotRun, Unknown       int
+	Twice, Partial, Crossed, Untrue, Reverted int
+	P50, P99                                  time.Duration
+	Mean, Ratio50, Ratio99, MessagesPerTask   float64
+	// RefusalP99 is how long refusals took.
+	RefusalP99 time.Duration
+	// Codes counts the reasons of everything that was not done.
+	Codes map[string]int
+}
+
+// Held reports whether every promise held.
+func (s Summary) Held() bool {
+	return s.Twice == 0 && s.Partial == 0 && s.Crossed == 0 && s.Untrue == 0 && s.Reverted == 0
+}
+
+// String returns the summary line.
+func (s Summary) String() string {
+	return fmt.Sprintf("sent=%d done=%d failed=%d notrun=%d unknown=%d twice=%d partial=%d crossed=%d untrue=%d reverted=%d "+
+		"p50=%.1f p99=%.1f mean=%.2f ratio50=%.2f ratio99=%.2f msgs=%.2f",
+		s.Sent, s.Done, s.Failed, s.NotRun, s.Unknown, s.Twice, s.Partial, s.Crossed, s.Untrue, s.Reverted,
+		milliseconds(s.P50), milliseconds(s.P99), s.Mean, s.Ratio50, s.Ratio99, s.MessagesPerTask)
+}
+
+func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+const (
+	// ratioScale keeps three digits of a ratio in a whole number.
+	ratioScale    = 1000
+	histogramMax  = int64(10 * time.Minute / time.Microsecond)
+	histogramSize = 3 // significant digits
+)
+
+// meter collects latencies and ratios; it is safe for concurrent use.
+type meter struct {
+	mu       sync.Mutex
+	latency  *hdrhistogram.Histogram
+	ratio    *hdrhistogram.Histogram
+	refusal  *hdrhistogram.Histogram
+	ratioSum float64
+	n        int
+}
+
+func newMeter() *meter {
+	return &meter{
+		latency: hdrhistogram.New(1, histogramMax, histogramSize),
+		ratio:   hdrhistogram.New(1, histogramMax, histogramSize),
+		refusal: hdrhistogram.New(1, histogramMax, histogramSize),
+	}
+}
+
+func (m *meter) done(took, ideal time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	r := float64(took) / float64(max(ideal, time.Microsecond))
+	_ = m.latency.RecordValue(max(1, took.Microseconds())) // values over the maximum are left out
+	_ = m.ratio.RecordValue(int64(r * ratioScale))
+	m.ratioSum += r
+	m.n++
+}
+
+func (m *meter) refused(took time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	_ = m.refusal.RecordValue(max(1, took.Microseconds())) // values over the maximum are left out
+}
+
+func (m *meter) fill(s *Summary) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	s.P50 = time.Duration(m.latency.ValueAtQuantile(50)) * time.Microsecond
+	s.P99 = time.Duration(m.latency.ValueAtQuantile(99)) * time.Microsecond
+	s.RefusalP99 = time.Duration(m.refusal.ValueAtQuantile(99)) * time.Microsecond
+	s.Ratio50 = float64(m.ratio.ValueAtQuantile(50)) / ratioScale
+	s.Ratio99 = float64(m.ratio.ValueAtQuantile(99)) / ratioScale
+	if m.n > 0 {
+		s.Mean = m.ratioSum / float64(m.n)
+	}
+}
--- /dev/null
+++ b/src/helm/helm.go
@@ -0,0 +1,234 @@
+package helm
+
+import (
+	"io"
+	"net"
+	"net/netip"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/zeebo/errs"
+
+	"sesamecleat/src/archive"
+	"sesamecleat/src/logbook"
+	"sesamecleat/src/manifest"
+	"sesamecleat/src/radio"
+	"sesamecleat/src/roster"
+	"sesamecleat/src/tide"
+)
+
+// Error is the class of this package's errors.
+var Error = errs.Class("helm")
+
+// queueLength bounds the events that wait for the control goroutine.
+const queueLength = 1 << 14
+
+// Options are what a kernel is made of besides its settings.
+type Options struct {
+	Clock  tide.Clock
+	Log    io.Writer
+	Listen radio.Listen
+	// Dial opens connections to targets; nil means the system's.
+	Dial func(addr string) (net.Conn, error)
+}
+
+type envelope struct {
+	to Plugin
+	ev Event
+}
+
+// Helm is the kernel of one process.
+type Helm struct {
+	Settings    manifest.Settings
+	Clock       tide.Clock
+	Log         *logbook.Log
+	Metrics     *metrics.Set
+	Radio       *radio.Radio
+	Store       *archive.Store
+	Timers      *tide.Service
+	Incarnation uint64
+	Disk        DiskRecord
+	// Summaries are asked, on the control goroutine, what this process tells the others of itself.
+	Summaries []func(now time.Time, s *roster.Summary)
+	Dial      func(addr string) (net.Conn, error)
+
+	// What plug-ins provide to each other; set by their factories.
+	Members    Members
+	Tables     Tables
+	Editor     Editor
+	Dispatcher Dispatcher
+	Submitter  Submitter
+
+	plugins  []Plugin
+	queue    chan envelope
+	quit     chan struct{}
+	ended    chan struct{}
+	leaving  atomic.Bool
+	stopOnce sync.Once
+}
+
+// New returns a kernel with every registered plug-in made but not started; an error leaves nothing open.
+func New(s manifest.Settings, o Options) (*Helm, error) {
+	h := &Helm{
+		Settings: s, Clock: o.Clock, Dial: o.Dial,
+		Log:     logbook.NewLog(o.Log, s.Name),
+		Metrics: metrics.NewSet(),
+		Timers:  tide.NewService(),
+		queue:   make(chan envelope, queueLength),
+		quit:    make(chan struct{}),
+		ended:   make(chan struct{}),
+	}
+	if err := h.openStore(); err != nil {
+		return nil, err
+	}
+	var err error
+	h.Radio, err = radio.NewRadio(s.Peers, s.Keys, o.Listen, h.replaced)
+	if err != nil {
+		h.closeStore()
+		return nil, err
+	}
+	for _, r := range registry {
+		h.plugins = append(h.plugins, r.factory(h))
+	}
+	return h, nil
+}
+
+// Start starts the plug-ins, the control goroutine and the radio.
+func (h *Helm) Start() error {
+	for i, p := range h.plugins {
+		if err := p.Start(); err != nil {
+			h.stopPlugins(h.plugins[:i])
+			h.closeStore()
+			return err
+		}
+	}
+	if err := h.Radio.Start(); err != nil {
+		h.stopPlugins(h.plugins)
+		h.closeStore()
+		return err
+	}
+	go h.control()
+	h.Log.Write(logbook.ProcessStarted, logbook.F("domain", h.Settings.Domain), logbook.F("incarnation", h.Incarnation),
+		logbook.F("callers", h.Settings.Callers.String()), logbook.F("peers", h.Settings.Peers.String()))
+	return nil
+}
+
+// Post hands an event to one plug-in's control side.
+func (h *Helm) Post(to Plugin, ev Event) {
+	select {
+	case h.queue <- envelope{to: to, ev: ev}:
+	case <-h.quit:
+	}
+}
+
+// Publish hands an event to every plug-in; it must be called on the control goroutine.
+func (h *Helm) Publish(now time.Time, ev Event) {
+	for _, p := range h.plugins {
+		p.Handle(now, ev)
+	}
+}
+
+// Done is closed when the kernel stops.
+func (h *Helm) Done() <-chan struct{} { return h.quit }
+
+// Leaving reports whether a planned stop began.
+func (h *Helm) Leaving() bool { return h.leaving.Load() }
+
+// Drain begins a planned stop: readiness fails, then new work is refused, then work in flight ends.
+func (h *Helm) Drain() {
+	h.Log.Write(logbook.StopRequested)
+	h.leaving.Store(true)
+	time.Sleep(h.Settings.Limits.Notice)
+	h.Post(nil, Leaving{})
+	limit := time.Now().Add(h.Settings.Limits.Drain)
+	for h.Submitter.Inflight() > 0 {
+		if time.Now().After(limit) {
+			h.Log.Write(logbook.StopCutOff, logbook.F("inflight", h.Submitter.Inflight()))
+			return
+		}
+		time.Sleep(drainPoll)
+	}
+}
+
+const drainPoll = 10 * time.Millisecond
+
+// Stop ends the process's parts at once.
+func (h *Helm) Stop() {
+	h.stopOnce.Do(func() {
+		close(h.quit)
+		<-h.ended
+		h.stopPlugins(h.plugins)
+		h.Radio.Stop()
+		h.closeStore()
+		h.Log.Write(logbook.StopFinished)
+	})
+}
+
+// Guard runs f and turns a panic into an event, so that one request's fault stays its own.
+func (h *Helm) Guard(f func()) {
+	defer func() {
+		if p := recover(); p != nil {
+			h.Log.Write(logbook.HandlerPanicked, logbook.F("panic", p), logbook.F("stack", string(debug.Stack())))
+		}
+	}()
+	f()
+}
+
+func (h *Helm) replaced(peer netip.AddrPort) {
+	h.Log.Write(logbook.PeerReplaced, logbook.F("peer", peer.String()))
+	h.Metrics.GetOrCreateCounter("sesamecleat_connections_replaced_total").Inc()
+}
+
+func (h *Helm) stopPlugins(plugins []Plugin) {
+	for i := len(plugins) - 1; i >= 0; i-- {
+		plugins[i].Stop()
+	}
+}
+
+// control is the one goroutine that owns all control state.
+func (h *Helm) control() {
+	defer close(h.ended)
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
+	for {
+		now := h.Clock.Now()
+		h.Timers.Run(now)
+		if next, ok := h.Timers.Next(); ok {
+			timer.Reset(max(0, next.Sub(now)))
+		}
+		select {
+		case e := <-h.queue:
+			h.deliver(e)
+			h.deliverWaiting()
+		case <-timer.C:
+		case <-h.quit:
+			return
+		}
+	}
+}
+
+const deliverBatch = 256
+
+// deliverWaiting takes what else waits, so that timers are looked at once a batch.
+func (h *Helm) deliverWaiting() {
+	for range deliverBatch {
+		select {
+		case e := <-h.queue:
+			h.deliver(e)
+		default:
+			return
+		}
+	}
+}
+
+func (h *Helm) deliver(e envelope) {
+	now := h.Clock.Now()
+	if e.to == nil {
+		h.Publish(now, e.ev)
+		return
+	}
+	e.to.Handle(now, e.ev)
+}
--- /dev/null
+++ b/src/helm/services.go
@@ -0,0 +1,165 @@
+package helm
+
+import (
+	"context"
+	"time"
+
+	"sesamecleat/src/berth"
+	"sesamecleat/src/chart"
+	"sesamecleat/src/roster"
+)
+
+// Members is what plug-ins use of the membership; its methods run on the control goroutine.
+type Members interface {
+	Peers() []roster.Peer
+	Peer(name string) (roster.Peer, bool)
+	Self() roster.Member
+}
+
+// Tables is what plug-ins use of the tables served here; it is safe for concurrent use.
+type Tables interface {
+	Revision() uint64
+	Route(name string) (chart.RouteRow, bool)
+	Pool(name string) (chart.PoolRow, bool)
+	View(s chart.Shard) (chart.View, bool)
+	Routes() []chart.RouteRow
+	Pools() []chart.PoolRow
+	Warnings() []string
+	Recent() []chart.Entry
+	// Ready reports whether there are tables to serve: learned from others, or from the disk.
+	Ready() bool
+	// Stale reports since when no newer tables could have been learned, and false while they could.
+	Stale() (time.Time, bool)
+}
+
+// Editor carries out edits of the tables, wherever the leader is; it is safe for concurrent use.
+type Editor interface {
+	// Edit returns the result, or an error when its fate is not known or it did not reach a leader.
+	Edit(ctx context.Context, e chart.Edit) (chart.Result, error)
+	// Read returns once this process serves everything accepted before the call.
+	Read(ctx context.Context) error
+}
+
+// Dispatcher runs tasks on targets; it is safe for concurrent use.
+type Dispatcher interface {
+	// Plan makes a task out of a route's row, or says why it cannot be placed.
+	Plan(route chart.Route, deadline time.Time) (berth.Task, *Refusal)
+	// Run carries out one task and returns what became of it.
+	Run(ctx context.Context, t berth.Task, work Task) Answer
+	// Admit says whether n tasks of a route could run before the deadline; the error carries the refusal.
+	Admit(ctx context.Context, route chart.Route, n int, deadline time.Time) *Refusal
+	// Announce takes a target's announcement.
+	Announce(a berth.Target)
+	// Targets returns the targets known, by name.
+	Targets() []berth.TargetState
+	// Exchanged returns the messages exchanged with targets.
+	Exchanged() uint64
+}
+
+// Submitter decides about submissions; it is safe for concurrent use.
+type Submitter interface {
+	// Submit runs a submission, or repeats or joins the one that bears its key.
+	Submit(ctx context.Context, s Submission) Answer
+	// NewID returns an id for a job without a key, which names this host.
+	NewID() string
+	// Status returns what is known of a submission.
+	Status(ctx context.Context, id string) Answer
+	// Cancel stops what has not started of a submission and returns what is known of it.
+	Cancel(ctx context.Context, id string) Answer
+	// Inflight returns the submissions in flight here.
+	Inflight() int
+	// Records returns the submissions held by the ledger here.
+	Records() int
+}
+
+// Outcome is what became of a request, as its caller is told.
+type Outcome string
+
+// The outcomes.
+const (
+	// Done means that the whole answer is here.
+	Done Outcome = "done"
+	// Failed means that the request ran or may have run, and failed.
+	Failed Outcome = "failed"
+	// NotRun means that the request did not run and will not.
+	NotRun Outcome = "notrun"
+	// Unknown means that the request may have run and will not be run again.
+	Unknown Outcome = "unknown"
+	// Running means that a submission has no outcome yet.
+	Running Outcome = "running"
+)
+
+// Answer is what a caller gets.
+type Answer struct {
+	Outcome Outcome
+	// Code names the reason of every outcome but Done.
+	Code   Code
+	Reason string
+	// Retry is when another try makes sense; it counts with NotRun.
+	Retry  time.Duration
+	Status int
+	Type   string
+	Body   []byte
+	Target string
+}
+
+// Refusal is the reason why a submission cannot be taken on.
+type Refusal struct {
+	Code   Code
+	Reason string
+	Retry  time.Duration
+}
+
+// Code is a machine-readable reason.
+type Code string
+
+// The codes of answers.
+const (
+	CodeNoRoute     Code = "no-route"
+	CodeNoPool      Code = "no-pool"
+	CodeNoTarget    Code = "no-target"
+	CodeNeverFits   Code = "never-fits"
+	CodeOverload    Code = "overload"
+	CodeDeadline    Code = "deadline"
+	CodeStopping    Code = "stopping"
+	CodeTargetError Code = "target-error"
+	CodeTargetLost  Code = "target-lost"
+	CodeCrossed     Code = "crossed"
+	CodeKeyReused   Code = "key-reused"
+	CodeForgotten   Code = "forgotten"
+	CodeHomeAway    Code = "home-away"
+	CodeHomeLost    Code = "home-lost"
+	CodeCancelled   Code = "cancelled"
+	CodeTaskFailed  Code = "task-failed"
+	CodeBadRequest  Code = "bad-request"
+	CodeTooLarge    Code = "too-large"
+	CodeNotFound    Code = "not-found"
+	CodeConflict    Code = "conflict"
+	CodeUnsure      Code = "fate-unknown"
+	CodeNoLeader    Code = "no-leader"
+	CodeRunning     Code = "running"
+	CodeNoTables    Code = "no-tables"
+	CodeQuota       Code = "quota"
+)
+
+// Submission is a request or a job as it was submitted.
+type Submission struct {
+	// Key is the caller's idempotency key, or empty.
+	Key string
+	// ID names a job without a key; the host that takes it gives it.
+	ID            string
+	Route         string
+	Job           bool
+	NonIdempotent bool
+	Deadline      time.Time
+	Tasks         []Task
+	// Forwarded says that another process of the system passed it on.
+	Forwarded bool
+}
+
+// Task is one task of a submission.
+type Task struct {
+	ID   string
+	Type string
+	Body []byte
+}
--- /dev/null
+++ b/src/jetty/rows.go
@@ -0,0 +1,156 @@
+package jetty
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/tailscale/hujson"
+
+	"sesamecleat/src/chart"
+	"sesamecleat/src/survey"
+)
+
+const textLimit = 4096 // bytes
+
+// ParseRoute reads a route from JSON with comments; the error carries every finding.
+func ParseRoute(file, name string, src []byte) (chart.Route, error) {
+	report := &survey.Report{}
+	r := survey.NewReader(file, src, report)
+	route := chart.NewRoute(name, "")
+	if v, ok := r.Parse(); ok {
+		r.Object(v, routeFields(r, &route), "pool")
+		addFindings(r, v, report, route.Findings())
+	}
+	return route, report.Err()
+}
+
+// ParsePool reads a pool from JSON with comments; the error carries every finding.
+func ParsePool(file, name string, src []byte) (chart.Pool, error) {
+	report := &survey.Report{}
+	r := survey.NewReader(file, src, report)
+	pool := chart.NewPool(name)
+	if v, ok := r.Parse(); ok {
+		r.Object(v, poolFields(r, &pool))
+		addFindings(r, v, report, pool.Findings())
+	}
+	return pool, report.Err()
+}
+
+// ParseTables reads both tables from JSON with comments; the error carries every finding.
+func ParseTables(file string, src []byte) ([]chart.Route, []chart.Pool, error) {
+	report := &survey.Report{}
+	r := survey.NewReader(file, src, report)
+	var routes []chart.Route
+	var pools []chart.Pool
+	root, ok := r.Parse()
+	if !ok {
+		return nil, nil, report.Err()
+	}
+	r.Object(root, survey.Fields{
+		"routes": r.Each(func(v *hujson.Value) {
+			route := chart.NewRoute("", "")
+			r.Object(v, routeFields(r, &route), "name", "pool")
+			addFindings(r, v, report, route.Findings())
+			routes = append(routes, route)
+		}),
+		"pools": r.Each(func(v *hujson.Value) {
+			pool := chart.NewPool("")
+			r.Object(v, poolFields(r, &pool), "name")
+			addFindings(r, v, report, pool.Findings())
+			pools = append(pools, pool)
+		}),
+	})
+	return routes, pools, report.Err()
+}
+
+func addFindings(r *survey.Reader, v *hujson.Value, report *survey.Report, findings []string) {
+	if report.Err() != nil {
+		return
+	}
+	for _, f := range findings {
+		r.Addf(v, "%s", f)
+	}
+}
+
+func routeFields(r *survey.Reader, route *chart.Route) survey.Fields {
+	return survey.Fields{
+		"name":    r.String(&route.Name, textLimit),
+		"pool":    r.String(&route.Pool, textLimit),
+		"timeout": r.Duration(&route.Timeout, chart.MinTimeout, chart.MaxTimeout),
+		"once":    r.Bool(&route.NonIdempotent),
+		"spill":   r.Bool(&route.Spill),
+		"tries":   r.Int(&route.Attempts, 1, chart.MaxAttempts),
+		"cores":   r.Int(&route.Cores, 0, chart.MaxCores),
+		"memory": func(v *hujson.Value) {
+			var n int
+			r.Int(&n, 0, int(chart.MaxMemory))(v)
+			route.Memory = int64(n)
+		},
+		"accelerators": r.Int(&route.Accelerators, 0, chart.MaxAccelerators),
+	}
+}
+
+func poolFields(r *survey.Reader, pool *chart.Pool) survey.Fields {
+	return survey.Fields{
+		"name":  r.String(&pool.Name, textLimit),
+		"slots": r.Int(&pool.Slots, 0, chart.MaxSlots),
+		"queue": r.Int(&pool.Queue, 1, chart.MaxQueue),
+	}
+}
+
+type wireRoute struct {
+	Name         string `json:"name"`
+	Pool         string `json:"pool"`
+	Timeout      string `json:"timeout"`
+	Once         bool   `json:"once,omitempty"`
+	Spill        bool   `json:"spill,omitempty"`
+	Tries        int    `json:"tries"`
+	Cores        int    `json:"cores,omitempty"`
+	Memory       int64  `json:"memory,omitempty"`
+	Accelerators int    `json:"accelerators,omitempty"`
+}
+
+type wirePool struct {
+	Name  string `json:"name"`
+	Slots int    `json:"slots,omitempty"`
+	Queue int    `json:"queue"`
+}
+
+type wireRow struct {
+	Revision uint64     `json:"revision"`
+	Author   string     `json:"author,omitempty"`
+	At       string     `json:"at"`
+	Route    *wireRoute `json:"route,omitempty"`
+	Pool     *wirePool  `json:"pool,omitempty"`
+}
+
+func toWireRoute(r chart.Route) *wireRoute {
+	return &wireRoute{
+		Name: r.Name, Pool: r.Pool, Timeout: r.Timeout.String(), Once: r.NonIdempotent, Spill: r.Spill,
+		Tries: r.Attempts, Cores: r.Cores, Memory: r.Memory, Accelerators: r.Accelerators,
+	}
+}
+
+func toWirePool(p chart.Pool) *wirePool {
+	return &wirePool{Name: p.Name, Slots: p.Slots, Queue: p.Queue}
+}
+
+func routeRow(r chart.RouteRow) wireRow {
+	return wireRow{Revision: r.Revision, Author: r.Author, At: r.At.Format(time.RFC3339Nano), Route: toWireRoute(r.Route)}
+}
+
+func poolRow(p chart.PoolRow) wireRow {
+	return wireRow{Revision: p.Revision, Author: p.Author, At: p.At.Format(time.RFC3339Nano), Pool: toWirePool(p.Pool)}
+}
+
+// EncodeRoute returns a route as JSON, as the tables list it.
+func EncodeRoute(r chart.Route) []byte {
+	b, _ := json.Marshal(toWireRoute(r)) // cannot fail for plain values
+	return b
+}
+
+// EncodePool returns a pool as JSON, as the tables list it.
+func EncodePool(p chart.Pool) []byte {
+	b, _ := json.Marshal(toWirePool(p)) // cannot fail for plain values
+	return b
+}
--- /dev/null
+++ b/src/logbook/event.go
@@ -0,0 +1,82 @@
+package logbook
+
+// Event is a kind of log entry; its number never changes its meaning.
+type Event struct {
+	Number int
+	Level  Level
+	Text   string
+	Advice string
+}
+
+// Level is the weight of an event.
+type Level int
+
+// The levels of events, from routine to fault.
+const (
+	Info Level = iota
+	Warn
+	Error
+)
+
+// String returns the level's name.
+func (l Level) String() string {
+	switch l {
+	case Info:
+		return "info"
+	case Warn:
+		return "warn"
+	default:
+		return "error"
+	}
+}
+
+// The events of the kernel and its processes.
+var (
+	ProcessStarted  = Event{100, Info, "process started", "none"}
+	ProcessReady    = Event{101, Info, "process is ready for traffic", "none"}
+	StopRequested   = Event{102, Info, "graceful shutdown requested", "none"}
+	StopFinished    = Event{103, Info, "graceful shutdown finished", "none"}
+	StopCutOff      = Event{104, Warn, "graceful shutdown ran out of time with requests in flight", "raise limits.drain"}
+	SettingsRefused = Event{105, Error, "settings refused", "mend the findings"}
+	HandlerPanicked = Event{106, Error, "a handler panicked; its request was failed", "report the stack trace"}
+
+	MemberJoined    = Event{200, Info, "member joined", "none"}
+	MemberSuspected = Event{201, Warn, "member suspected", "look at the host and the network if it lasts"}
+	MemberDied      = Event{202, Warn, "member taken for dead", "look at the host"}
+	MemberReturned  = Event{203, Info, "member heard again", "none"}
+	MemberRestarted = Event{204, Info, "member restarted under a new incarnation", "none"}
+	PeerReplaced    = Event{205, Warn, "silent connection replaced", "look for a firewall or NAT that forgets flows if it recurs"}
+	PeerRefused     = Event{206, Warn, "peer refused: its key is not known", "give both processes one common key"}
+
+	TargetAnnounced = Event{300, Info, "target announced itself", "none"}
+	TargetLeaving   = Event{301, Info, "target is leaving", "none"}
+	TargetExpired   = Event{302, Warn, "target stopped announcing and expired", "look at the target"}
+	TargetEjected   = Event{303, Warn, "target ejected after failures", "look at the target"}
+	TargetRestored  = Event{304, Info, "target restored after a probe", "none"}
+	AnswerCrossed   = Event{305, Error, "answer carried another task's id; connection closed", "look at the target or a proxy before it"}
+
+	LeaderElected  = Event{400, Info, "this state host leads", "none"}
+	LeaderLost     = Event{401, Warn, "this state host no longer leads", "none if another leads"}
+	EditAccepted   = Event{402, Info, "edit accepted", "none"}
+	TablesStale    = Event{403, Warn, "no newer tables can be learned; serving the ones held", "look at the network to the state hosts"}
+	TablesCurrent  = Event{404, Info, "tables can be learned again", "none"}
+	DiskFailed     = Event{405, Error, "data folder failed; edits stop here, serving goes on", "mend the disk and restart"}
+	DiskDamaged    = Event{406, Error, "data folder is damaged", "remove this host's data folder and let it catch up, or restore a backup"}
+	SnapshotLoaded = Event{407, Info, "tables loaded by snapshot", "none"}
+
+	ViewChanged    = Event{500, Info, "ledger view changed", "none"}
+	LedgerReset    = Event{501, Warn, "ledger lost every copy; unseen keys answer unknown for the retention", "look for what took down every copy"}
+	CopyCaughtUp   = Event{502, Info, "ledger copy caught up", "none"}
+	LedgerPressure = Event{503, Warn, "ledger is full; new keyed work is refused", "raise limits.records or add hosts"}
+)
+
+// Catalogue returns every event in the order of its number.
+func Catalogue() []Event {
+	return []Event{
+		ProcessStarted, ProcessReady, StopRequested, StopFinished, StopCutOff, SettingsRefused, HandlerPanicked,
+		MemberJoined, MemberSuspected, MemberDied, MemberReturned, MemberRestarted, PeerReplaced, PeerRefused,
+		TargetAnnounced, TargetLeaving, TargetExpired, TargetEjected, TargetRestored, AnswerCrossed,
+		LeaderElected, LeaderLost, EditAccepted, TablesStale, TablesCurrent, DiskFailed, DiskDamaged, SnapshotLoaded,
+		ViewChanged, LedgerReset, CopyCaughtUp, LedgerPressure,
+	}
+}
--- /dev/null
+++ b/src/manifest/doc.go
@@ -0,0 +1,2 @@
+// Package manifest reads and checks the settings of one process.
+package manifest
--- /dev/null
+++ b/src/radio/identity.go
@@ -0,0 +1,105 @@
+package radio
+
+import (
+	"bytes"
+	"crypto/ed25519"
+	"crypto/hkdf"
+	"crypto/rand"
+	"crypto/sha256"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"math/big"
+	"time"
+)
+
+const (
+	protocol     = "sesamecleat/1"
+	keyInfo      = "sesamecleat process identity"
+	certLifetime = 100 * 365 * 24 * time.Hour
+	certBackdate = 24 * time.Hour
+)
+
+// identity proves that a process holds one of the deployment's keys.
+type identity struct {
+	cert   tls.Certificate
+	accept []ed25519.PublicKey
+}
+
+// newIdentity presents the first key and accepts peers that present any of them.
+func newIdentity(keys []string) (*identity, error) {
+	if len(keys) == 0 {
+		return nil, Error.New("no key is given")
+	}
+	id := &identity{}
+	for i, key := range keys {
+		private, err := deriveKey(key)
+		if err != nil {
+			return nil, Error.Wrap(err)
+		}
+		id.accept = append(id.accept, private.Public().(ed25519.PublicKey))
+		if i > 0 {
+			continue
+		}
+		if id.cert, err = selfSign(private); err != nil {
+			return nil, Error.Wrap(err)
+		}
+	}
+	return id, nil
+}
+
+func deriveKey(key string) (ed25519.PrivateKey, error) {
+	seed, err := hkdf.Key(sha256.New, []byte(key), nil, keyInfo, ed25519.SeedSize)
+	if err != nil {
+		return nil, err
+	}
+	return ed25519.NewKeyFromSeed(seed), nil
+}
+
+func selfSign(private ed25519.PrivateKey) (tls.Certificate, error) {
+	now := time.Now()
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1),
+		Subject:      pkix.Name{CommonName: protocol},
+		NotBefore:    now.Add(-certBackdate),
+		NotAfter:     now.Add(certLifetime),
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, private.Public(), private)
+	if err != nil {
+		return tls.Certificate{}, err
+	}
+	return tls.Certificate{Certificate: [][]byte{der}, PrivateKey: private}, nil
+}
+
+// config returns TLS settings for both ends of a connection.
+func (id *identity) config() *tls.Config {
+	return &tls.Config{
+		Certificates: []tls.Certificate{id.cert},
+		ClientAuth:   tls.RequireAnyClientCert,
+		// The peer proves itself by its key, not by a name or an authority.
+		InsecureSkipVerify:    true, //nolint:gosec // VerifyPeerCertificate pins the key
+		VerifyPeerCertificate: id.verify,
+		NextProtos:            []string{protocol},
+		MinVersion:            tls.VersionTLS13,
+	}
+}
+
+func (id *identity) verify(raw [][]byte, _ [][]*x509.Certificate) error {
+	if len(raw) == 0 {
+		return Error.New("the peer presents no key")
+	}
+	cert, err := x509.ParseCertificate(raw[0])
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	key, ok := cert.PublicKey.(ed25519.PublicKey)
+	if !ok {
+		return Error.New("the peer's key has the wrong form")
+	}
+	for _, known := range id.accept {
+		if bytes.Equal(known, key) {
+			return nil
+		}
+	}
+	return Error.New("the peer's key is not known")
+}
--- /dev/null
+++ b/src/survey/reader.go
@@ -0,0 +1,226 @@
+package survey
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"net/netip"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/tailscale/hujson"
+)
+
+// Field reads the value of one member of an object.
+type Field func(v *hujson.Value)
+
+// Fields maps the names an object may have to what reads them.
+type Fields map[string]Field
+
+// Reader walks one file of JSON with comments and puts its findings into a report.
+type Reader struct {
+	file   string
+	src    []byte
+	report *Report
+}
+
+// NewReader returns a reader over src that reports under the name file.
+func NewReader(file string, src []byte, report *Report) *Reader {
+	return &Reader{file: file, src: src, report: report}
+}
+
+// Parse returns the root value, or false after a finding if src is not JSON with comments.
+func (r *Reader) Parse() (*hujson.Value, bool) {
+	if strings.TrimSpace(string(r.src)) == "" {
+		r.at(0, "the file is empty; an object is expected")
+		return nil, false
+	}
+	v, err := hujson.Parse(r.src)
+	if err != nil {
+		r.syntax(err)
+		return nil, false
+	}
+	return &v, true
+}
+
+// Object reads the members of an object, and reports unknown, duplicate and missing names.
+func (r *Reader) Object(v *hujson.Value, fields Fields, required ...string) {
+	obj, ok := v.Value.(*hujson.Object)
+	if !ok {
+		r.Addf(v, "an object is expected")
+		return
+	}
+	seen := make(map[string]bool)
+	for i := range obj.Members {
+		m := &obj.Members[i]
+		name := m.Name.Value.(hujson.Literal).String()
+		if seen[name] {
+			r.Addf(&m.Name, "key %q stands twice", name)
+			continue
+		}
+		seen[name] = true
+		field, known := fields[name]
+		if !known {
+			r.Addf(&m.Name, "key %q is unknown; known are %s", name, names(fields))
+			continue
+		}
+		field(&m.Value)
+	}
+	for _, name := range required {
+		if !seen[name] {
+			r.Addf(v, "key %q is missing", name)
+		}
+	}
+}
+
+// Each calls item for every element of an array.
+func (r *Reader) Each(item Field) Field {
+	return func(v *hujson.Value) {
+		arr, ok := v.Value.(*hujson.Array)
+		if !ok {
+			r.Addf(v, "an array is expected")
+			return
+		}
+		for i := range arr.Elements {
+			item(&arr.Elements[i])
+		}
+	}
+}
+
+// String reads a string of 1 to limit bytes.
+func (r *Reader) String(dst *string, limit int) Field {
+	return func(v *hujson.Value) {
+		s, ok := r.str(v)
+		if !ok {
+			return
+		}
+		if s == "" || len(s) > limit {
+			r.Addf(v, "a string of 1 to %d bytes is expected", limit)
+			return
+		}
+		*dst = s
+	}
+}
+
+// Bool reads true or false.
+func (r *Reader) Bool(dst *bool) Field {
+	return func(v *hujson.Value) {
+		if err := json.Unmarshal(r.text(v), dst); err != nil {
+			r.Addf(v, "true or false is expected")
+		}
+	}
+}
+
+// Int reads a whole number from low to high.
+func (r *Reader) Int(dst *int, low, high int) Field {
+	return func(v *hujson.Value) {
+		var n int
+		if err := json.Unmarshal(r.text(v), &n); err != nil || r.text(v)[0] == 'n' {
+			r.Addf(v, "a whole number is expected")
+			return
+		}
+		if n < low || n > high {
+			r.Addf(v, "%d is out of range: %d to %d", n, low, high)
+			return
+		}
+		*dst = n
+	}
+}
+
+// Float reads a number from low to high.
+func (r *Reader) Float(dst *float64, low, high float64) Field {
+	return func(v *hujson.Value) {
+		var n float64
+		if err := json.Unmarshal(r.text(v), &n); err != nil || math.IsNaN(n) || r.text(v)[0] == 'n' {
+			r.Addf(v, "a number is expected")
+			return
+		}
+		if n < low || n > high {
+			r.Addf(v, "%g is out of range: %g to %g", n, low, high)
+			return
+		}
+		*dst = n
+	}
+}
+
+// Duration reads a duration such as "1.5s" from low to high.
+func (r *Reader) Duration(dst *time.Duration, low, high time.Duration) Field {
+	return func(v *hujson.Value) {
+		s, ok := r.str(v)
+		if !ok {
+			return
+		}
+		d, err := time.ParseDuration(s)
+		if err != nil {
+			r.Addf(v, "%q is not a duration such as \"250ms\"", s)
+			return
+		}
+		if d < low || d > high {
+			r.Addf(v, "%s is out of range: %s to %s", d, low, high)
+			return
+		}
+		*dst = d
+	}
+}
+
+// AddrPort reads an IP address with a port.
+func (r *Reader) AddrPort(dst *netip.AddrPort) Field {
+	return func(v *hujson.Value) {
+		s, ok := r.str(v)
+		if !ok {
+			return
+		}
+		a, err := netip.ParseAddrPort(s)
+		if err != nil {
+			r.Addf(v, "%q is not an IP address with a port", s)
+			return
+		}
+		*dst = a
+	}
+}
+
+// Addf puts a finding at the place of v into the report.
+func (r *Reader) Addf(v *hujson.Value, format string, args ...any) {
+	r.at(v.StartOffset, fmt.Sprintf(format, args...))
+}
+
+func (r *Reader) str(v *hujson.Value) (string, bool) {
+	lit, ok := v.Value.(hujson.Literal)
+	if !ok || lit.Kind() != '"' {
+		r.Addf(v, "a string is expected")
+		return "", false
+	}
+	return lit.String(), true
+}
+
+func (r *Reader) text(v *hujson.Value) []byte {
+	return r.src[v.StartOffset:v.EndOffset]
+}
+
+func (r *Reader) at(offset int, text string) {
+	line := 1 + strings.Count(string(r.src[:offset]), "\n")
+	column := offset - strings.LastIndexByte(string(r.src[:offset]), '\n')
+	r.report.Add(Finding{File: r.file, Line: line, Column: column, Text: text})
+}
+
+func (r *Reader) syntax(err error) {
+	var line, column int
+	text := err.Error()
+	if _, scanErr := fmt.Sscanf(text, "hujson: line %d, column %d:", &line, &column); scanErr != nil {
+		r.at(0, text)
+		return
+	}
+	_, rest, _ := strings.Cut(text, ": ")
+	_, rest, _ = strings.Cut(rest, ": ")
+	r.report.Add(Finding{File: r.file, Line: line, Column: column, Text: rest})
+}
+
+func names(fields Fields) string {
+	var out []string
+	for name := range fields {
+		out = append(out, name)
+	}
+	sort.Strings(out)
+	return strings.Join(out, ", ")
+}
--- /dev/null
+++ b/src/tide/service.go
@@ -0,0 +1,114 @@
+package tide
+
+import (
+	"container/heap"
+	"time"
+)
+
+// Ticket identifies a subscription.
+type Ticket uint64
+
+// Notify is called with the current time when a subscription is due.
+type Notify func(now time.Time)
+
+type subscription struct {
+	ticket Ticket
+	due    time.Time
+	every  time.Duration
+	notify Notify
+	index  int
+}
+
+type agenda []*subscription
+
+func (a agenda) Len() int { return len(a) }
+
+func (a agenda) Less(i, j int) bool {
+	if a[i].due.Equal(a[j].due) {
+		return a[i].ticket < a[j].ticket
+	}
+	return a[i].due.Before(a[j].due)
+}
+
+func (a agenda) Swap(i, j int) {
+	a[i], a[j] = a[j], a[i]
+	a[i].index = i
+	a[j].index = j
+}
+
+func (a *agenda) Push(x any) {
+	s := x.(*subscription)
+	s.index = len(*a)
+	*a = append(*a, s)
+}
+
+func (a *agenda) Pop() any {
+	old := *a
+	s := old[len(old)-1]
+	old[len(old)-1] = nil
+	*a = old[:len(old)-1]
+	return s
+}
+
+// Service keeps subscriptions in the order they are due; it belongs to one goroutine.
+type Service struct {
+	agenda agenda
+	byID   map[Ticket]*subscription
+	last   Ticket
+}
+
+// NewService returns a service without subscriptions.
+func NewService() *Service {
+	return &Service{byID: make(map[Ticket]*subscription)}
+}
+
+// At subscribes to one notification at due.
+func (s *Service) At(due time.Time, notify Notify) Ticket {
+	return s.add(due, 0, notify)
+}
+
+// Every subscribes to a notification at first and then every interval.
+func (s *Service) Every(first time.Time, interval time.Duration, notify Notify) Ticket {
+	return s.add(first, interval, notify)
+}
+
+// Cancel ends a subscription; one that is unknown or past is left alone.
+func (s *Service) Cancel(t Ticket) {
+	sub, ok := s.byID[t]
+	if !ok {
+		return
+	}
+	delete(s.byID, t)
+	heap.Remove(&s.agenda, sub.index)
+}
+
+// Next returns when the earliest subscription is due, and false if there is none.
+func (s *Service) Next() (time.Time, bool) {
+	if len(s.agenda) == 0 {
+		return time.Time{}, false
+	}
+	return s.agenda[0].due, true
+}
+
+// Run notifies every subscription that is due at now; an interval that fell behind is notified once.
+func (s *Service) Run(now time.Time) {
+	for len(s.agenda) > 0 && !s.agenda[0].due.After(now) {
+		sub := s.agenda[0]
+		if sub.every > 0 {
+			sub.due = now.Add(sub.every)
+			heap.Fix(&s.agenda, 0)
+		} else {
+			heap.Pop(&s.agenda)
+			delete(s.byID, sub.ticket)
+		}
+		sub.notify(now)
+	}
+}
+
+func (s *Service) add(due time.Time, every time.Duration, notify Notify) Ticket {
+	s.last++
+	sub := &subscription{ticket: s.last, due: due, every: every, notify: notify}
+	s.byID[sub.ticket] = sub
+	heap.Push(&s.agenda, sub)
+	return sub.ticket
+}
--- /dev/null
+++ b/src/tide/service_test.go
@@ -0,0 +1,29 @@
+package tide
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestServiceOrder(t *testing.T) {
+	start := time.Unix(1000, 0)
+	clock := NewFake(start)
+	s := NewService()
+	var got []string
+	note := func(name string) Notify { return func(time.Time) { got = append(got, name) } }
+	s.At(start.Add(2*time.Second), note("late"))
+	s.At(start.Add(time.Second), note("early"))
+	cancelled := s.At(start.Add(time.Second), note("cancelled"))
+	s.Every(start.Add(time.Second), time.Second, note("tick"))
+	s.Cancel(cancelled)
+	s.Cancel(cancelled)
+	s.Run(clock.Advance(time.Second))
+	require.Equal(t, []string{"early", "tick"}, got)
+	s.Run(clock.Advance(time.Second))
+	require.Equal(t, []string{"early", "tick", "late", "tick"}, got)
+	next, ok := s.Next()
+	require.True(t, ok)
+	require.Equal(t, start.Add(3*time.Second), next)
+}
