Count a handed-on try as a start; a later refusal does not hide a try that may have run

A task handed to another host was not counted as started, so one that came back lost was placed again. And a task whose second try was refused was told 'notrun' although its first may have run. Ruled out: the ledger (no key started under two epochs in the log), the stand-ins' count.

--- a/src/berth/planner.go
+++ b/src/berth/planner.go
@@ -256,6 +256,7 @@
 	}
 	p.others[best].free[k.Pool]--
 	k.host = best
+	k.started++
 	p.out = append(p.out, Handoff{ID: k.ID, Host: best})
 	return true
 }
--- a/src/deck/dispatch.go
+++ b/src/deck/dispatch.go
@@ -301,15 +301,19 @@
 	p := &placement{steps: make(chan berth.Action, 2)}
 	d.h.Post(d, submitEvent{task: t, placement: p})
 	id := d.h.Settings.Name + "." + strconv.FormatUint(d.h.Incarnation, 36) + "." + strconv.FormatUint(t.ID, 36)
-	last := helm.Answer{}
+	var last helm.Answer
+	var ran *helm.Answer
 	done := ctx.Done()
 	for {
 		select {
 		case a := <-p.steps:
 			if f, ok := a.(berth.Finish); ok {
-				return conclude(t, f, last)
+				return conclude(t, f, last, ran)
 			}
 			last = d.take(ctx, t, id, work, a)
+			if tried := last; tried.Outcome != "" && tried.Outcome != helm.NotRun {
+				ran = &tried
+			}
 		case <-done:
 			done = nil
 			d.h.Post(d, withdrawEvent{id: t.ID})
@@ -401,12 +405,16 @@
 	}
 }
 
-// conclude turns the end of a task into the caller's answer.
-func conclude(t berth.Task, f berth.Finish, last helm.Answer) helm.Answer {
-	switch f.Verdict {
-	case berth.Succeeded, berth.Failed, berth.Lost:
+// conclude turns the end of a task into the caller's answer; ran is the last try that may have run, if there was one,
+// and keeps a refusal of a later try from being told as the whole truth.
+func conclude(t berth.Task, f berth.Finish, last helm.Answer, ran *helm.Answer) helm.Answer {
+	tried := f.Verdict == berth.Succeeded || f.Verdict == berth.Failed || f.Verdict == berth.Lost
+	switch {
+	case tried:
 		return last
-	case berth.Withdrawn:
+	case ran != nil:
+		return *ran
+	case f.Verdict == berth.Withdrawn:
 		return helm.Answer{Outcome: helm.NotRun, Code: helm.CodeDeadline, Reason: "the time was over before the task could start"}
 	default:
 		r := refusalFor(f.Reason, f.Retry, t.Pool)
--- /dev/null
+++ b/src/deck/dispatch_test.go
@@ -0,0 +1,35 @@
+package deck
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"sesamecleat/src/berth"
+	"sesamecleat/src/helm"
+)
+
+func TestRefusalAfterATryThatMayHaveRunIsNoRefusal(t *testing.T) {
+	lost := helm.Answer{Outcome: helm.Failed, Code: helm.CodeTargetLost}
+	tests := map[string]struct {
+		finish berth.Finish
+		ran    *helm.Answer
+		want   helm.Outcome
+	}{
+		"refused at once":        {berth.Finish{Verdict: berth.Refused, Reason: berth.Overload}, nil, helm.NotRun},
+		"refused after a try":    {berth.Finish{Verdict: berth.Refused, Reason: berth.Overload}, &lost, helm.Failed},
+		"withdrawn at once":      {berth.Finish{Verdict: berth.Withdrawn}, nil, helm.NotRun},
+		"withdrawn after a try":  {berth.Finish{Verdict: berth.Withdrawn}, &lost, helm.Failed},
+		"lost":                   {berth.Finish{Verdict: berth.Lost}, &lost, helm.Failed},
+		"refused by all targets": {berth.Finish{Verdict: berth.Refused, Reason: berth.TooLate}, nil, helm.NotRun},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			var last helm.Answer
+			if tt.ran != nil {
+				last = *tt.ran
+			}
+			require.Equal(t, tt.want, conclude(berth.Task{}, tt.finish, last, tt.ran).Outcome)
+		})
+	}
+}
--- a/src/drill/load.go
+++ b/src/drill/load.go
@@ -36,9 +36,11 @@
 
 // submission is one submission with everything that was answered about it.
 type submission struct {
-	key     string
-	job     bool
-	once    bool
+	key  string
+	job  bool
+	once bool
+	// again says that the submission is sent twice at once, through two hosts.
+	again   bool
 	domain  string
 	tasks   []hatchery.Work
 	replies []Reply
@@ -55,14 +57,21 @@
 	// Progress is told once a second how far the load is; nil means nobody.
 	Progress func(passed time.Duration, sent int)
 
+	// rng draws the submissions; only Run uses it.
+	rng *rand.Rand
+
 	mu   sync.Mutex
-	rng  *rand.Rand
 	subs []*submission
+	// choice draws the hosts.
+	choice *rand.Rand
 }
 
 // NewLoad returns a load that has not begun.
 func NewLoad(p Plan, client *Client, book *hatchery.Book) *Load {
-	return &Load{plan: p, client: client, book: book, meter: newMeter(), rng: rand.New(rand.NewPCG(p.Seed, 1))}
+	return &Load{
+		plan: p, client: client, book: book, meter: newMeter(),
+		rng: rand.New(rand.NewPCG(p.Seed, 1)), choice: rand.New(rand.NewPCG(p.Seed, 2)),
+	}
 }
 
 const (
@@ -115,6 +124,7 @@
 	if l.rng.Float64() < p.KeyShare {
 		s.key = s.domain + "/" + strconv.FormatUint(p.Seed, 36) + "-" + strconv.Itoa(n)
 	}
+	s.again = s.key != "" && l.rng.Float64() < p.AgainShare
 	s.once = !s.job && s.key == "" && l.rng.Float64() < p.OnceShare
 	for i := range count {
 		s.tasks = append(s.tasks, hatchery.Work{
@@ -134,19 +144,13 @@
 // submit sends a submission, again where its caller would.
 func (l *Load) submit(s *submission) {
 	var wg sync.WaitGroup
-	if s.key != "" && l.draw() < l.plan.AgainShare {
+	if s.again {
 		wg.Go(func() { l.sendUntilAnswered(s) })
 	}
 	l.sendUntilAnswered(s)
 	wg.Wait()
 }
 
-func (l *Load) draw() float64 {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.rng.Float64()
-}
-
 // sendUntilAnswered goes to another host when one cannot be reached, and submits a key again when its fate is open.
 func (l *Load) sendUntilAnswered(s *submission) {
 	began := time.Now()
@@ -192,7 +196,7 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return near[l.rng.IntN(len(near))], true
+	return near[l.choice.IntN(len(near))], true
 }
 
 func (l *Load) note(s *submission, r Reply) {
