Prove the whole path with six processes: kill, freeze, lost folder, cut, silent flows

Cause: the demonstration runs in one process, so a real kill, freeze or lost data folder was not shown. Scenarios in testscript start six 'serve' processes with a packet relay between them.

--- a/src/demo.go
+++ b/src/demo.go
@@ -225,6 +225,9 @@
 	for code, n := range s.Codes {
 		d.say("%d submissions ended %s", n, code)
 	}
+	for _, b := range s.Broken {
+		d.say("broken: %s", b)
+	}
 	return s, nil
 }
 
--- a/src/drill/load.go
+++ b/src/drill/load.go
@@ -162,15 +162,28 @@
 		}
 		r := l.client.Do(e.Addr, l.call(s))
 		l.record(s, r, time.Since(began))
-		open := !r.Reached || (s.key != "" && (!r.Answered || r.Code == "running"))
-		moved := r.Code == "stopping" || r.Code == "no-tables"
-		if !open && !moved {
+		if !sendAgain(s.key != "", r) {
 			return
 		}
 		time.Sleep(resubmitPause)
 	}
 }
 
+// sendAgain says whether a careful caller sends a submission again: if it truly did not run and another host may take
+// it, or if its key keeps it from running twice.
+func sendAgain(keyed bool, r Reply) bool {
+	switch {
+	case !r.Reached:
+		return true
+	case !r.Answered:
+		return keyed
+	case r.Outcome == "notrun":
+		return r.Code == "stopping" || r.Code == "no-tables"
+	default:
+		return keyed && (r.Code == "running" || r.Code == "stopping")
+	}
+}
+
 func (l *Load) call(s *submission) Call {
 	c := Call{Method: "POST", Key: s.key, Once: s.once, Deadline: l.plan.Deadline}
 	if s.job {
--- a/src/drill/summary.go
+++ b/src/drill/summary.go
@@ -16,6 +16,8 @@
 	Mean, Ratio50, Ratio99, MessagesPerTask   float64
 	// RefusalP99 is how long refusals took.
 	RefusalP99 time.Duration
+	// Broken describes each broken promise.
+	Broken []string
 	// Codes counts the reasons of everything that was not done.
 	Codes map[string]int
 }
--- a/src/drill/verify.go
+++ b/src/drill/verify.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 
 	"sesamecleat/src/hatchery"
 )
@@ -84,6 +85,12 @@
 }
 
 func (l *Load) verifyStarts(sub *submission, s *Summary) {
+	before := s.Twice + s.Untrue
+	defer func() {
+		if s.Twice+s.Untrue > before {
+			s.Broken = append(s.Broken, l.describe(sub))
+		}
+	}()
 	single := sub.key != "" || sub.job || sub.once
 	started := 0
 	for _, w := range sub.tasks {
@@ -103,6 +110,18 @@
 	}
 }
 
+// describe tells everything that is known of a submission.
+func (l *Load) describe(sub *submission) string {
+	text := fmt.Sprintf("key=%q job=%t once=%t domain=%s", sub.key, sub.job, sub.once, sub.domain)
+	for _, w := range sub.tasks {
+		text += fmt.Sprintf(" %s:%d", w.ID, l.book.Starts(w.ID))
+	}
+	for _, r := range sub.replies {
+		text += fmt.Sprintf(" [%s %s answered=%t]", r.Outcome, r.Code, r.Answered)
+	}
+	return text
+}
+
 func verifyBody(sub *submission, r Reply, s *Summary) {
 	if !sub.job {
 		if string(r.Body) != sub.tasks[0].Answer() {
--- /dev/null
+++ b/src/script_test.go
@@ -0,0 +1,192 @@
+package sesamecleat
+
+import (
+	"fmt"
+	"net/netip"
+	"os"
+	"os/exec"
+	"regexp"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"sesamecleat/src/drill"
+)
+
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){
+		"sesamecleat": func() { os.Exit(Main(os.Args[1:], os.Stdin, os.Stdout, os.Stderr)) },
+	})
+}
+
+// TestScript runs the scenarios; docs/SCENARIOS.md lists their commands.
+func TestScript(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir:                 "testdata/script",
+		RequireExplicitExec: true,
+		Setup: func(e *testscript.Env) error {
+			program, err := exec.LookPath("sesamecleat")
+			if err != nil {
+				return err
+			}
+			f := newFleet(scriptT{e.T()}, e.WorkDir, program)
+			e.Defer(f.close)
+			e.Values["fleet"] = f
+			for _, h := range f.hosts {
+				name := strings.ReplaceAll(strings.ReplaceAll(h.name, "-ghat", ""), "-", "")
+				e.Setenv(name, h.callers.String())
+			}
+			return nil
+		},
+		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
+			"start":   eachHost(func(f *fleet, h *host) { f.start(h) }),
+			"ready":   eachHost(func(f *fleet, h *host) { f.ready(h) }),
+			"crash":   eachHost(func(f *fleet, h *host) { f.kill(h) }),
+			"drain":   eachHost(func(f *fleet, h *host) { f.stop(h) }),
+			"freeze":  eachHost(func(f *fleet, h *host) { f.signal(h, syscall.SIGSTOP) }),
+			"thaw":    eachHost(func(f *fleet, h *host) { f.signal(h, syscall.SIGCONT) }),
+			"wipe":    eachHost(func(f *fleet, h *host) { _ = os.RemoveAll(h.data) }),
+			"cut":     eachWord(func(f *fleet, w string) { f.net.setCut(w, true) }),
+			"join":    eachWord(func(f *fleet, w string) { f.net.setCut(w, false) }),
+			"settled": eachWord(func(f *fleet, w string) { f.settled(w) }),
+			"pass":    eachWord(func(f *fleet, w string) { f.pass(number(w)) }),
+			"raise":   eachWord(func(f *fleet, w string) { f.raise(int(number(w))) }),
+			"tables":  withFleet(func(f *fleet) { f.put() }),
+			"silence": withFleet(func(f *fleet) { f.net.silence() }),
+			"load":    eachWord(func(f *fleet, w string) { f.begin(float64(number(w)), 1) }),
+			"finish":  withFleet(func(f *fleet) { f.finish() }),
+			"held":    cmdHeld,
+			"none":    cmdNone,
+			"http":    cmdHTTP,
+			"await":   cmdAwait,
+			"scrub":   cmdScrub,
+		},
+	})
+}
+
+// scriptT lets assertions end a script.
+type scriptT struct{ testscript.T }
+
+// Errorf logs why an assertion failed.
+func (t scriptT) Errorf(format string, args ...any) { t.Log(fmt.Sprintf(format, args...)) }
+
+func number(w string) uint64 {
+	n, err := strconv.ParseUint(w, 10, 32)
+	if err != nil {
+		panic(err)
+	}
+	return n
+}
+
+func fleetOf(ts *testscript.TestScript) *fleet { return ts.Value("fleet").(*fleet) }
+
+type scriptCommand = func(ts *testscript.TestScript, neg bool, args []string)
+
+func withFleet(do func(f *fleet)) scriptCommand {
+	return func(ts *testscript.TestScript, _ bool, _ []string) { do(fleetOf(ts)) }
+}
+
+func eachWord(do func(f *fleet, word string)) scriptCommand {
+	return func(ts *testscript.TestScript, _ bool, args []string) {
+		for _, w := range args {
+			do(fleetOf(ts), w)
+		}
+	}
+}
+
+// eachHost carries out a command for the hosts named; all stands for every one.
+func eachHost(do func(f *fleet, h *host)) scriptCommand {
+	return func(ts *testscript.TestScript, _ bool, args []string) {
+		f := fleetOf(ts)
+		for _, w := range args {
+			for _, h := range f.hosts {
+				if w == "all" || w == h.name {
+					do(f, h)
+				}
+			}
+		}
+	}
+}
+
+// cmdHeld checks that every promise held: held MIN-DONE.
+func cmdHeld(ts *testscript.TestScript, _ bool, args []string) {
+	f := fleetOf(ts)
+	ts.Logf("%s %v", f.summary, f.summary.Codes)
+	if !f.summary.Held() {
+		ts.Fatalf("a promise did not hold: %s\n%s", f.summary, f.logs())
+	}
+	if f.summary.Done < int(number(args[0])) {
+		ts.Fatalf("only %d submissions were done: %s %v", f.summary.Done, f.summary, f.summary.Codes)
+	}
+}
+
+// cmdNone checks that no submission ended in one of the ways named, as outcome/code.
+func cmdNone(ts *testscript.TestScript, _ bool, args []string) {
+	f := fleetOf(ts)
+	for _, code := range args {
+		if n := f.summary.Codes[code]; n > 0 {
+			ts.Fatalf("%d submissions ended %s: %v", n, code, f.summary.Codes)
+		}
+	}
+}
+
+// cmdHTTP sends a request and writes the answer to a file: http METHOD ADDRESS PATH FILE [header:value ...] [body].
+func cmdHTTP(ts *testscript.TestScript, _ bool, args []string) {
+	c := drill.Call{Method: args[0], Path: args[2], Headers: map[string]string{}, Deadline: callTimeout}
+	for _, a := range args[4:] {
+		name, value, ok := strings.Cut(a, ":")
+		if ok && regexp.MustCompile(`^[A-Z][A-Za-z-]+$`).MatchString(name) {
+			c.Headers[name] = value
+			continue
+		}
+		c.Body = []byte(a)
+	}
+	addr := parseAddr(ts, args[1])
+	r := fleetOf(ts).client.Do(addr, c)
+	text := fmt.Sprintf("status %d\noutcome %s\ncode %s\n%s\n", r.Status, r.Outcome, r.Code, strings.TrimSpace(string(r.Body)))
+	if !r.Answered {
+		text = "no answer\n"
+	}
+	ts.Check(os.WriteFile(ts.MkAbs(args[3]), []byte(text), 0o600))
+}
+
+// cmdAwait waits until the answer to a GET matches a pattern: await ADDRESS PATH PATTERN.
+func cmdAwait(ts *testscript.TestScript, neg bool, args []string) {
+	f := fleetOf(ts)
+	pattern := regexp.MustCompile(args[2])
+	addr := parseAddr(ts, args[0])
+	f.await(strings.Join(args, " "), func() bool {
+		r := f.client.Do(addr, drill.Call{Method: "GET", Path: args[1]})
+		return r.Answered && pattern.Match(r.Body) != neg
+	})
+}
+
+var scrubbed = []struct {
+	pattern *regexp.Regexp
+	with    string
+}{
+	{regexp.MustCompile(`revision"?:? ?\d+`), "revision N"},
+	{regexp.MustCompile(`"at":"[^"]*"`), `"at":"T"`},
+	{regexp.MustCompile(`[0-9a-f]{8}-[0-9a-f-]{27}`), "ID"},
+	{regexp.MustCompile(`127\.\d+\.\d+\.\d+:\d+`), "ADDRESS"},
+}
+
+// cmdScrub replaces in files what differs from run to run.
+func cmdScrub(ts *testscript.TestScript, _ bool, args []string) {
+	for _, name := range args {
+		text := ts.ReadFile(name)
+		for _, s := range scrubbed {
+			text = s.pattern.ReplaceAllString(text, s.with)
+		}
+		ts.Check(os.WriteFile(ts.MkAbs(name), []byte(text), 0o600))
+	}
+}
+
+func parseAddr(ts *testscript.TestScript, text string) netip.AddrPort {
+	a, err := netip.ParseAddrPort(text)
+	ts.Check(err)
+	return a
+}
