--- a/src/berth/planner.go
+++ b/src/berth/planner.go
@@ -144,7 +144,7 @@
 func (p *Planner) place(now time.Time, k *task) {
 	pool := p.pool(k.Pool)
 	if reason, retry := p.refusal(now, pool, k, 1); reason != NoReason {
-		if reason != NeverFits && p.handOn(k, 0) {
+		if reason != NeverFits && (p.handOn(k, 0) || p.handToOwner(pool, k)) {
 			return
 		}
 		p.finish(k, Refused, reason, retry)
@@ -255,26 +255,61 @@
 		return false
 	}
 	p.others[best].free[k.Pool]--
-	k.host = best
-	k.started++
-	p.out = append(p.out, Handoff{ID: k.ID, Host: best})
+	p.handTo(k, best)
 	return true
 }
 
+// handToOwner gives a task to a host that owns a target of the pool when this one owns none.
+func (p *Planner) handToOwner(pool *pool, k *task) bool {
+	if k.Local {
+		return false
+	}
+	owner := p.ownerElsewhere(pool, k)
+	if owner == "" {
+		return false
+	}
+	p.handTo(k, owner)
+	return true
+}
+
+// ownerElsewhere returns another host that owns a target fit for k, if this host owns none.
+func (p *Planner) ownerElsewhere(pool *pool, k *task) string {
+	owner := ""
+	for _, t := range pool.targets {
+		if t.Leaving || !t.everFits(k.Need) {
+			continue
+		}
+		if t.owned {
+			return ""
+		}
+		owner = Owner(p.hosts, t.Name)
+	}
+	return owner
+}
+
+func (p *Planner) handTo(k *task, host string) {
+	k.host = host
+	k.started++
+	p.out = append(p.out, Handoff{ID: k.ID, Host: host})
+}
+
 func (p *Planner) admit(now time.Time, a Admission) {
 	k := &task{Task: a.Task}
 	pool := p.pool(a.Task.Pool)
 	reason, retry := p.refusal(now, pool, k, a.Count)
 	if reason == NoTarget || reason == Overload {
-		if p.elsewhere(k) {
-			reason = NoReason
+		if p.elsewhere(pool, k) {
+			reason, retry = NoReason, 0
 		}
 	}
 	p.out = append(p.out, Admitted{OK: reason == NoReason, Reason: reason, Retry: retry})
 }
 
 // elsewhere reports whether another host has room for tasks like k.
-func (p *Planner) elsewhere(k *task) bool {
+func (p *Planner) elsewhere(pool *pool, k *task) bool {
+	if p.ownerElsewhere(pool, k) != "" {
+		return true
+	}
 	for _, o := range p.others {
 		if (o.near || k.Spill) && o.free[k.Pool] > 0 {
 			return true
--- a/src/berth/planner_test.go
+++ b/src/berth/planner_test.go
@@ -107,3 +107,23 @@
 		})
 	}
 }
+
+func TestHostWithoutTargetsOfItsOwnHandsOn(t *testing.T) {
+	tests := map[string]struct {
+		hosts []Host
+		spill bool
+		want  []Action
+	}{
+		"another host owns the target": {[]Host{{"a", 1}, {"b", 1_000_000}}, false, []Action{Handoff{ID: 1, Host: "b"}}},
+		"this host owns it":            {[]Host{{"a", 1_000_000}, {"b", 1}}, false, []Action{Start{ID: 1, Target: "one", Addr: netip.MustParseAddrPort("127.0.0.1:1")}}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := newStage(t)
+			s.step(Hosts{Hosts: tt.hosts})
+			s.minion("one", 8)
+			require.Equal(t, tt.want, s.step(Submit{Task: s.task(1, 1)}))
+			require.Equal(t, []Action{Admitted{OK: true}}, s.step(Admission{Task: s.task(2, 1), Count: 5}))
+		})
+	}
+}
--- a/src/deck/ledger.go
+++ b/src/deck/ledger.go
@@ -71,6 +71,7 @@
 		s.act(a)
 	}
 	s.held.Store(int64(s.ledger.Held()))
+	s.needed.Store(s.ledger.Concerned())
 }
 
 func (s *submit) act(a ledger.Action) {
--- a/src/deck/submit.go
+++ b/src/deck/submit.go
@@ -30,6 +30,7 @@
 	last     atomic.Uint64
 	inflight atomic.Int64
 	held     atomic.Int64
+	needed   atomic.Bool
 	refusing atomic.Bool
 	jobs     *jobs
 	replies  []ledger.Ack
@@ -79,6 +80,9 @@
 // Records returns the submissions held by the ledger here.
 func (s *submit) Records() int { return int(s.held.Load()) }
 
+// Concerned reports whether the ledger still needs this host though another could take its place.
+func (s *submit) Concerned() bool { return s.needed.Load() }
+
 // Submit runs a submission, or repeats or joins the one that bears its key.
 func (s *submit) Submit(ctx context.Context, sub helm.Submission) helm.Answer {
 	s.inflight.Add(1)
@@ -173,7 +177,7 @@
 		*unsure = true
 		return away, true
 	}
-	return a, a.Outcome == helm.NotRun && a.Code == helm.CodeHomeAway
+	return a, a.Outcome == helm.NotRun && (a.Code == helm.CodeHomeAway || a.Code == helm.CodeStopping)
 }
 
 // decideHere asks this host's ledger and does what it says.
--- a/src/helm/helm.go
+++ b/src/helm/helm.go
@@ -143,8 +143,9 @@
 	h.leaving.Store(true)
 	time.Sleep(h.Settings.Limits.Notice)
 	h.Post(nil, Leaving{})
-	limit := time.Now().Add(h.Settings.Limits.Drain)
-	for h.Submitter.Inflight() > 0 {
+	began := time.Now()
+	limit := began.Add(h.Settings.Limits.Drain)
+	for h.Submitter.Inflight() > 0 || (h.Submitter.Concerned() && time.Since(began) < handOverTime) {
 		if time.Now().After(limit) {
 			h.Log.Write(logbook.StopCutOff, logbook.F("inflight", h.Submitter.Inflight()))
 			return
@@ -153,7 +154,11 @@
 	}
 }
 
-const drainPoll = 10 * time.Millisecond
+const (
+	drainPoll = 10 * time.Millisecond
+	// handOverTime bounds how long a planned stop waits for others to take over the ledger.
+	handOverTime = 5 * time.Second
+)
 
 // Stop ends the process's parts at once.
 func (h *Helm) Stop() {
--- a/src/helm/services.go
+++ b/src/helm/services.go
@@ -66,6 +66,8 @@
 	Status(ctx context.Context, id string) Answer
 	// Cancel stops what has not started of a submission and returns what is known of it.
 	Cancel(ctx context.Context, id string) Answer
+	// Concerned reports whether the ledger still needs this host though another could take its place.
+	Concerned() bool
 	// Inflight returns the submissions in flight here.
 	Inflight() int
 	// Records returns the submissions held by the ledger here.
--- a/src/ledger/codec.go
+++ b/src/ledger/codec.go
@@ -17,6 +17,8 @@
 	Key      string
 	Digest   uint64
 	Epoch    uint64
+	Host     string
+	Inc      uint64
 	Finished bool
 	Answer   []byte
 	Expires  int64 // nanoseconds since 1970
@@ -105,14 +107,14 @@
 
 func toWireRecord(r Record) wireRecord {
 	return wireRecord{
-		Key: r.Key, Digest: r.Digest, Epoch: r.Epoch, Finished: r.Finished,
-		Answer: r.Answer, Expires: r.Expires.UnixNano(),
+		Key: r.Key, Digest: r.Digest, Epoch: r.Epoch, Host: r.Starter.Name, Inc: r.Starter.Incarnation,
+		Finished: r.Finished, Answer: r.Answer, Expires: r.Expires.UnixNano(),
 	}
 }
 
 func fromWireRecord(w wireRecord) Record {
 	return Record{
-		Key: w.Key, Digest: w.Digest, Epoch: w.Epoch, Finished: w.Finished,
-		Answer: w.Answer, Expires: time.Unix(0, w.Expires).UTC(),
+		Key: w.Key, Digest: w.Digest, Epoch: w.Epoch, Starter: chart.Copy{Name: w.Host, Incarnation: w.Inc},
+		Finished: w.Finished, Answer: w.Answer, Expires: time.Unix(0, w.Expires).UTC(),
 	}
 }
--- a/src/ledger/govern.go
+++ b/src/ledger/govern.go
@@ -106,6 +106,9 @@
 
 // governPrimary removes copies that fail, and adds hosts that have caught up.
 func (s *shard) governPrimary(now time.Time) {
+	if s.l.leaving(s.l.cfg.Self) && s.handOver(now) {
+		return
+	}
 	kept := []chart.Copy{s.self()}
 	changed := false
 	for _, c := range s.view.Copies[1:] {
@@ -125,9 +128,24 @@
 	s.propose(now, chart.View{Generation: s.view.Generation, Since: s.view.Since, Copies: kept})
 }
 
+// handOver leaves the shard to the backups that hold everything, if there is one that stays.
+func (s *shard) handOver(now time.Time) bool {
+	var next []chart.Copy
+	for _, c := range s.view.Copies[1:] {
+		if s.l.valid(c) && !s.l.leaving(c.Name) {
+			next = append(next, c)
+		}
+	}
+	if len(next) == 0 {
+		return false
+	}
+	s.propose(now, chart.View{Generation: s.view.Generation, Since: s.view.Since, Copies: next})
+	return true
+}
+
 // failed reports whether a copy can no longer be waited for.
 func (s *shard) failed(now time.Time, c chart.Copy) bool {
-	if s.l.restarted(c) {
+	if !s.l.valid(c) || s.l.leaving(c.Name) {
 		return true
 	}
 	f, ok := s.followers[c.Name]
--- a/src/ledger/ledger.go
+++ b/src/ledger/ledger.go
@@ -75,9 +75,28 @@
 	for _, h := range hosts {
 		l.hosts[h.Name] = h
 	}
-	l.each(func(s *shard) { s.govern(now) })
+	l.each(func(s *shard) {
+		s.giveUpLost()
+		s.govern(now)
+	})
 }
 
+// Concerned reports whether this host is still needed by a shard that another host could serve.
+func (l *Ledger) Concerned() bool {
+	if len(l.present(0)) == 0 {
+		return false
+	}
+	for _, s := range l.shards {
+		if s.isCopy() {
+			return true
+		}
+	}
+	return false
+}
+
+// leaving reports whether a host takes part no longer than it must.
+func (l *Ledger) leaving(name string) bool { return l.hosts[name].Leaving }
+
 func (l *Ledger) emit(a Action) { l.out = append(l.out, a) }
 
 func (l *Ledger) decide(ticket uint64, d Decision) {
--- /dev/null
+++ b/src/ledger/ledger_test.go
@@ -0,0 +1,426 @@
+package ledger
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"sesamecleat/src/chart"
+)
+
+const testDomain = "khulna-ghat"
+
+var (
+	testStart = time.Unix(1000, 0)
+	testShard = chart.Shard{Domain: testDomain}
+)
+
+// rig is a few ledgers with the state hosts' views between them; messages travel when asked to.
+type rig struct {
+	t       *testing.T
+	now     time.Time
+	ledgers map[string]*Ledger
+	hosts   map[string]Host
+	views   map[chart.Shard]chart.View
+	sends   []envelope
+	decided map[uint64][]Decided
+	ticket  uint64
+}
+
+type envelope struct {
+	from string
+	send Send
+}
+
+func newRig(t *testing.T, names ...string) *rig {
+	r := &rig{
+		t: t, now: testStart, ledgers: make(map[string]*Ledger), hosts: make(map[string]Host),
+		views: make(map[chart.Shard]chart.View), decided: make(map[uint64][]Decided),
+	}
+	for _, name := range names {
+		r.boot(name, 1)
+	}
+	r.tellHosts()
+	r.settle()
+	return r
+}
+
+func (r *rig) boot(name string, incarnation uint64) {
+	r.ledgers[name] = NewLedger(Config{
+		Self: name, Incarnation: incarnation, Domain: testDomain, Retention: time.Minute, Records: 100,
+	})
+	r.hosts[name] = Host{Name: name, Incarnation: incarnation, Alive: true}
+}
+
+func (r *rig) tellHosts() {
+	var hosts []Host
+	for _, h := range r.hosts {
+		hosts = append(hosts, h)
+	}
+	for name, l := range r.ledgers {
+		mine := append([]Host(nil), hosts...)
+		for i := range mine {
+			mine[i].Alive = mine[i].Alive || mine[i].Name == name
+		}
+		r.act(name, l.Step(r.now, Hosts{Hosts: mine}))
+	}
+}
+
+func (r *rig) step(name string, ev Event) {
+	r.act(name, r.ledgers[name].Step(r.now, ev))
+}
+
+func (r *rig) act(name string, actions []Action) {
+	for _, a := range actions {
+		switch a := a.(type) {
+		case Decided:
+			r.decided[a.Ticket] = append(r.decided[a.Ticket], a)
+		case Send:
+			r.sends = append(r.sends, envelope{name, a})
+		case Propose:
+			r.propose(a)
+		case Pass:
+			if l, ok := r.ledgers[a.To]; ok {
+				r.act(a.To, l.Step(r.now, Late{Shard: a.Shard, Record: a.Record}))
+			}
+		case Reply, Noted:
+		}
+	}
+}
+
+// propose is what the state hosts do: the first proposal for an epoch wins.
+func (r *rig) propose(p Propose) {
+	if r.views[p.Shard].Epoch == p.Expect {
+		r.views[p.Shard] = p.View
+	}
+}
+
+func (r *rig) tellViews() {
+	for name := range r.ledgers {
+		for shard, v := range r.views {
+			r.step(name, Viewed{Shard: shard, View: v})
+		}
+	}
+}
+
+// deliver carries the batches sent so far, with their answers; lost says which ones vanish.
+func (r *rig) deliver(lost func(e envelope) bool) {
+	sends := r.sends
+	r.sends = nil
+	for _, e := range sends {
+		r.deliverOne(e, lost != nil && lost(e))
+	}
+}
+
+func (r *rig) deliverOne(e envelope, lost bool) {
+	b := e.send.Batch
+	back := Answered{Shard: b.Shard, Host: e.send.To, Stream: b.Stream, Number: b.Number, Lost: true}
+	if l, ok := r.ledgers[e.send.To]; ok && !lost {
+		for _, a := range l.Step(r.now, Received{Batch: b}) {
+			if reply, isReply := a.(Reply); isReply {
+				back.Ack, back.Lost = reply.Ack, false
+				continue
+			}
+			r.act(e.send.To, []Action{a})
+		}
+	}
+	if _, alive := r.ledgers[e.from]; alive {
+		r.step(e.from, back)
+	}
+}
+
+// settle lets messages, views and time pass until nothing is left to do.
+func (r *rig) settle() {
+	for range 60 {
+		r.now = r.now.Add(retryAfter)
+		r.deliver(nil)
+		r.tellViews()
+		for name := range r.ledgers {
+			r.step(name, Tick{})
+		}
+	}
+}
+
+func (r *rig) submit(name, key string, digest uint64) uint64 {
+	r.ticket++
+	r.step(name, Submit{Shard: testShard, Key: key, Digest: digest, Ticket: r.ticket})
+	return r.ticket
+}
+
+// last returns the newest decision about a ticket.
+func (r *rig) last(ticket uint64) Decision {
+	d := r.decided[ticket]
+	if len(d) == 0 {
+		return 0
+	}
+	return d[len(d)-1].Decision
+}
+
+func (r *rig) finish(name, key string, ticket uint64, answer string) {
+	r.step(name, Finish{Shard: testShard, Key: key, Ticket: ticket, Answer: []byte(answer), Ran: true})
+}
+
+func (r *rig) crash(name string) {
+	delete(r.ledgers, name)
+	h := r.hosts[name]
+	h.Alive = false
+	r.hosts[name] = h
+}
+
+func (r *rig) primary() string { return r.views[testShard].Copies[0].Name }
+
+func (r *rig) backup() string {
+	if r.primary() == "a" {
+		return "b"
+	}
+	return "a"
+}
+
+// run submits a key and checks that it may run.
+func (r *rig) run(key string) uint64 {
+	ticket := r.submit(r.primary(), key, 1)
+	r.deliver(nil)
+	require.Equal(r.t, Run, r.last(ticket))
+	return ticket
+}
+
+func TestKeyRunsOnceOnItsPrimary(t *testing.T) {
+	r := newRig(t, "a", "b")
+	require.Len(t, r.views[testShard].Copies, 2)
+	p := r.primary()
+	first := r.submit(p, "k", 1)
+	require.Zero(t, r.last(first), "it must not run before the backup holds the record")
+	again := r.submit(p, "k", 1)
+	require.Equal(t, Wait, r.last(again))
+	other := r.submit(p, "k", 2)
+	require.Equal(t, Mismatch, r.last(other))
+	r.deliver(nil)
+	require.Equal(t, Run, r.last(first))
+	r.finish(p, "k", first, "answer")
+	require.Equal(t, Repeat, r.last(again))
+	late := r.submit(p, "k", 1)
+	require.Equal(t, Repeat, r.last(late))
+	require.Equal(t, "answer", string(r.decided[late][0].Answer))
+	elsewhere := r.submit(r.backup(), "k", 1)
+	require.Equal(t, Redirect, r.last(elsewhere))
+}
+
+func TestTakeover(t *testing.T) {
+	tests := map[string]struct {
+		before func(r *rig, p string) string
+		want   Decision
+	}{
+		"before the record was sent": {func(r *rig, p string) string {
+			r.submit(p, "k", 1)
+			r.sends = nil
+			return "k"
+		}, Run},
+		"after the record, before the start": {func(r *rig, p string) string {
+			r.submit(p, "k", 1)
+			r.deliver(nil)
+			return "k"
+		}, Lost},
+		"between the answer and its copy": {func(r *rig, p string) string {
+			r.finish(p, "k", r.run("k"), "answer")
+			r.sends = nil
+			return "k"
+		}, Lost},
+		"after the answer was copied": {func(r *rig, p string) string {
+			r.finish(p, "k", r.run("k"), "answer")
+			r.deliver(nil)
+			return "k"
+		}, Repeat},
+		"a key never seen": {func(r *rig, p string) string { return "fresh" }, Run},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, "a", "b")
+			p, b := r.primary(), r.backup()
+			key := tt.before(r, p)
+			r.crash(p)
+			r.tellHosts()
+			r.settle()
+			require.Equal(t, b, r.primary())
+			require.Equal(t, tt.want, r.last(r.submit(b, key, 1)))
+		})
+	}
+}
+
+func TestIsolatedPrimaryStartsNothingNew(t *testing.T) {
+	r := newRig(t, "a", "b")
+	p, b := r.primary(), r.backup()
+	running := r.run("old")
+	stuck := r.submit(p, "new", 1)
+	// The backup takes the primary for dead though it lives, and becomes primary.
+	h := r.hosts[p]
+	h.Alive = false
+	r.hosts[p] = h
+	r.sends = nil
+	r.tellHosts()
+	r.step(b, Viewed{Shard: testShard, View: r.views[testShard]})
+	require.Equal(t, b, r.primary())
+	require.Equal(t, Run, r.last(r.submit(b, "new", 1)))
+	// The former primary sends its record once more and learns that it is no longer primary.
+	r.now = r.now.Add(time.Second)
+	r.step(p, Tick{})
+	r.deliver(nil)
+	require.Zero(t, r.last(stuck))
+	r.step(p, Viewed{Shard: testShard, View: r.views[testShard]})
+	require.Equal(t, NoPrimary, r.last(stuck))
+	// What ran there before still gets its answer, and the new primary learns it.
+	require.Equal(t, Lost, r.last(r.submit(b, "old", 1)))
+	r.finish(p, "old", running, "answer")
+	require.Equal(t, Repeat, r.last(r.submit(b, "old", 1)))
+}
+
+func TestRepairedCopyCountsOnceCaughtUp(t *testing.T) {
+	tests := map[string]struct {
+		caughtUp bool
+		want     Decision
+	}{
+		"second host lost before the copy caught up": {false, Redirect},
+		"second host lost after the copy caught up":  {true, Repeat},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, "a", "b")
+			p, b := r.primary(), r.backup()
+			r.finish(p, "k", r.run("k"), "answer")
+			r.deliver(nil)
+			r.crash(b)
+			r.tellHosts()
+			r.settle()
+			require.Equal(t, []string{p}, names(r.views[testShard]))
+			r.boot(b, 2)
+			r.tellHosts()
+			if tt.caughtUp {
+				r.settle()
+				require.Equal(t, []string{p, b}, names(r.views[testShard]))
+			}
+			r.sends = nil
+			r.crash(p)
+			r.tellHosts()
+			r.settle()
+			require.Equal(t, tt.want, r.last(r.submit(b, "k", 1)))
+		})
+	}
+}
+
+func names(v chart.View) []string {
+	var out []string
+	for _, c := range v.Copies {
+		out = append(out, c.Name)
+	}
+	return out
+}
+
+func TestLossOfEveryCopyIsNotMistakenForNeverSeen(t *testing.T) {
+	r := newRig(t, "a", "b")
+	r.finish(r.primary(), "k", r.run("k"), "answer")
+	r.settle()
+	r.boot("a", 2)
+	r.boot("b", 2)
+	r.sends = nil
+	r.tellHosts()
+	r.settle()
+	require.Equal(t, uint64(2), r.views[testShard].Generation)
+	require.Equal(t, Forgotten, r.last(r.submit(r.primary(), "k", 1)))
+	r.now = r.now.Add(time.Minute)
+	require.Equal(t, Run, func() Decision {
+		ticket := r.submit(r.primary(), "k", 1)
+		r.deliver(nil)
+		return r.last(ticket)
+	}())
+}
+
+func TestPressureRefusesAndForgetsNothing(t *testing.T) {
+	r := newRig(t, "a", "b")
+	p := r.primary()
+	keys := []string{}
+	for i := range 100 {
+		key := string(rune('A' + i))
+		keys = append(keys, key)
+		r.finish(p, key, r.run(key), "answer")
+		r.deliver(nil)
+	}
+	require.Equal(t, Full, r.last(r.submit(p, "one more", 1)))
+	for _, key := range keys {
+		require.Equal(t, Repeat, r.last(r.submit(p, key, 1)))
+	}
+	r.now = r.now.Add(time.Minute)
+	r.step(p, Tick{})
+	require.Zero(t, r.ledgers[p].Held())
+	r.run("one more")
+}
+
+func TestAbandonedSubmissionNeverRuns(t *testing.T) {
+	r := newRig(t, "a", "b")
+	p := r.primary()
+	ticket := r.submit(p, "k", 1)
+	r.step(p, Abandon{Shard: testShard, Key: "k", Ticket: ticket})
+	require.Equal(t, NoPrimary, r.last(ticket))
+	r.deliver(nil)
+	require.Equal(t, NoPrimary, r.last(ticket))
+	r.settle()
+	r.run("k")
+}
+
+func TestRefusedSubmissionFreesItsKey(t *testing.T) {
+	r := newRig(t, "a", "b")
+	p, b := r.primary(), r.backup()
+	ticket := r.run("k")
+	r.step(p, Finish{Shard: testShard, Key: "k", Ticket: ticket})
+	r.settle()
+	r.crash(p)
+	r.tellHosts()
+	r.settle()
+	require.Equal(t, Run, r.last(r.submit(b, "k", 1)))
+}
+
+func TestPlannedStopHandsTheLedgerOver(t *testing.T) {
+	r := newRig(t, "a", "b")
+	p, b := r.primary(), r.backup()
+	ticket := r.run("k")
+	h := r.hosts[p]
+	h.Leaving = true
+	r.hosts[p] = h
+	require.True(t, r.ledgers[p].Concerned())
+	r.tellHosts()
+	r.settle()
+	require.Equal(t, []string{b}, names(r.views[testShard]))
+	require.False(t, r.ledgers[p].Concerned())
+	joined := r.submit(b, "k", 1)
+	require.Equal(t, Wait, r.last(joined), "the leaving host still runs it")
+	r.finish(p, "k", ticket, "answer")
+	require.Equal(t, Repeat, r.last(joined))
+}
+
+func TestWaitForAHostThatDiesEnds(t *testing.T) {
+	r := newRig(t, "a", "b")
+	p, b := r.primary(), r.backup()
+	r.run("k")
+	h := r.hosts[p]
+	h.Leaving = true
+	r.hosts[p] = h
+	r.tellHosts()
+	r.settle()
+	joined := r.submit(b, "k", 1)
+	require.Equal(t, Wait, r.last(joined))
+	r.crash(p)
+	r.tellHosts()
+	require.Equal(t, Lost, r.last(joined))
+}
+
+func TestHomeDoesNotDependOnWhoIsAlive(t *testing.T) {
+	domains := []string{"khulna-ghat", "mongla-ghat", "satkhira-ghat"}
+	require.Equal(t, "mongla-ghat", Home("mongla-ghat/7", domains).Domain)
+	require.Equal(t, Home("bare", domains), Home("bare", []string{"satkhira-ghat", "khulna-ghat", "mongla-ghat"}))
+	seen := make(map[string]int)
+	for i := range 300 {
+		seen[Home(string(rune('A'+i)), domains).Domain]++
+	}
+	for _, d := range domains {
+		require.Greater(t, seen[d], 50)
+	}
+}
--- a/src/ledger/record.go
+++ b/src/ledger/record.go
@@ -29,8 +29,9 @@
 type Record struct {
 	Key    string
 	Digest uint64
-	// Epoch is the epoch in which the submission started.
-	Epoch uint64
+	// Epoch is the epoch in which the submission started, and Starter the process that started it.
+	Epoch   uint64
+	Starter chart.Copy
 	// Finished says that Answer is final.
 	Finished bool
 	Answer   []byte
--- a/src/ledger/shard.go
+++ b/src/ledger/shard.go
@@ -19,6 +19,8 @@
 	seq    uint64
 	// unsettled holds the pending entries in the order of their seq.
 	unsettled []*entry
+	// awaited holds the entries that another process runs and somebody here waits for.
+	awaited   []*entry
 	followers map[string]*follower
 	proposed  time.Time
 	// inbound is the stream this copy follows.
@@ -78,14 +80,34 @@
 	case old.running || old.pending:
 		old.waiters = append(old.waiters, e.Ticket)
 		s.l.decide(e.Ticket, Wait)
+	case s.l.valid(old.Starter):
+		old.waiters = append(old.waiters, e.Ticket)
+		s.awaited = append(s.awaited, old)
+		s.l.decide(e.Ticket, Wait)
 	default:
 		s.l.decide(e.Ticket, Lost)
 	}
 }
 
+// giveUpLost tells those who wait for an answer of another process that the process is gone.
+func (s *shard) giveUpLost() {
+	kept := s.awaited[:0]
+	for _, en := range s.awaited {
+		if !en.Finished && s.l.valid(en.Starter) {
+			kept = append(kept, en)
+			continue
+		}
+		for _, w := range en.waiters {
+			s.l.decide(w, Lost)
+		}
+		en.waiters = nil
+	}
+	s.awaited = kept
+}
+
 // begin records a submission and lets it run once every copy holds the record.
 func (s *shard) begin(now time.Time, e Submit) {
-	en := &entry{Record: Record{Key: e.Key, Digest: e.Digest, Epoch: s.view.Epoch, Expires: s.giveUpAt(now)}}
+	en := &entry{Record: Record{Key: e.Key, Digest: e.Digest, Epoch: s.view.Epoch, Starter: s.self(), Expires: s.giveUpAt(now)}}
 	s.begun = append(s.begun, en)
 	en.pending = true
 	en.ticket = e.Ticket
@@ -200,7 +222,7 @@
 		s.l.decide(e.Ticket, Unseen)
 	case en.Finished:
 		s.l.emit(Decided{Ticket: e.Ticket, Decision: Repeat, Answer: en.Answer})
-	case en.running || en.pending:
+	case en.running || en.pending || s.l.valid(en.Starter):
 		s.l.decide(e.Ticket, Wait)
 	default:
 		s.l.decide(e.Ticket, Lost)
--- a/src/script_test.go
+++ b/src/script_test.go
@@ -1,7 +1,9 @@
 package sesamecleat
 
 import (
+	"bufio"
 	"fmt"
+	"net"
 	"net/netip"
 	"os"
 	"os/exec"
@@ -10,6 +12,7 @@
 	"strings"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
 
@@ -63,6 +66,10 @@
 			"http":    cmdHTTP,
 			"await":   cmdAwait,
 			"scrub":   cmdScrub,
+
+			"oversized":   cmdOversized,
+			"manyheaders": cmdManyHeaders,
+			"halfopen":    cmdHalfOpen,
 		},
 	})
 }
@@ -168,7 +175,8 @@
 	pattern *regexp.Regexp
 	with    string
 }{
-	{regexp.MustCompile(`revision"?:? ?\d+`), "revision N"},
+	{regexp.MustCompile(`revision":\d+`), `revision":N`},
+	{regexp.MustCompile(`revision \d+`), "revision N"},
 	{regexp.MustCompile(`"at":"[^"]*"`), `"at":"T"`},
 	{regexp.MustCompile(`[0-9a-f]{8}-[0-9a-f-]{27}`), "ID"},
 	{regexp.MustCompile(`127\.\d+\.\d+\.\d+:\d+`), "ADDRESS"},
@@ -190,3 +198,38 @@
 	ts.Check(err)
 	return a
 }
+
+// cmdOversized sends a body over the limit: oversized ADDRESS FILE.
+func cmdOversized(ts *testscript.TestScript, _ bool, args []string) {
+	raw := fmt.Sprintf("POST /v1/requests/slot-open HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n", 64<<20)
+	cmdRaw(ts, args[0], args[1], raw)
+}
+
+// cmdManyHeaders sends more headers than fit: manyheaders ADDRESS FILE.
+func cmdManyHeaders(ts *testscript.TestScript, _ bool, args []string) {
+	raw := "GET /v1/status HTTP/1.1\r\nHost: x\r\n" + strings.Repeat("Padding: "+strings.Repeat("x", 90)+"\r\n", 400) + "\r\n"
+	cmdRaw(ts, args[0], args[1], raw)
+}
+
+func cmdRaw(ts *testscript.TestScript, addr, file, raw string) {
+	c, err := net.Dial("tcp", addr)
+	ts.Check(err)
+	defer c.Close()
+	ts.Check(c.SetDeadline(time.Now().Add(fleetWait)))
+	go func() { _, _ = c.Write([]byte(raw)) }()
+	line, err := bufio.NewReader(c).ReadString('\n')
+	ts.Check(err)
+	status := strings.Fields(line)[1]
+	ts.Check(os.WriteFile(ts.MkAbs(file), []byte("status "+status+"\n"), 0o600))
+}
+
+// cmdHalfOpen leaves connections open that sent half a request: halfopen ADDRESS COUNT.
+func cmdHalfOpen(ts *testscript.TestScript, _ bool, args []string) {
+	for range number(args[1]) {
+		c, err := net.Dial("tcp", args[0])
+		ts.Check(err)
+		ts.Defer(func() { c.Close() })
+		_, err = c.Write([]byte("POST /v1/requests/slot-open HTTP/1.1\r\nContent-Length: 100\r\n\r\nhalf"))
+		ts.Check(err)
+	}
+}
