--- a/src/ledger/ledger_test.go
+++ b/src/ledger/ledger_test.go
@@ -26,6 +26,8 @@
 	sends   []envelope
 	decided map[uint64][]Decided
 	ticket  uint64
+	// retention is how long keys are kept.
+	retention time.Duration
 }
 
 type envelope struct {
@@ -33,9 +35,12 @@
 	send Send
 }
 
-func newRig(t *testing.T, names ...string) *rig {
+func newRig(t *testing.T, names ...string) *rig { return newKeepingRig(t, time.Minute, names...) }
+
+func newKeepingRig(t *testing.T, retention time.Duration, names ...string) *rig {
 	r := &rig{
-		t: t, now: testStart, ledgers: make(map[string]*Ledger), hosts: make(map[string]Host),
+		retention: retention,
+		t:         t, now: testStart, ledgers: make(map[string]*Ledger), hosts: make(map[string]Host),
 		views: make(map[chart.Shard]chart.View), decided: make(map[uint64][]Decided),
 	}
 	for _, name := range names {
@@ -48,7 +53,7 @@
 
 func (r *rig) boot(name string, incarnation uint64) {
 	r.ledgers[name] = NewLedger(Config{
-		Self: name, Incarnation: incarnation, Domain: testDomain, Retention: time.Minute, Records: 100,
+		Self: name, Incarnation: incarnation, Domain: testDomain, Retention: r.retention, Records: 100,
 	})
 	r.hosts[name] = Host{Name: name, Incarnation: incarnation, Alive: true}
 }
@@ -256,7 +261,7 @@
 	h := r.hosts[p]
 	h.Alive = false
 	r.hosts[p] = h
-	r.sends = nil
+	r.deliver(func(envelope) bool { return true })
 	r.tellHosts()
 	r.step(b, Viewed{Shard: testShard, View: r.views[testShard]})
 	require.Equal(t, b, r.primary())
@@ -424,3 +429,41 @@
 		require.Greater(t, seen[d], 50)
 	}
 }
+
+func TestBatchThatComesAgainChangesNothing(t *testing.T) {
+	r := newRig(t, "a", "b")
+	p, b := r.primary(), r.backup()
+	ticket := r.submit(p, "k", 1)
+	first := append([]envelope(nil), r.sends...)
+	r.deliver(nil)
+	r.finish(p, "k", ticket, "answer")
+	r.deliver(nil)
+	r.sends = first
+	r.deliver(nil)
+	r.crash(p)
+	r.tellHosts()
+	r.settle()
+	require.Equal(t, Repeat, r.last(r.submit(b, "k", 1)))
+}
+
+func TestCopyThatComesBackForgetsWhatWasFreed(t *testing.T) {
+	r := newRig(t, "a", "b")
+	p, b := r.primary(), r.backup()
+	ticket := r.run("k")
+	h := r.hosts[b]
+	h.Alive = false
+	r.hosts[b] = h
+	r.tellHosts()
+	r.settle()
+	require.Equal(t, []string{p}, names(r.views[testShard]))
+	r.step(p, Finish{Shard: testShard, Key: "k", Ticket: ticket})
+	h.Alive = true
+	r.hosts[b] = h
+	r.tellHosts()
+	r.settle()
+	require.Equal(t, []string{p, b}, names(r.views[testShard]))
+	r.crash(p)
+	r.tellHosts()
+	r.settle()
+	require.Equal(t, Run, r.last(r.submit(b, "k", 1)))
+}
