Share every minion's slots between the hosts of its domain; take the fastest, or wait for it

Slots are shared now, each host its part of every minion. The delay is now counted until the queue is empty (spare capacity of the faster targets).

--- a/src/berth/judge.go
+++ b/src/berth/judge.go
@@ -1,6 +1,7 @@
 package berth
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -32,7 +33,6 @@
 // learnSpeed splits the logarithm of the run time into a part of the route and a part of the target.
 func (p *Planner) learnSpeed(pool *pool, t *target, route string, took time.Duration) {
 	seconds := math.Max(took.Seconds(), 1e-6)
-	pool.service += serviceGain * (seconds - pool.service)
 	base, known := p.routes[route]
 	if !known {
 		base = math.Log(seconds) - t.factor
@@ -40,6 +40,7 @@
 	residual := math.Log(seconds) - base - t.factor
 	p.routes[route] = base + routeGain*residual
 	t.factor += factorGain * residual
+	pool.learn(seconds / math.Exp(t.factor))
 }
 
 // observe counts a success (0) or a failure (1) of a target.
@@ -79,16 +80,17 @@
 // mayEject reports whether failures follow few targets rather than all of the pool.
 func (p *Planner) mayEject(pool *pool) bool {
 	bad := 0
-	for _, t := range pool.targets {
+	for _, s := range pool.seats {
+		t := s.target
 		if !t.ejected.IsZero() || t.bad > ejectShare {
 			bad++
 		}
 	}
-	return float64(bad) <= ejectedShare*float64(len(pool.targets))
+	return float64(bad) <= ejectedShare*float64(len(pool.seats))
 }
 
 func (p *Planner) announced(now time.Time, a Target) {
-	if a.Domain != p.domain {
+	if a.Domain != p.cfg.Domain {
 		return
 	}
 	t, known := p.targets[a.Name]
@@ -101,15 +103,16 @@
 		p.out = append(p.out, Judged{Target: a.Name, Kind: Left})
 	}
 	moved := !slices.Equal(t.Pools, a.Pools)
-	old := t.Pools
+	resized := t.Slots != a.Slots
 	t.Target = a
 	t.heard = now
-	if moved {
-		p.movePools(t, old)
-	}
-	if !known {
+	if !known || resized {
 		p.own(now, t)
 	}
+	if moved {
+		p.movePools(now, t)
+	}
+	t.freed()
 	if a.Reports {
 		t.foreign = max(0, a.Busy-t.inflight)
 	}
@@ -118,25 +121,35 @@
 	}
 }
 
-func (p *Planner) movePools(t *target, old []string) {
-	for _, name := range old {
-		p.leavePool(name, t)
-	}
+// movePools gives the target a seat in each pool that it names.
+func (p *Planner) movePools(now time.Time, t *target) {
+	p.leavePools(now, t)
 	for _, name := range t.Pools {
 		q := p.pool(name)
-		q.targets = append(q.targets, t)
+		st := &seat{pool: q, target: t}
+		q.seats = append(q.seats, st)
+		t.seats = append(t.seats, st)
+		q.arrange(now)
 	}
 }
 
-func (p *Planner) leavePool(name string, t *target) {
-	q := p.pool(name)
-	q.targets = slices.DeleteFunc(q.targets, func(o *target) bool { return o == t })
+func (p *Planner) leavePools(now time.Time, t *target) {
+	for _, st := range t.seats {
+		st.pool.seats = slices.DeleteFunc(st.pool.seats, func(o *seat) bool { return o == st })
+		st.pool.arrange(now)
+	}
+	t.seats = nil
 }
 
-func (p *Planner) forget(t *target) {
-	for _, name := range t.Pools {
-		p.leavePool(name, t)
+// freed notes that the target may have room again.
+func (t *target) freed() {
+	for _, st := range t.seats {
+		st.freed()
 	}
+}
+
+func (p *Planner) forget(now time.Time, t *target) {
+	p.leavePools(now, t)
 	delete(p.targets, t.Name)
 	if !t.Leaving {
 		p.out = append(p.out, Judged{Target: t.Name, Kind: Expired})
@@ -152,32 +165,75 @@
 		p.own(now, t)
 	}
 	for _, pool := range p.pools {
+		pool.arrange(now)
 		p.pump(now, pool)
 	}
 }
 
-// own decides whether this host starts the target's tasks; a host that gains a target first counts what others left there.
+// own decides what this host uses of a target: a share of a minion's slots, or the whole of a worker that it owns.
+// A host whose part grows first counts what others may have left there.
 func (p *Planner) own(now time.Time, t *target) {
-	owned := Owner(p.hosts, t.Name) == p.self
-	if owned && !t.owned {
+	share := t.Slots
+	if _, ok := p.cfg.Placing.(Shares); ok {
+		share = Share(p.hosts, t.Name, p.cfg.Self, t.Slots)
+	}
+	owned := share > 0
+	if t.Slots == 0 {
+		owned = Owner(p.hosts, t.Name) == p.cfg.Self
+	}
+	if share > t.share || (owned && !t.owned) {
 		t.foreignUntil = now.Add(foreignWindow)
 	}
+	t.share = share
 	t.owned = owned
+	t.freed()
 }
 
-// Owner returns which host owns a target, by weighted rendezvous hashing.
+// Share returns how many of a target's slots a host uses: each host's part by weight, rounded down, and the slots
+// left over to the hosts that rank highest for the target.
+func Share(hosts []Host, target, self string, slots int) int {
+	total := 0
+	for _, h := range hosts {
+		total += h.Weight
+	}
+	left := slots
+	mine := 0
+	for _, h := range hosts {
+		part := slots * h.Weight / total
+		left -= part
+		if h.Name == self {
+			mine = part
+		}
+	}
+	ranked := slices.Clone(hosts)
+	slices.SortFunc(ranked, func(a, b Host) int {
+		return cmp.Or(cmp.Compare(score(b, target), score(a, target)), cmp.Compare(a.Name, b.Name))
+	})
+	for _, h := range ranked[:min(left, len(ranked))] {
+		if h.Name == self {
+			mine++
+		}
+	}
+	return mine
+}
+
+// Owner returns which host ranks highest for a target, by weighted rendezvous hashing.
 //
 // It follows D. Thaler, C. Ravishankar: "Using Name-Based Mappings to Increase Hit Rates" (1998).
 func Owner(hosts []Host, target string) string {
 	best := ""
 	bestScore := math.Inf(-1)
 	for _, h := range hosts {
-		u := (float64(xxh3.HashString(h.Name+"\x00"+target)>>11) + 0.5) / (1 << 53)
-		score := -float64(h.Weight) / math.Log(u)
-		if score > bestScore || (score == bestScore && h.Name < best) {
+		sc := score(h, target)
+		if sc > bestScore || (sc == bestScore && h.Name < best) {
 			best = h.Name
-			bestScore = score
+			bestScore = sc
 		}
 	}
 	return best
 }
+
+func score(h Host, target string) float64 {
+	u := (float64(xxh3.HashString(h.Name+"\x00"+target)>>11) + 0.5) / (1 << 53)
+	return -float64(h.Weight) / math.Log(u)
+}
--- a/src/berth/planner.go
+++ b/src/berth/planner.go
@@ -3,6 +3,7 @@
 import (
 	"container/list"
 	"math"
+	"math/rand/v2"
 	"sort"
 	"time"
 )
@@ -15,15 +16,10 @@
 	retryBurst = 20.0
 	// refusedTries bounds how often a task that targets refuse is placed again.
 	refusedTries = 8
-	// lookAhead is how many waiting tasks are looked at for one that fits.
-	lookAhead = 8
 	// handoffReserve is how much room another host must report to be handed a task.
 	handoffReserve = 2
-	firstService   = 100 * time.Millisecond
-	serviceGain    = 0.05
 	// emptyRetry is when a pool without targets may have one.
 	emptyRetry = time.Second
-	minRetry   = 10 * time.Millisecond
 )
 
 type task struct {
@@ -36,14 +32,6 @@
 	excluded map[string]bool
 }
 
-type pool struct {
-	name    string
-	targets []*target
-	queue   *list.List
-	service float64 // seconds
-	tokens  float64
-}
-
 type neighbour struct {
 	near bool
 	free map[string]int
@@ -51,9 +39,8 @@
 
 // Planner places the tasks of one entry host; it belongs to one goroutine.
 type Planner struct {
-	self    string
-	domain  string
-	expiry  time.Duration
+	cfg     Config
+	rng     *rand.Rand
 	hosts   []Host
 	targets map[string]*target
 	pools   map[string]*pool
@@ -63,11 +50,23 @@
 	out     []Action
 }
 
-// NewPlanner returns a planner for the entry host self; a target that is silent for expiry is forgotten.
-func NewPlanner(self, domain string, expiry time.Duration) *Planner {
+// Config is what a Planner is told once.
+type Config struct {
+	// Self is the entry host that the planner works for, Domain its failure domain.
+	Self   string
+	Domain string
+	// Expiry is how long a target may be silent before it is forgotten.
+	Expiry  time.Duration
+	Placing Placing
+	Seed    uint64
+}
+
+// NewPlanner returns a planner that knows no target.
+func NewPlanner(cfg Config) *Planner {
 	return &Planner{
-		self: self, domain: domain, expiry: expiry,
-		hosts:   []Host{{Name: self, Weight: 1}},
+		cfg:     cfg,
+		rng:     rand.New(rand.NewPCG(cfg.Seed, 0)),
+		hosts:   []Host{{Name: cfg.Self, Weight: 1}},
 		targets: make(map[string]*target),
 		pools:   make(map[string]*pool),
 		tasks:   make(map[uint64]*task),
@@ -106,11 +105,7 @@
 func (p *Planner) Free(now time.Time) map[string]int {
 	out := make(map[string]int)
 	for name, pool := range p.pools {
-		n := -pool.queue.Len()
-		for _, t := range pool.targets {
-			n += t.room(now, Need{})
-		}
-		out[name] = max(0, n)
+		out[name] = pool.free(now)
 	}
 	return out
 }
@@ -137,6 +132,7 @@
 func (p *Planner) submit(now time.Time, t Task) {
 	k := &task{Task: t}
 	p.tasks[t.ID] = k
+	p.pool(t.Pool).arrivals++
 	p.place(now, k)
 }
 
@@ -151,8 +147,8 @@
 		return
 	}
 	if pool.queue.Len() == 0 {
-		if t := p.pick(now, pool, k); t != nil {
-			p.start(k, t)
+		if t := pool.pickBy(now, p.cfg.Placing, p.rng, k); t != nil {
+			p.start(now, k, t)
 			return
 		}
 	}
@@ -184,19 +180,11 @@
 	return NoReason, 0
 }
 
-// wait returns how long until n tasks that find all slots taken have started.
-func (q *pool) wait(n, slots int) time.Duration {
-	if n <= 0 {
-		return 0
-	}
-	d := time.Duration(float64(n) / float64(slots) * q.service * float64(time.Second))
-	return max(d, minRetry)
-}
-
 // slots returns how many tasks like k the pool's owned targets run at once, whether any target of the pool
 // could ever run one, and whether any is known.
 func (p *Planner) slots(now time.Time, pool *pool, k *task) (n int, fits, known bool) {
-	for _, t := range pool.targets {
+	for _, s := range pool.seats {
+		t := s.target
 		known = true
 		if !t.everFits(k.Need) {
 			continue
@@ -209,25 +197,8 @@
 	return n, fits, known
 }
 
-// pick returns the fastest target with room, the least busy among equals.
-func (p *Planner) pick(now time.Time, pool *pool, k *task) *target {
-	var best *target
-	var bestCost float64
-	for _, t := range pool.targets {
-		if k.excluded[t.Name] || !t.everFits(k.Need) || t.room(now, k.Need) == 0 {
-			continue
-		}
-		cost := t.factor + float64(t.inflight)*1e-6
-		if best == nil || cost < bestCost {
-			best = t
-			bestCost = cost
-		}
-	}
-	return best
-}
-
-func (p *Planner) start(k *task, t *target) {
-	t.take(k.Need)
+func (p *Planner) start(now time.Time, k *task, t *target) {
+	t.take(now, k.Need)
 	k.target = t
 	k.started++
 	p.out = append(p.out, Start{ID: k.ID, Target: t.Name, Addr: t.Addr})
@@ -275,7 +246,8 @@
 // ownerElsewhere returns another host that owns a target fit for k, if this host owns none.
 func (p *Planner) ownerElsewhere(pool *pool, k *task) string {
 	owner := ""
-	for _, t := range pool.targets {
+	for _, s := range pool.seats {
+		t := s.target
 		if t.Leaving || !t.everFits(k.Need) {
 			continue
 		}
@@ -326,6 +298,7 @@
 	pool := p.pool(k.Pool)
 	if k.target != nil {
 		k.target.release(k.Need)
+		k.target.freed()
 		p.judge(now, pool, k, e)
 	}
 	p.settle(now, pool, k, e.Verdict)
@@ -367,7 +340,7 @@
 
 // again places a task once more, on another target if there is one.
 func (p *Planner) again(now time.Time, pool *pool, k *task) {
-	if k.target != nil && len(pool.targets) > len(k.excluded)+1 {
+	if k.target != nil && len(pool.seats) > len(k.excluded)+1 {
 		if k.excluded == nil {
 			k.excluded = make(map[string]bool)
 		}
@@ -403,13 +376,13 @@
 	for e := pool.queue.Front(); e != nil && looked < lookAhead; e = e.Next() {
 		looked++
 		k := e.Value.(*task)
-		t := p.pick(now, pool, k)
+		t := pool.pickBy(now, p.cfg.Placing, p.rng, k)
 		if t == nil {
 			continue
 		}
 		pool.queue.Remove(e)
 		k.element = nil
-		p.start(k, t)
+		p.start(now, k, t)
 		return true
 	}
 	return false
@@ -417,11 +390,13 @@
 
 func (p *Planner) tick(now time.Time) {
 	for _, t := range p.targets {
-		if now.Sub(t.heard) > p.expiry {
-			p.forget(t)
+		if now.Sub(t.heard) > p.cfg.Expiry {
+			p.forget(now, t)
 		}
 	}
 	for _, pool := range p.pools {
+		pool.observe(now)
+		pool.arrange(now)
 		p.dropLate(now, pool)
 		p.pump(now, pool)
 	}
@@ -434,7 +409,7 @@
 		k := e.Value.(*task)
 		if !now.Before(k.Deadline) {
 			pool.queue.Remove(e)
-			p.finish(k, Refused, TooLate, pool.wait(pool.queue.Len(), max(1, len(pool.targets))))
+			p.finish(k, Refused, TooLate, pool.wait(pool.queue.Len(), max(1, len(pool.seats))))
 		}
 		e = next
 	}
@@ -443,7 +418,7 @@
 func (p *Planner) pool(name string) *pool {
 	q, ok := p.pools[name]
 	if !ok {
-		q = &pool{name: name, queue: list.New(), service: firstService.Seconds(), tokens: retryBurst / 2}
+		q = newPool(name)
 		p.pools[name] = q
 	}
 	return q
--- a/src/berth/planner_test.go
+++ b/src/berth/planner_test.go
@@ -24,7 +24,7 @@
 }
 
 func newStage(t *testing.T) *stage {
-	return &stage{t: t, p: NewPlanner("a", "khulna", 3*time.Second), now: testStart}
+	return &stage{t: t, p: NewPlanner(Config{Self: "a", Domain: "khulna", Expiry: 3 * time.Second, Placing: Shares{}}), now: testStart}
 }
 
 func (s *stage) step(ev Event) []Action {
--- /dev/null
+++ b/src/berth/policy_bench_test.go
@@ -0,0 +1,150 @@
+package berth
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"net/netip"
+	"sort"
+	"testing"
+	"time"
+)
+
+// arrival or end of a task in virtual time.
+type happening struct {
+	at   time.Time
+	end  bool
+	id   uint64
+	size float64
+}
+
+type calendar []happening
+
+func (c calendar) Len() int           { return len(c) }
+func (c calendar) Less(i, j int) bool { return c[i].at.Before(c[j].at) }
+func (c calendar) Swap(i, j int)      { c[i], c[j] = c[j], c[i] }
+func (c *calendar) Push(x any)        { *c = append(*c, x.(happening)) }
+func (c *calendar) Pop() any {
+	old := *c
+	h := old[len(old)-1]
+	*c = old[:len(old)-1]
+	return h
+}
+
+// policyRun drives one planner with the share of load that one of six hosts gets, in virtual time.
+type policyRun struct {
+	p       *Planner
+	rng     *rand.Rand
+	now     time.Time
+	cal     calendar
+	speeds  map[string]float64
+	sizes   map[uint64]float64
+	arrived map[uint64]time.Time
+	ratios  []float64
+	slow    int
+}
+
+const (
+	policyTasks   = 30000
+	policyWarm    = 4000
+	policyTargets = 17
+	policySlots   = 4
+	policyMin     = 0.2 // seconds on a target of speed 1
+	policyMax     = 4.0
+	policyFastest = 4.0
+)
+
+func runPolicy(placing Placing, load float64, seed uint64) *policyRun {
+	r := &policyRun{
+		p:      NewPlanner(Config{Self: "a", Domain: "khulna", Expiry: time.Hour, Placing: placing, Seed: seed}),
+		rng:    rand.New(rand.NewPCG(seed, 0)),
+		now:    testStart,
+		speeds: make(map[string]float64), sizes: make(map[uint64]float64), arrived: make(map[uint64]time.Time),
+	}
+	capacity := 0.0
+	for i := range policyTargets {
+		name := fmt.Sprint("t", i)
+		r.speeds[name] = math.Pow(2, float64(i%3))
+		capacity += r.speeds[name] * policySlots
+		r.step(Announced{Target: Target{
+			Name: name, Addr: netip.MustParseAddrPort("127.0.0.1:1"), Domain: "khulna", Pools: []string{testPool}, Slots: policySlots,
+		}})
+	}
+	mean := (policyMax - policyMin) / math.Log(policyMax/policyMin)
+	r.run(load * capacity / mean)
+	return r
+}
+
+func (r *policyRun) run(rate float64) {
+	tick := r.now
+	at := r.now
+	for id := uint64(1); id <= policyTasks; id++ {
+		at = at.Add(time.Duration(r.rng.ExpFloat64() / rate * float64(time.Second)))
+		size := policyMin * math.Exp(r.rng.Float64()*math.Log(policyMax/policyMin))
+		heap.Push(&r.cal, happening{at: at, id: id, size: size})
+	}
+	for r.cal.Len() > 0 {
+		h := heap.Pop(&r.cal).(happening)
+		for ; tick.Before(h.at); tick = tick.Add(50 * time.Millisecond) {
+			r.now = tick
+			r.step(Tick{})
+		}
+		r.now = h.at
+		r.happen(h)
+	}
+}
+
+func (r *policyRun) happen(h happening) {
+	if !h.end {
+		r.sizes[h.id] = h.size
+		r.arrived[h.id] = r.now
+		r.step(Submit{Task: Task{ID: h.id, Route: testRoute, Pool: testPool, Deadline: r.now.Add(time.Hour), Attempts: 1, Queue: 1 << 20}})
+		return
+	}
+	if h.id > policyWarm {
+		ideal := r.sizes[h.id] / policyFastest
+		r.ratios = append(r.ratios, r.now.Sub(r.arrived[h.id]).Seconds()/ideal)
+	}
+	r.step(Ended{ID: h.id, Verdict: Succeeded, Took: time.Duration(h.size * float64(time.Second))})
+}
+
+func (r *policyRun) step(ev Event) {
+	for _, a := range r.p.Step(r.now, ev) {
+		s, ok := a.(Start)
+		if !ok {
+			continue
+		}
+		took := r.sizes[s.ID] / r.speeds[s.Target]
+		if r.speeds[s.Target] == 1 && s.ID > policyWarm {
+			r.slow++
+		}
+		heap.Push(&r.cal, happening{at: r.now.Add(time.Duration(took * float64(time.Second))), end: true, id: s.ID, size: took})
+	}
+}
+
+// BenchmarkPolicy compares the ways of placing in virtual time: one host, its share of 17 targets, 80% load.
+func BenchmarkPolicy(b *testing.B) {
+	for name, placing := range map[string]Placing{"shares": Shares{}, "random": TwoRandom{}, "robin": RoundRobin{}} {
+		b.Run(name, func(b *testing.B) {
+			var ratios []float64
+			slow := 0
+			for i := range b.N {
+				r := runPolicy(placing, 0.8, uint64(i+1))
+				ratios = append(ratios, r.ratios...)
+				slow += r.slow
+			}
+			sort.Float64s(ratios)
+			sum := 0.0
+			for _, v := range ratios {
+				sum += v
+			}
+			n := len(ratios)
+			b.ReportMetric(sum/float64(n), "mean-ratio")
+			b.ReportMetric(ratios[n/2], "ratio50")
+			b.ReportMetric(ratios[n*99/100], "ratio99")
+			b.ReportMetric(float64(slow)/float64(n), "slow-share")
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N*policyTasks), "ns/task")
+		})
+	}
+}
--- a/src/berth/target.go
+++ b/src/berth/target.go
@@ -62,7 +62,9 @@
 
 type target struct {
 	Target
-	heard    time.Time
+	heard time.Time
+	// share is how many of a minion's slots this host uses; owned says that it starts tasks there at all.
+	share    int
 	owned    bool
 	inflight int
 	used     Need
@@ -77,6 +79,10 @@
 	// foreignUntil bounds the time in which foreign counts.
 	foreignUntil time.Time
 	pausedUntil  time.Time
+	// tried is when a task last started here.
+	tried time.Time
+	// seats holds the target's place in each of its pools.
+	seats []*seat
 }
 
 func (t *target) usable(now time.Time) bool {
@@ -96,13 +102,21 @@
 	}
 	n := t.capacity(need) - t.inflight
 	if now.Before(t.foreignUntil) {
-		n -= t.foreign
+		n = min(n, t.whole(need)-t.foreign-t.inflight)
 	}
 	return max(0, min(n, t.ramp-t.inflight))
 }
 
-// capacity returns how many tasks of the need run there at once, those in flight included.
+// capacity returns how many tasks of the need this host runs there at once, those in flight included.
 func (t *target) capacity(need Need) int {
+	if t.Slots > 0 {
+		return t.share
+	}
+	return t.whole(need)
+}
+
+// whole returns how many tasks of the need run there at once.
+func (t *target) whole(need Need) int {
 	if t.Slots > 0 {
 		return t.Slots
 	}
@@ -124,8 +138,9 @@
 	return t.Cores >= max(1, need.Cores) && t.Memory >= need.Memory && t.Accelerators >= need.Accelerators
 }
 
-func (t *target) take(need Need) {
+func (t *target) take(now time.Time, need Need) {
 	t.inflight++
+	t.tried = now
 	t.used.Cores += max(1, need.Cores)
 	t.used.Memory += need.Memory
 	t.used.Accelerators += need.Accelerators
--- a/src/deck/dispatch.go
+++ b/src/deck/dispatch.go
@@ -11,6 +11,7 @@
 	"sesamecleat/src/chart"
 	"sesamecleat/src/helm"
 	"sesamecleat/src/logbook"
+	"sesamecleat/src/manifest"
 	"sesamecleat/src/radio"
 	"sesamecleat/src/roster"
 )
@@ -72,8 +73,11 @@
 
 func newDispatch(h *helm.Helm) helm.Plugin {
 	d := &dispatch{
-		h:       h,
-		planner: berth.NewPlanner(h.Settings.Name, h.Settings.Domain, h.Settings.Limits.Expiry),
+		h: h,
+		planner: berth.NewPlanner(berth.Config{
+			Self: h.Settings.Name, Domain: h.Settings.Domain, Expiry: h.Settings.Limits.Expiry,
+			Placing: placingOf(h.Settings.Placing), Seed: h.Incarnation,
+		}),
 		clients: newClients(h.Dial),
 		calls:   make(map[uint64]*placement),
 		heard:   make(map[string]berth.Target),
@@ -83,6 +87,17 @@
 	return d
 }
 
+func placingOf(p manifest.Placing) berth.Placing {
+	switch p {
+	case manifest.Random:
+		return berth.TwoRandom{}
+	case manifest.Robin:
+		return berth.RoundRobin{}
+	default:
+		return berth.Shares{}
+	}
+}
+
 // Start begins the planner's ticks and listens for other hosts.
 func (d *dispatch) Start() error {
 	now := d.h.Clock.Now()
@@ -168,6 +183,9 @@
 		if !e.relayed {
 			d.heard[t.Name] = t
 		}
+		if t.Leaving && !e.relayed {
+			d.relay(now)
+		}
 	}
 }
 
--- a/src/deck/kinds.go
+++ b/src/deck/kinds.go
@@ -42,16 +42,16 @@
 	ledgerTick    = 25 * time.Millisecond
 	stateTick     = 25 * time.Millisecond
 	repairTick    = 500 * time.Millisecond
-	announceBatch = 200 * time.Millisecond
+	announceBatch = 500 * time.Millisecond
 	batchTimeout  = 500 * time.Millisecond
 	pilotTimeout  = 500 * time.Millisecond
-	followWait    = time.Second
-	followTimeout = 2 * time.Second
+	followWait    = 2 * time.Second
+	followTimeout = 3 * time.Second
 	followPause   = 100 * time.Millisecond
 	editTry       = time.Second
 	editPause     = 50 * time.Millisecond
 	forwardPause  = 25 * time.Millisecond
-	staleAfter    = 3 * time.Second
+	staleAfter    = 5 * time.Second
 	compactAfter  = 4096 // log entries
 	pilotQueue    = 256  // messages
 )
--- a/src/fleet_test.go
+++ b/src/fleet_test.go
@@ -36,6 +36,7 @@
 	cancel  context.CancelFunc
 	wg      sync.WaitGroup
 	summary drill.Summary
+	placing string
 }
 
 type host struct {
@@ -61,8 +62,11 @@
 var lastNetwork atomic.Int32
 
 // newFleet writes the settings of two processes in each of three failure domains, the first of each a state host.
-func newFleet(t require.TestingT, folder, program string) *fleet {
-	f := &fleet{t: t, folder: folder, program: program, net: newNetwork(), client: drill.NewClient(), book: hatchery.NewBook()}
+func newFleet(t require.TestingT, folder, program, placing string) *fleet {
+	f := &fleet{
+		t: t, folder: folder, program: program, placing: placing,
+		net: newNetwork(), client: drill.NewClient(), book: hatchery.NewBook(),
+	}
 	group := lastNetwork.Add(1)
 	var contacts, voters []string
 	advertised := make(map[string]netip.AddrPort)
@@ -92,10 +96,10 @@
   "name": %q, "domain": %q, "domains": ["%s"],
   "roles": [%s], "callers": %q, "peers": %q, "advertise": %q,
   "contacts": [%s], "voters": [%s],
-  "data": %q, "keys": ["a key for tests, no secret"],
+  "data": %q, "keys": ["a key for tests, no secret"], "placing": %q,
   "limits": {"notice": "300ms", "drain": "10s", "retention": "1m"}
 }`, h.name, h.domain, strings.Join(fleetDomains, `", "`), roles, h.callers, h.peers, advertised[h.name],
-			strings.Join(contacts, ", "), strings.Join(voters, ", "), h.data)
+			strings.Join(contacts, ", "), strings.Join(voters, ", "), h.data, f.placing)
 		require.NoError(t, os.WriteFile(h.settings, []byte(text), 0o600))
 	}
 	return f
@@ -198,16 +202,29 @@
 	speeds := []float64{1, 2, 4}
 	for _, domain := range fleetDomains {
 		for i := range perDomain {
-			m, err := hatchery.NewMinion(hatchery.Options{
-				Name: fmt.Sprintf("%s-boat-%d", domain, i+1), Domain: domain, Pools: []string{demoPool},
-				Slots: demoSlots, Speed: speeds[i%len(speeds)], Book: f.book,
-				Entries: func() []netip.AddrPort { return f.near(domain) },
-				Listen:  netip.MustParseAddrPort("127.0.0.1:0"),
-			})
-			require.NoError(f.t, err)
-			f.minions = append(f.minions, m)
+			f.raiseOne(fmt.Sprintf("%s-boat-%d", domain, i+1), domain, speeds[i%len(speeds)])
+		}
+	}
+}
+
+func (f *fleet) raiseOne(name, domain string, speed float64) {
+	m, err := hatchery.NewMinion(hatchery.Options{
+		Name: name, Domain: domain, Pools: []string{demoPool}, Slots: demoSlots, Speed: speed, Book: f.book,
+		Entries: func() []netip.AddrPort { return f.near(domain) },
+		Listen:  netip.MustParseAddrPort("127.0.0.1:0"),
+	})
+	require.NoError(f.t, err)
+	f.minions = append(f.minions, m)
+}
+
+func (f *fleet) minion(name string) *hatchery.Minion {
+	for _, m := range f.minions {
+		if m.Name() == name {
+			return m
 		}
 	}
+	require.Failf(f.t, "no such target", "%s", name)
+	return nil
 }
 
 func (f *fleet) near(domain string) []netip.AddrPort {
--- a/src/hatchery/minion.go
+++ b/src/hatchery/minion.go
@@ -45,7 +45,7 @@
 }
 
 // AnnounceInterval is how often a stand-in announces itself.
-const AnnounceInterval = time.Second
+const AnnounceInterval = 2 * time.Second
 
 const (
 	announceTimeout = time.Second
@@ -89,6 +89,9 @@
 // Name returns the stand-in's name.
 func (m *Minion) Name() string { return m.o.Name }
 
+// Domain returns the stand-in's failure domain.
+func (m *Minion) Domain() string { return m.o.Domain }
+
 // Addr returns where the stand-in takes tasks.
 func (m *Minion) Addr() netip.AddrPort {
 	a, _ := netip.ParseAddrPort(m.listener.Addr().String())
@@ -144,13 +147,13 @@
 		ctx.Error("the work cannot be read", fasthttp.StatusBadRequest)
 		return
 	}
-	ctx.Response.Header.SetBytesV("Task-Id", ctx.Request.Header.Peek("Task-Id"))
+	defer ctx.Response.Header.SetBytesV("Task-Id", ctx.Request.Header.Peek("Task-Id"))
 	busy := m.busy.Add(1)
 	defer m.busy.Add(-1)
 	if m.o.Slots > 0 && busy > int64(m.o.Slots) || m.leaving.Load() {
 		m.refused.Add(1)
-		ctx.Response.Header.Set("Outcome", "notrun")
 		ctx.Error("no slot is free", fasthttp.StatusServiceUnavailable)
+		ctx.Response.Header.Set("Outcome", "notrun")
 		return
 	}
 	m.o.Book.Start(w.ID)
--- a/src/manifest/settings.go
+++ b/src/manifest/settings.go
@@ -23,6 +23,16 @@
 	State Role = "state"
 )
 
+// Placing is how an entry host chooses targets.
+type Placing string
+
+// The ways to choose targets; all but Shares are baselines to measure against.
+const (
+	Shares Placing = "shares"
+	Random Placing = "random"
+	Robin  Placing = "robin"
+)
+
 // Settings is everything one process learns from its file.
 type Settings struct {
 	Name      string
@@ -37,6 +47,7 @@
 	Data      string
 	Keys      []string
 	Weight    int
+	Placing   Placing
 	Limits    Limits
 }
 
@@ -69,7 +80,7 @@
 	DefaultRetention   = 10 * time.Minute
 	DefaultNotice      = time.Second
 	DefaultDrain       = 30 * time.Second
-	DefaultExpiry      = 3 * time.Second
+	DefaultExpiry      = 6 * time.Second
 	MaxWeight          = 1000
 	keyLimit           = 256 // bytes
 	pathLimit          = 4096
@@ -79,8 +90,9 @@
 // New returns settings with every default set.
 func New() Settings {
 	return Settings{
-		Weight: 1,
-		Roles:  []Role{Entry},
+		Weight:  1,
+		Placing: Shares,
+		Roles:   []Role{Entry},
 		Limits: Limits{
 			Body: DefaultBody, Connections: DefaultConnections, Inflight: DefaultInflight,
 			Records: DefaultRecords, Retention: DefaultRetention, Notice: DefaultNotice,
@@ -134,11 +146,12 @@
 			r.AddrPort(&a)(v)
 			s.Contacts = append(s.Contacts, a)
 		}),
-		"voters": nameList(r, &s.Voters),
-		"data":   r.String(&s.Data, pathLimit),
-		"keys":   keyList(r, &s.Keys),
-		"weight": r.Int(&s.Weight, 1, MaxWeight),
-		"limits": func(v *hujson.Value) { r.Object(v, limitFields(r, &s.Limits)) },
+		"voters":  nameList(r, &s.Voters),
+		"data":    r.String(&s.Data, pathLimit),
+		"keys":    keyList(r, &s.Keys),
+		"weight":  r.Int(&s.Weight, 1, MaxWeight),
+		"placing": placing(r, &s.Placing),
+		"limits":  func(v *hujson.Value) { r.Object(v, limitFields(r, &s.Limits)) },
 	}
 }
 
@@ -191,6 +204,19 @@
 	})
 }
 
+func placing(r *survey.Reader, dst *Placing) survey.Field {
+	return func(v *hujson.Value) {
+		var s string
+		r.String(&s, chart.NameLimit)(v)
+		p := Placing(s)
+		if p != Shares && p != Random && p != Robin {
+			r.Addf(v, "placing %q is unknown; known are shares, random, robin", s)
+			return
+		}
+		*dst = p
+	}
+}
+
 func keyList(r *survey.Reader, dst *[]string) survey.Field {
 	return r.Each(func(v *hujson.Value) {
 		var s string
--- a/src/pilot/node.go
+++ b/src/pilot/node.go
@@ -8,8 +8,8 @@
 
 // Timing of elections and heartbeats.
 const (
-	HeartbeatInterval = 100 * time.Millisecond
-	ElectionTimeout   = 600 * time.Millisecond
+	HeartbeatInterval = 200 * time.Millisecond
+	ElectionTimeout   = 800 * time.Millisecond
 	// batchLimit bounds the entries of one Append.
 	batchLimit = 256
 	// resendAfter is when unanswered entries are sent again.
--- a/src/roster/member.go
+++ b/src/roster/member.go
@@ -75,6 +75,8 @@
 // Timing of heartbeats; a silent connection is replaced after two missed ones, before its peer is suspected.
 const (
 	BeatInterval = 400 * time.Millisecond
+	// FarEvery is how many intervals lie between the heartbeats to another failure domain.
+	FarEvery     = 2
 	BeatTimeout  = 500 * time.Millisecond
 	SuspectAfter = 1600 * time.Millisecond
 	DeadAfter    = 3200 * time.Millisecond
--- a/src/roster/roster.go
+++ b/src/roster/roster.go
@@ -48,6 +48,7 @@
 	self     Member
 	contacts []netip.AddrPort
 	peers    map[string]*Peer
+	beats    int
 	out      []Action
 }
 
@@ -188,8 +189,11 @@
 		sent[a] = true
 		r.out = append(r.out, Send{To: a})
 	}
+	r.beats++
 	for _, p := range r.partners() {
-		send(p.Member.Peers)
+		if p.Member.Domain == r.self.Domain || r.beats%FarEvery == 0 {
+			send(p.Member.Peers)
+		}
 	}
 	for _, a := range r.contacts {
 		if !r.covered(a) {
--- a/src/script_test.go
+++ b/src/script_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"encoding/json"
 	"fmt"
 	"net"
 	"net/netip"
@@ -35,7 +36,7 @@
 			if err != nil {
 				return err
 			}
-			f := newFleet(scriptT{e.T()}, e.WorkDir, program)
+			f := newFleet(scriptT{e.T()}, e.WorkDir, program, "shares")
 			e.Defer(f.close)
 			e.Values["fleet"] = f
 			for _, h := range f.hosts {
@@ -61,6 +62,9 @@
 			"silence": withFleet(func(f *fleet) { f.net.silence() }),
 			"load":    eachWord(func(f *fleet, w string) { f.begin(float64(number(w)), 1) }),
 			"finish":  withFleet(func(f *fleet) { f.finish() }),
+			"leave":   eachWord(func(f *fleet, w string) { f.minion(w).Leave() }),
+			"die":     eachWord(func(f *fleet, w string) { f.minion(w).Kill() }),
+			"idle":    cmdIdle,
 			"held":    cmdHeld,
 			"none":    cmdNone,
 			"http":    cmdHTTP,
@@ -233,3 +237,51 @@
 		ts.Check(err)
 	}
 }
+
+const leaveTime = 3 * time.Second
+
+// cmdIdle checks that a target which left got no task later than leaveTime after: idle TARGET.
+func cmdIdle(ts *testscript.TestScript, _ bool, args []string) {
+	f := fleetOf(ts)
+	m := f.minion(args[0])
+	limit := time.Now().Add(leaveTime)
+	f.await(args[0]+" to be told of by every host of its domain", func() bool {
+		for _, h := range f.hosts {
+			if h.domain != m.Domain() {
+				continue
+			}
+			r := f.client.Do(h.callers, drill.Call{Method: "GET", Path: "/v1/targets"})
+			if !leavingAt(r.Body, m.Name()) {
+				return false
+			}
+		}
+		return true
+	})
+	if time.Now().After(limit) {
+		ts.Fatalf("%s was not known to leave in %s", args[0], leaveTime)
+	}
+	refused := m.Refused()
+	f.pass(idleTasks)
+	if m.Refused() != refused {
+		ts.Fatalf("%s was sent %d tasks after it left", args[0], m.Refused()-refused)
+	}
+}
+
+// idleTasks is how many tasks must start elsewhere before a target counts as idle.
+const idleTasks = 300
+
+func leavingAt(body []byte, name string) bool {
+	var targets []struct {
+		Name    string `json:"name"`
+		Leaving bool   `json:"leaving"`
+	}
+	if json.Unmarshal(body, &targets) != nil {
+		return false
+	}
+	for _, t := range targets {
+		if t.Name == name {
+			return t.Leaving
+		}
+	}
+	return false
+}
