--- a/src/deck/ledger.go
+++ b/src/deck/ledger.go
@@ -101,6 +101,8 @@
 			logbook.F("primary", n.View.Copies[0].Name))
 	case ledger.NewGeneration:
 		s.h.Log.Write(logbook.LedgerReset, shard, logbook.F("generation", n.View.Generation))
+	case ledger.Pressure:
+		s.h.Log.Write(logbook.LedgerPressure, shard, logbook.F("records", s.ledger.Held()))
 	case ledger.CaughtUp:
 		s.h.Log.Write(logbook.CopyCaughtUp, shard, logbook.F("copy", n.Host))
 	}
--- a/src/helm/helm.go
+++ b/src/helm/helm.go
@@ -62,12 +62,14 @@
 	Dispatcher Dispatcher
 	Submitter  Submitter
 
-	plugins  []Plugin
-	queue    chan envelope
-	quit     chan struct{}
-	ended    chan struct{}
-	leaving  atomic.Bool
-	stopOnce sync.Once
+	plugins []Plugin
+	queue   chan envelope
+	quit    chan struct{}
+	ended   chan struct{}
+	leaving atomic.Bool
+	// refusedAt is when the last refused peer was told of, in nanoseconds since 1970.
+	refusedAt atomic.Int64
+	stopOnce  sync.Once
 }
 
 // New returns a kernel with every registered plug-in made but not started; an error leaves nothing open.
@@ -85,7 +87,7 @@
 		return nil, err
 	}
 	var err error
-	h.Radio, err = radio.NewRadio(s.Peers, s.Keys, o.Listen, h.replaced)
+	h.Radio, err = radio.NewRadio(s.Peers, s.Keys, o.Listen, radio.Notices{Replaced: h.replaced, Refused: h.refused})
 	if err != nil {
 		h.closeStore()
 		return nil, err
@@ -155,7 +157,8 @@
 }
 
 const (
-	drainPoll = 10 * time.Millisecond
+	refusedInterval = 10 * time.Second
+	drainPoll       = 10 * time.Millisecond
 	// handOverTime bounds how long a planned stop waits for others to take over the ledger.
 	handOverTime = 5 * time.Second
 )
@@ -187,6 +190,16 @@
 	h.Metrics.GetOrCreateCounter("sesamecleat_connections_replaced_total").Inc()
 }
 
+// refused tells of a peer with a key that is not known, at most once an interval.
+func (h *Helm) refused() {
+	now := h.Clock.Now().UnixNano()
+	last := h.refusedAt.Load()
+	if now-last < int64(refusedInterval) || !h.refusedAt.CompareAndSwap(last, now) {
+		return
+	}
+	h.Log.Write(logbook.PeerRefused)
+}
+
 func (h *Helm) stopPlugins(plugins []Plugin) {
 	for i := len(plugins) - 1; i >= 0; i-- {
 		plugins[i].Stop()
--- a/src/ledger/event.go
+++ b/src/ledger/event.go
@@ -190,6 +190,7 @@
 	NewView Note = iota + 1
 	NewGeneration
 	CaughtUp
+	Pressure
 )
 
 func (Decided) action() {}
--- a/src/ledger/record.go
+++ b/src/ledger/record.go
@@ -20,7 +20,8 @@
 	// retryAfter is when an unanswered batch is sent again.
 	retryAfter = 100 * time.Millisecond
 	// dropAfter is how long a backup may fail before its removal is proposed.
-	dropAfter = time.Second
+	dropAfter        = time.Second
+	pressureInterval = 10 * time.Second
 	// proposeAfter is when a proposal that led to nothing is made again.
 	proposeAfter = 500 * time.Millisecond
 )
--- a/src/ledger/shard.go
+++ b/src/ledger/shard.go
@@ -23,6 +23,7 @@
 	awaited   []*entry
 	followers map[string]*follower
 	proposed  time.Time
+	pressed   time.Time
 	// inbound is the stream this copy follows.
 	inbound       uint64
 	inboundNumber uint64
@@ -65,11 +66,21 @@
 	}
 	if s.l.held >= s.l.cfg.Records {
 		s.l.decide(e.Ticket, Full)
+		s.notePressure(now)
 		return
 	}
 	s.begin(now, e)
 }
 
+// notePressure tells of a full ledger, at most once an interval.
+func (s *shard) notePressure(now time.Time) {
+	if now.Sub(s.pressed) < pressureInterval {
+		return
+	}
+	s.pressed = now
+	s.l.emit(Noted{Shard: s.id, Note: Pressure, View: s.view})
+}
+
 // resubmit answers a submission whose key is held.
 func (s *shard) resubmit(old *entry, e Submit) {
 	switch {
--- /dev/null
+++ b/src/manifest/settings_test.go
@@ -0,0 +1,55 @@
+package manifest
+
+import (
+	"path/filepath"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestSamplesHaveNoFindings(t *testing.T) {
+	files, err := filepath.Glob("../../settings/*/*.json")
+	require.NoError(t, err)
+	require.Len(t, files, 12)
+	names := make(map[string]bool)
+	for _, file := range files {
+		s, err := Load(file)
+		require.NoError(t, err)
+		require.Equal(t, filepath.Base(file), s.Name+".json")
+		require.False(t, names[s.Name])
+		names[s.Name] = true
+	}
+}
+
+func TestParseFindings(t *testing.T) {
+	whole := `"name": "a", "domain": "d", "domains": ["d"], "callers": "127.0.0.1:1", "peers": "127.0.0.1:2", "keys": ["0123456789abcdef"]`
+	tests := map[string]struct{ text, want string }{
+		"not an object":      {`[]`, "f:1:1: an object is expected"},
+		"null":               {`null`, "f:1:1: an object is expected"},
+		"two values":         {`{} {}`, "f:1:4:"},
+		"unknown domain":     {`{` + whole + `, "domain2": 1}`, `key "domain2" is unknown`},
+		"even voters":        {`{` + whole + `, "voters": ["b", "c"]}`, "voters names 2 hosts; an odd number is expected"},
+		"state without data": {`{` + whole + `, "voters": ["a"], "roles": ["state"]}`, `key "data" is missing`},
+		"voter without role": {`{` + whole + `, "voters": ["a"]}`, `role state and voters disagree about "a"`},
+		"null number":        {`{` + whole + `, "voters": ["b"], "weight": null}`, "a whole number is expected"},
+		"placing":            {`{` + whole + `, "voters": ["b"], "placing": "best"}`, `placing "best" is unknown`},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			_, err := Parse("f", []byte(tt.text))
+			require.ErrorContains(t, err, tt.want)
+		})
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	for _, seed := range []string{``, `{}`, `{"name": 1}`, `{"limits": {"body": 1e9}}`, "{\"keys\": [\"\xff\"]}", `{"domains": [[]]}`} {
+		f.Add([]byte(seed))
+	}
+	f.Fuzz(func(t *testing.T, src []byte) {
+		_, err := Parse("f", src)
+		if err != nil {
+			require.NotEmpty(t, err.Error())
+		}
+	})
+}
--- a/src/radio/identity.go
+++ b/src/radio/identity.go
@@ -22,16 +22,17 @@
 
 // identity proves that a process holds one of the deployment's keys.
 type identity struct {
-	cert   tls.Certificate
-	accept []ed25519.PublicKey
+	cert    tls.Certificate
+	accept  []ed25519.PublicKey
+	refused func()
 }
 
 // newIdentity presents the first key and accepts peers that present any of them.
-func newIdentity(keys []string) (*identity, error) {
+func newIdentity(keys []string, refused func()) (*identity, error) {
 	if len(keys) == 0 {
 		return nil, Error.New("no key is given")
 	}
-	id := &identity{}
+	id := &identity{refused: refused}
 	for i, key := range keys {
 		private, err := deriveKey(key)
 		if err != nil {
@@ -101,5 +102,6 @@
 			return nil
 		}
 	}
+	id.refused()
 	return Error.New("the peer's key is not known")
 }
--- a/src/radio/link.go
+++ b/src/radio/link.go
@@ -166,7 +166,7 @@
 		return
 	}
 	l.release(closeReplaced)
-	r.replaced(peer)
+	r.notices.Replaced(peer)
 }
 
 // drop closes a connection that can open no more streams.
--- a/src/radio/radio.go
+++ b/src/radio/radio.go
@@ -60,7 +60,7 @@
 	id       *identity
 	handlers map[Kind]Handler
 	pool     pond.Pool
-	replaced func(peer netip.AddrPort)
+	notices  Notices
 
 	ctx      context.Context
 	cancel   context.CancelFunc
@@ -76,15 +76,23 @@
 	received atomic.Uint64
 }
 
-// NewRadio returns a radio that is silent until Start; replaced is told of every connection found silent.
-func NewRadio(local netip.AddrPort, keys []string, listen Listen, replaced func(peer netip.AddrPort)) (*Radio, error) {
-	id, err := newIdentity(keys)
+// Notices are told what is worth an event.
+type Notices struct {
+	// Replaced is told of every connection that was found silent.
+	Replaced func(peer netip.AddrPort)
+	// Refused is told of every peer whose key is not known.
+	Refused func()
+}
+
+// NewRadio returns a radio that is silent until Start.
+func NewRadio(local netip.AddrPort, keys []string, listen Listen, notices Notices) (*Radio, error) {
+	id, err := newIdentity(keys, notices.Refused)
 	if err != nil {
 		return nil, err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Radio{
-		local: local, listen: listen, id: id, replaced: replaced,
+		local: local, listen: listen, id: id, notices: notices,
 		handlers: make(map[Kind]Handler),
 		pool:     pond.NewPool(handlerLimit),
 		ctx:      ctx, cancel: cancel,
--- a/src/serve.go
+++ b/src/serve.go
@@ -26,6 +26,7 @@
 	s, err := manifest.Load(*file)
 	if err != nil {
 		fmt.Fprintln(c.stderr, plain(err))
+		logbook.NewLog(c.stderr, "serve").Write(logbook.SettingsRefused, logbook.F("file", *file))
 		return ExitUsage
 	}
 	h, err := startProcess(c, s)
