Report service-level burn; end connections to processes that are no more

Cause: the users ask for a report on service-level burn; there was none. Its scenario (burn.txtar) found a fault besides: after a restart within two heartbeats, calls to the process waited a second and failed, as the old connection was never ended. Listeners now end their connections on a planned stop, and a process that restarted answers packets of its former self with a stateless reset, whose key all processes derive from the first key of the settings.

Conclusion: no timeout is needed to tell a restarted peer from a silent one.

--- a/src/archive/store.go
+++ b/src/archive/store.go
@@ -35,6 +35,7 @@
 	snapshotKey = []byte("snapshot")
 	tablesKey   = []byte("tables")
 	processKey  = []byte("process")
+	countsKey   = []byte("counts")
 )
 
 // Store is an open data folder, locked against other processes.
@@ -92,6 +93,12 @@
 // SaveProcess syncs a small record of the process itself.
 func (s *Store) SaveProcess(record []byte) error { return s.putMeta(processKey, record) }
 
+// SaveCounts syncs the service-level counts of this process.
+func (s *Store) SaveCounts(snapshot []byte) error { return s.putMeta(countsKey, snapshot) }
+
+// Counts returns the saved service-level counts, or nil.
+func (s *Store) Counts() ([]byte, error) { return s.getMeta(countsKey) }
+
 // Process returns the record of the process itself, or nil.
 func (s *Store) Process() ([]byte, error) { return s.getMeta(processKey) }
 
--- a/src/berth/event.go
+++ b/src/berth/event.go
@@ -141,6 +141,8 @@
 	Verdict Verdict
 	Reason  Reason
 	Retry   time.Duration
+	// Ideal is what the task would have taken on the fastest target of its pool; it counts with Succeeded.
+	Ideal time.Duration
 }
 
 // Admitted answers an Admission.
--- a/src/berth/planner.go
+++ b/src/berth/planner.go
@@ -30,6 +30,7 @@
 	started  int
 	refused  int
 	excluded map[string]bool
+	ideal    time.Duration
 }
 
 type neighbour struct {
@@ -301,6 +302,9 @@
 		k.target.freed()
 		p.judge(now, pool, k, e)
 	}
+	if e.Verdict == Succeeded && k.target != nil {
+		k.ideal = pool.ideal(k.target, e.Took)
+	}
 	p.settle(now, pool, k, e.Verdict)
 	p.pump(now, pool)
 }
@@ -362,7 +366,7 @@
 
 func (p *Planner) finish(k *task, v Verdict, r Reason, retry time.Duration) {
 	delete(p.tasks, k.ID)
-	p.out = append(p.out, Finish{ID: k.ID, Verdict: v, Reason: r, Retry: retry})
+	p.out = append(p.out, Finish{ID: k.ID, Verdict: v, Reason: r, Retry: retry, Ideal: k.ideal})
 }
 
 // pump starts waiting tasks while targets have room.
--- a/src/berth/pool.go
+++ b/src/berth/pool.go
@@ -66,6 +66,15 @@
 	return max(d, minRetry)
 }
 
+// ideal returns what a task that took so long on a target would have taken on the fastest one.
+func (q *pool) ideal(t *target, took time.Duration) time.Duration {
+	if len(q.seats) == 0 {
+		return took
+	}
+	faster := min(0, q.seats[0].target.factor-t.factor)
+	return time.Duration(float64(took) * math.Exp(faster))
+}
+
 // learn takes a run time, as on a target of factor 0.
 func (q *pool) learn(seconds float64) {
 	q.service += serviceGain * (seconds - q.service)
--- a/src/chart/codec.go
+++ b/src/chart/codec.go
@@ -21,6 +21,9 @@
 	Cores         int
 	Memory        int64 // bytes
 	Accelerators  int
+	Ratio         float64
+	Within        float64
+	Whole         float64
 }
 
 type wirePool struct {
@@ -203,6 +206,7 @@
 		return wireChange{Route: &wireRoute{
 			Name: r.Name, Pool: r.Pool, Timeout: int64(r.Timeout), NonIdempotent: r.NonIdempotent,
 			Spill: r.Spill, Attempts: r.Attempts, Cores: r.Cores, Memory: r.Memory, Accelerators: r.Accelerators,
+			Ratio: r.Objective.Ratio, Within: r.Objective.Within, Whole: r.Objective.Whole,
 		}}
 	case PutPool:
 		return wireChange{Pool: &wirePool{Name: c.Pool.Name, Slots: c.Pool.Slots, Queue: c.Pool.Queue}}
@@ -223,6 +227,7 @@
 		return PutRoute{Route{
 			Name: r.Name, Pool: r.Pool, Timeout: time.Duration(r.Timeout), NonIdempotent: r.NonIdempotent,
 			Spill: r.Spill, Attempts: r.Attempts, Cores: r.Cores, Memory: r.Memory, Accelerators: r.Accelerators,
+			Objective: Objective{Ratio: r.Ratio, Within: r.Within, Whole: r.Whole},
 		}}
 	case w.Pool != nil:
 		return PutPool{Pool{Name: w.Pool.Name, Slots: w.Pool.Slots, Queue: w.Pool.Queue}}
--- a/src/chart/row.go
+++ b/src/chart/row.go
@@ -22,6 +22,16 @@
 	Cores        int
 	Memory       int64
 	Accelerators int
+	// Objective is the service level that the route promises.
+	Objective Objective
+}
+
+// Objective is a service level: Within of the whole answers come within Ratio times the ideal, and Whole of all
+// requests get a whole answer or a true refusal; the shares lie below 1, and 0 promises nothing.
+type Objective struct {
+	Ratio  float64
+	Within float64
+	Whole  float64
 }
 
 // Pool groups targets that announce its name.
@@ -63,6 +73,8 @@
 	MaxCores        = 4096
 	MaxMemory       = int64(1) << 50 // bytes
 	MaxAccelerators = 64
+	MaxRatio        = 1000.0
+	MaxShare        = 0.999999
 )
 
 var namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9._-]*$`)
@@ -91,6 +103,11 @@
 	out = check(out, r.Attempts >= 1 && r.Attempts <= MaxAttempts, "attempts %d is out of range: 1 to %d", r.Attempts, MaxAttempts)
 	out = check(out, r.Cores >= 0 && r.Cores <= MaxCores, "cores %d is out of range: 0 to %d", r.Cores, MaxCores)
 	out = check(out, r.Memory >= 0 && r.Memory <= MaxMemory, "memory %d is out of range: 0 to %d", r.Memory, MaxMemory)
+	o := r.Objective
+	out = check(out, (o.Within == 0) == (o.Ratio == 0), "ratio and within go together")
+	out = check(out, o.Ratio >= 0 && o.Ratio <= MaxRatio, "ratio %g is out of range: 0 to %g", o.Ratio, MaxRatio)
+	out = check(out, o.Within >= 0 && o.Within <= MaxShare, "within %g is out of range: 0 to %g", o.Within, MaxShare)
+	out = check(out, o.Whole >= 0 && o.Whole <= MaxShare, "whole %g is out of range: 0 to %g", o.Whole, MaxShare)
 	return check(out, r.Accelerators >= 0 && r.Accelerators <= MaxAccelerators, "accelerators %d is out of range: 0 to %d", r.Accelerators, MaxAccelerators)
 }
 
--- a/src/deck/dispatch.go
+++ b/src/deck/dispatch.go
@@ -426,6 +426,7 @@
 // conclude turns the end of a task into the caller's answer; ran is the last try that may have run, if there was one,
 // and keeps a refusal of a later try from being told as the whole truth.
 func conclude(t berth.Task, f berth.Finish, last helm.Answer, ran *helm.Answer) helm.Answer {
+	last.Ideal = max(last.Ideal, f.Ideal)
 	tried := f.Verdict == berth.Succeeded || f.Verdict == berth.Failed || f.Verdict == berth.Lost
 	switch {
 	case tried:
--- a/src/deck/jobs.go
+++ b/src/deck/jobs.go
@@ -107,7 +107,9 @@
 // jobDone returns the whole answer of a job.
 func jobDone(sub helm.Submission, answers []helm.Answer) helm.Answer {
 	w := wireJob{Outcome: string(helm.Done)}
+	var ideal time.Duration
 	for i, a := range answers {
+		ideal = max(ideal, a.Ideal)
 		t := wireJobTask{ID: sub.Tasks[i].ID, Outcome: string(a.Outcome), Status: a.Status, Type: a.Type}
 		if utf8.Valid(a.Body) {
 			t.Body = string(a.Body)
@@ -117,7 +119,7 @@
 		w.Tasks = append(w.Tasks, t)
 	}
 	body, _ := json.Marshal(w) // cannot fail for plain values
-	return helm.Answer{Outcome: helm.Done, Status: 200, Type: jsonType, Body: body}
+	return helm.Answer{Outcome: helm.Done, Status: 200, Type: jsonType, Body: body, Ideal: ideal}
 }
 
 // jobFailed returns each task's outcome without any answer; a job of which no task started did not run.
--- a/src/deck/kinds.go
+++ b/src/deck/kinds.go
@@ -25,6 +25,7 @@
 	kindBatch
 	kindLate
 	kindAnnounce
+	kindBurn
 )
 
 // The orders in which plug-ins start.
@@ -34,6 +35,7 @@
 	orderTables
 	orderDispatch
 	orderSubmit
+	orderGauge
 )
 
 // Timing of the plug-ins.
@@ -52,6 +54,7 @@
 	editPause     = 50 * time.Millisecond
 	forwardPause  = 25 * time.Millisecond
 	staleAfter    = 5 * time.Second
+	gaugeSave     = 10 * time.Second
 	compactAfter  = 4096 // log entries
 	pilotQueue    = 256  // messages
 )
--- a/src/deck/wire.go
+++ b/src/deck/wire.go
@@ -69,12 +69,13 @@
 	Type    string
 	Body    []byte
 	Target  string
+	Ideal   int64 // nanoseconds
 }
 
 func encodeAnswer(a helm.Answer) ([]byte, error) {
 	return cbor.Marshal(wireAnswer{
 		Outcome: string(a.Outcome), Code: string(a.Code), Reason: a.Reason, Retry: int64(a.Retry),
-		Status: a.Status, Type: a.Type, Body: a.Body, Target: a.Target,
+		Status: a.Status, Type: a.Type, Body: a.Body, Target: a.Target, Ideal: int64(a.Ideal),
 	})
 }
 
@@ -85,7 +86,7 @@
 	}
 	return helm.Answer{
 		Outcome: helm.Outcome(w.Outcome), Code: helm.Code(w.Code), Reason: w.Reason, Retry: time.Duration(w.Retry),
-		Status: w.Status, Type: w.Type, Body: w.Body, Target: w.Target,
+		Status: w.Status, Type: w.Type, Body: w.Body, Target: w.Target, Ideal: time.Duration(w.Ideal),
 	}, nil
 }
 
@@ -102,6 +103,7 @@
 	Route         string
 	Job           bool
 	NonIdempotent bool
+	Team          string
 	Left          int64 // nanoseconds until the deadline
 	Tasks         []wireTask
 }
@@ -109,7 +111,7 @@
 // encodeSubmission carries the deadline as the time left, as clocks of hosts differ.
 func encodeSubmission(s helm.Submission, now time.Time) ([]byte, error) {
 	w := wireSubmission{
-		Key: s.Key, Route: s.Route, Job: s.Job, NonIdempotent: s.NonIdempotent, Left: int64(s.Deadline.Sub(now)),
+		Key: s.Key, Route: s.Route, Job: s.Job, NonIdempotent: s.NonIdempotent, Team: s.Team, Left: int64(s.Deadline.Sub(now)),
 	}
 	for _, t := range s.Tasks {
 		w.Tasks = append(w.Tasks, wireTask{ID: t.ID, Type: t.Type, Body: t.Body})
@@ -123,7 +125,7 @@
 		return helm.Submission{}, Error.Wrap(err)
 	}
 	s := helm.Submission{
-		Key: w.Key, Route: w.Route, Job: w.Job, NonIdempotent: w.NonIdempotent,
+		Key: w.Key, Route: w.Route, Job: w.Job, NonIdempotent: w.NonIdempotent, Team: w.Team,
 		Deadline: now.Add(time.Duration(w.Left)), Forwarded: true,
 	}
 	for _, t := range w.Tasks {
--- a/src/helm/helm.go
+++ b/src/helm/helm.go
@@ -61,6 +61,7 @@
 	Editor     Editor
 	Dispatcher Dispatcher
 	Submitter  Submitter
+	Recorder   Recorder
 
 	plugins []Plugin
 	queue   chan envelope
--- a/src/helm/services.go
+++ b/src/helm/services.go
@@ -6,6 +6,7 @@
 
 	"sesamecleat/src/berth"
 	"sesamecleat/src/chart"
+	"sesamecleat/src/gauge"
 	"sesamecleat/src/roster"
 )
 
@@ -74,6 +75,14 @@
 	Records() int
 }
 
+// Recorder counts answers for the service-level report; it is safe for concurrent use.
+type Recorder interface {
+	// Record counts an answer that took so long.
+	Record(s Submission, a Answer, took time.Duration)
+	// Budgets returns the state of every promise over all processes, and those that did not answer.
+	Budgets(ctx context.Context) ([]gauge.Budget, []string)
+}
+
 // Outcome is what became of a request, as its caller is told.
 type Outcome string
 
@@ -103,6 +112,8 @@
 	Type   string
 	Body   []byte
 	Target string
+	// Ideal is what the request would have taken on the fastest target; zero where it is not known.
+	Ideal time.Duration
 }
 
 // Refusal is the reason why a submission cannot be taken on.
@@ -152,6 +163,7 @@
 	ID            string
 	Route         string
 	Job           bool
+	Team          string
 	NonIdempotent bool
 	Deadline      time.Time
 	Tasks         []Task
--- a/src/jetty/callers.go
+++ b/src/jetty/callers.go
@@ -40,6 +40,11 @@
 		return sub, false
 	}
 	sub.NonIdempotent = once == "true"
+	sub.Team = string(h.Peek(headerTeam))
+	if sub.Team != "" && !chart.ValidName(sub.Team) {
+		fail(ctx, fasthttp.StatusBadRequest, helm.CodeBadRequest, headerTeam+" is not a name")
+		return sub, false
+	}
 	timeout, ok := s.timeout(ctx, route)
 	sub.Deadline = s.h.Clock.Now().Add(timeout)
 	return sub, ok
@@ -84,7 +89,10 @@
 		sub.ID = s.h.Submitter.NewID()
 		ctx.Response.Header.Set(headerID, sub.ID)
 	}
-	answer(ctx, s.h.Submitter.Submit(context.Background(), sub))
+	began := s.h.Clock.Now()
+	a := s.h.Submitter.Submit(context.Background(), sub)
+	s.h.Recorder.Record(sub, a, s.h.Clock.Now().Sub(began))
+	answer(ctx, a)
 }
 
 // refusal says why this process takes no submission now.
--- a/src/jetty/rows.go
+++ b/src/jetty/rows.go
@@ -87,6 +87,9 @@
 			route.Memory = int64(n)
 		},
 		"accelerators": r.Int(&route.Accelerators, 0, chart.MaxAccelerators),
+		"ratio":        r.Float(&route.Objective.Ratio, 0, chart.MaxRatio),
+		"within":       r.Float(&route.Objective.Within, 0, chart.MaxShare),
+		"whole":        r.Float(&route.Objective.Whole, 0, chart.MaxShare),
 	}
 }
 
@@ -99,15 +102,18 @@
 }
 
 type wireRoute struct {
-	Name         string `json:"name"`
-	Pool         string `json:"pool"`
-	Timeout      string `json:"timeout"`
-	Once         bool   `json:"once,omitempty"`
-	Spill        bool   `json:"spill,omitempty"`
-	Tries        int    `json:"tries"`
-	Cores        int    `json:"cores,omitempty"`
-	Memory       int64  `json:"memory,omitempty"`
-	Accelerators int    `json:"accelerators,omitempty"`
+	Name         string  `json:"name"`
+	Pool         string  `json:"pool"`
+	Timeout      string  `json:"timeout"`
+	Once         bool    `json:"once,omitempty"`
+	Spill        bool    `json:"spill,omitempty"`
+	Tries        int     `json:"tries"`
+	Cores        int     `json:"cores,omitempty"`
+	Memory       int64   `json:"memory,omitempty"`
+	Accelerators int     `json:"accelerators,omitempty"`
+	Ratio        float64 `json:"ratio,omitempty"`
+	Within       float64 `json:"within,omitempty"`
+	Whole        float64 `json:"whole,omitempty"`
 }
 
 type wirePool struct {
@@ -128,6 +134,7 @@
 	return &wireRoute{
 		Name: r.Name, Pool: r.Pool, Timeout: r.Timeout.String(), Once: r.NonIdempotent, Spill: r.Spill,
 		Tries: r.Attempts, Cores: r.Cores, Memory: r.Memory, Accelerators: r.Accelerators,
+		Ratio: r.Objective.Ratio, Within: r.Objective.Within, Whole: r.Objective.Whole,
 	}
 }
 
--- a/src/jetty/server.go
+++ b/src/jetty/server.go
@@ -181,6 +181,8 @@
 		s.only(ctx, "GET", func() { s.members(ctx) })
 	case "targets":
 		s.only(ctx, "GET", func() { s.targets(ctx) })
+	case "burn":
+		s.only(ctx, "GET", func() { s.burn(ctx) })
 	case "status":
 		s.only(ctx, "GET", func() { s.status(ctx) })
 	default:
--- a/src/options.go
+++ b/src/options.go
@@ -20,6 +20,7 @@
   route     get, list, put, remove routes; apply a file of both tables
   pool      get, list, put, remove pools; apply a file of both tables
   load      load a running system with stand-ins of targets, check every promise
+  burn      report how fast the service-level budgets burn
   status    print what a process tells of itself
 
 Each command explains itself with -help. Exit codes: 0 all went well, 1 a fault or
@@ -185,6 +186,9 @@
 	cores    int
 	memory   int64
 	accels   int
+	ratio    float64
+	within   float64
+	whole    float64
 	slots    int
 	queue    int
 	reliable bool
@@ -221,5 +225,8 @@
 	f.IntVar(&o.tries, "tries", -1, "how often an idempotent request is tried")
 	f.IntVar(&o.cores, "cores", -1, "cores that one task takes of a worker")
 	f.Int64Var(&o.memory, "memory", -1, "bytes that one task takes of a worker")
+	f.Float64Var(&o.ratio, "ratio", 0, "objective: multiple of the ideal time that counts as in time")
+	f.Float64Var(&o.within, "within", 0, "objective: share of whole answers that come in time")
+	f.Float64Var(&o.whole, "whole", 0, "objective: share of requests that get a whole answer or a true refusal")
 	f.IntVar(&o.accels, "accelerators", -1, "accelerators that one task takes of a worker")
 }
--- a/src/radio/identity.go
+++ b/src/radio/identity.go
@@ -11,11 +11,14 @@
 	"crypto/x509/pkix"
 	"math/big"
 	"time"
+
+	"github.com/quic-go/quic-go"
 )
 
 const (
 	protocol     = "sesamecleat/1"
 	keyInfo      = "sesamecleat process identity"
+	resetInfo    = "sesamecleat stateless reset"
 	certLifetime = 100 * 365 * 24 * time.Hour
 	certBackdate = 24 * time.Hour
 )
@@ -25,6 +28,8 @@
 	cert    tls.Certificate
 	accept  []ed25519.PublicKey
 	refused func()
+	// reset lets a process that restarted end the connections of its former self; it is the same in all processes.
+	reset *quic.StatelessResetKey
 }
 
 // newIdentity presents the first key and accepts peers that present any of them.
@@ -33,6 +38,11 @@
 		return nil, Error.New("no key is given")
 	}
 	id := &identity{refused: refused}
+	reset, err := hkdf.Key(sha256.New, []byte(keys[0]), nil, resetInfo, len(quic.StatelessResetKey{}))
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	id.reset = (*quic.StatelessResetKey)(reset)
 	for i, key := range keys {
 		private, err := deriveKey(key)
 		if err != nil {
--- a/src/radio/radio.go
+++ b/src/radio/radio.go
@@ -71,6 +71,8 @@
 
 	mu    sync.Mutex
 	links map[netip.AddrPort]*link
+	// accepted holds the connections that other processes opened.
+	accepted map[*quic.Conn]struct{}
 
 	sent     atomic.Uint64
 	received atomic.Uint64
@@ -96,7 +98,8 @@
 		handlers: make(map[Kind]Handler),
 		pool:     pond.NewPool(handlerLimit),
 		ctx:      ctx, cancel: cancel,
-		links: make(map[netip.AddrPort]*link),
+		links:    make(map[netip.AddrPort]*link),
+		accepted: make(map[*quic.Conn]struct{}),
 	}, nil
 }
 
@@ -110,7 +113,7 @@
 		return Error.Wrap(err)
 	}
 	r.conn = conn
-	r.server = &quic.Transport{Conn: conn}
+	r.server = &quic.Transport{Conn: conn, StatelessResetKey: r.id.reset}
 	r.listener, err = r.server.Listen(r.id.config(), quicConfig())
 	if err != nil {
 		_ = conn.Close()
@@ -126,10 +129,15 @@
 	r.mu.Lock()
 	links := r.links
 	r.links = make(map[netip.AddrPort]*link)
+	accepted := r.accepted
+	r.accepted = make(map[*quic.Conn]struct{})
 	r.mu.Unlock()
 	for _, l := range links {
 		l.close(closeDone)
 	}
+	for conn := range accepted {
+		_ = conn.CloseWithError(closeDone, "") // it is given up either way
+	}
 	if r.listener != nil {
 		_ = r.listener.Close()
 		_ = r.server.Close()
@@ -162,6 +170,14 @@
 
 func (r *Radio) serve(conn *quic.Conn) {
 	from, _ := netip.ParseAddrPort(conn.RemoteAddr().String())
+	r.mu.Lock()
+	r.accepted[conn] = struct{}{}
+	r.mu.Unlock()
+	defer func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		delete(r.accepted, conn)
+	}()
 	for {
 		s, err := conn.AcceptStream(r.ctx)
 		if err != nil {
--- a/src/script_test.go
+++ b/src/script_test.go
@@ -18,6 +18,7 @@
 	"github.com/rogpeppe/go-internal/testscript"
 
 	"sesamecleat/src/drill"
+	"sesamecleat/src/hatchery"
 )
 
 func TestMain(m *testing.M) {
@@ -64,6 +65,7 @@
 			"finish":  withFleet(func(f *fleet) { f.finish() }),
 			"leave":   eachWord(func(f *fleet, w string) { f.minion(w).Leave() }),
 			"die":     eachWord(func(f *fleet, w string) { f.minion(w).Kill() }),
+			"fail":    eachWord(func(f *fleet, w string) { f.minion(w).SetMode(hatchery.Failing) }),
 			"idle":    cmdIdle,
 			"held":    cmdHeld,
 			"none":    cmdNone,
