Look after data folders; say when no leader is heard; find damage the library passes over

Cause: three faults, each found by a new test. (1) A flipped byte in the newer of the storage library's two meta pages made it fall back to the older one: the last synced write was gone without a word (TestDamageIsFound, byte 4171). (2) A truncated file ended the process by a memory fault (TestTornAndEmptyFilesAreNamed).

After: both meta pages and the size are checked before the library opens the file, faults under it become errors; a host that stands for election has no leader. 'put -wait' no longer waits for hosts that are held for dead, and names them apart.

--- a/src/archive/copy.go
+++ b/src/archive/copy.go
@@ -50,7 +50,9 @@
 			return nil, DamageError.Wrap(err)
 		}
 	}
-	return t, s.db.View(func(tx *bolt.Tx) error { return readCopy(tx.Bucket(copyBucket), t) })
+	return t, guard(func() error {
+		return s.db.View(func(tx *bolt.Tx) error { return readCopy(tx.Bucket(copyBucket), t) })
+	})
 }
 
 func readCopy(b *bolt.Bucket, t *chart.Tables) error {
--- a/src/archive/log.go
+++ b/src/archive/log.go
@@ -23,14 +23,11 @@
 
 // Disk reads and verifies everything a state host resumes from.
 func (s *Store) Disk() (disk pilot.Disk, err error) {
-	defer func() {
-		if p := recover(); p != nil {
-			err = DamageError.New("%v", p)
-		}
-	}()
-	err = s.db.View(func(tx *bolt.Tx) error {
-		disk, err = readDisk(tx)
-		return err
+	err = guard(func() error {
+		return s.db.View(func(tx *bolt.Tx) error {
+			disk, err = readDisk(tx)
+			return err
+		})
 	})
 	return disk, err
 }
--- a/src/archive/store.go
+++ b/src/archive/store.go
@@ -53,28 +53,40 @@
 		return nil, err
 	}
 	s := &Store{db: db}
-	if err := s.prepare(); err != nil {
-		_ = db.Close()
-		return nil, err
+	err = guard(s.prepare)
+	if err == nil {
+		err = s.verify()
 	}
-	if _, err := s.Disk(); err != nil {
-		_ = db.Close()
+	if err != nil {
+		_ = guard(db.Close) // the damage is the error that matters
 		return nil, err
 	}
 	return s, nil
 }
 
-// openFile opens the file; a library that panics over a damaged page is turned into an error.
+// verify reads everything once, so that damage is found before anything is promised.
+func (s *Store) verify() error {
+	if _, err := s.Disk(); err != nil {
+		return err
+	}
+	_, err := s.Tables()
+	return err
+}
+
+// openFile opens the file after a look at its outer form.
 func openFile(path string, readOnly bool) (db *bolt.DB, err error) {
-	defer func() {
-		if p := recover(); p != nil {
-			err = DamageError.New("%s: %v", path, p)
+	if info, statErr := os.Stat(path); statErr == nil {
+		if info.Size() == 0 {
+			return nil, DamageError.New("%s is empty", path)
+		}
+		if err := checkMetas(path); err != nil {
+			return nil, err
 		}
-	}()
-	if info, statErr := os.Stat(path); statErr == nil && info.Size() == 0 {
-		return nil, DamageError.New("%s is empty", path)
 	}
-	db, err = bolt.Open(path, 0o600, &bolt.Options{Timeout: lockWait, ReadOnly: readOnly, FreelistType: bolt.FreelistMapType})
+	err = guard(func() error {
+		db, err = bolt.Open(path, 0o600, &bolt.Options{Timeout: lockWait, ReadOnly: readOnly, FreelistType: bolt.FreelistMapType})
+		return err
+	})
 	switch {
 	case err == nil:
 		return db, nil
@@ -144,9 +156,11 @@
 }
 
 func (s *Store) getMeta(key []byte) (value []byte, err error) {
-	err = s.db.View(func(tx *bolt.Tx) error {
-		value, err = open(tx.Bucket(metaBucket).Get(key), string(key))
-		return err
+	err = guard(func() error {
+		return s.db.View(func(tx *bolt.Tx) error {
+			value, err = open(tx.Bucket(metaBucket).Get(key), string(key))
+			return err
+		})
 	})
 	return value, err
 }
--- /dev/null
+++ b/src/archive/store_test.go
@@ -0,0 +1,161 @@
+package archive
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"sesamecleat/src/chart"
+	"sesamecleat/src/pilot"
+)
+
+func entries(from, to, term uint64) []pilot.Entry {
+	var out []pilot.Entry
+	for i := from; i <= to; i++ {
+		out = append(out, pilot.Entry{Index: i, Term: term, Kind: pilot.Normal, Data: []byte("edit that is long enough to be found")})
+	}
+	return out
+}
+
+func open2(t *testing.T, folder string) *Store {
+	s, err := Open(folder)
+	require.NoError(t, err)
+	return s
+}
+
+func TestLogComesBack(t *testing.T) {
+	folder := t.TempDir()
+	s := open2(t, folder)
+	hard := pilot.HardState{Term: 3, Vote: "b"}
+	require.NoError(t, s.Save([]pilot.Save{{Hard: hard, Entries: entries(1, 10, 1)}, {Hard: hard, Entries: entries(8, 9, 2)}}))
+	snap := pilot.Snapshot{Index: 5, Term: 1, Config: pilot.Config{Voters: []string{"a"}}, Data: []byte("x")}
+	require.NoError(t, s.Save([]pilot.Save{{Hard: hard, Snapshot: &snap}}))
+	require.NoError(t, s.Close())
+	s = open2(t, folder)
+	defer s.Close()
+	disk, err := s.Disk()
+	require.NoError(t, err)
+	require.Equal(t, hard, disk.Hard)
+	require.Equal(t, snap, disk.Snapshot)
+	require.Len(t, disk.Entries, 4, "6 to 9: the entries behind a replaced one are gone")
+	require.Equal(t, uint64(2), disk.Entries[3].Term)
+}
+
+func TestSnapshotThatContradictsTheLogReplacesIt(t *testing.T) {
+	s := open2(t, t.TempDir())
+	defer s.Close()
+	require.NoError(t, s.Save([]pilot.Save{{Entries: entries(1, 10, 1)}}))
+	snap := pilot.Snapshot{Index: 5, Term: 2}
+	require.NoError(t, s.Save([]pilot.Save{{Snapshot: &snap}}))
+	disk, err := s.Disk()
+	require.NoError(t, err)
+	require.Empty(t, disk.Entries)
+}
+
+func TestTablesComeBack(t *testing.T) {
+	folder := t.TempDir()
+	s := open2(t, folder)
+	tables := chart.NewTables()
+	apply := func(name string) chart.Entry {
+		before := tables.Revision()
+		res := tables.Apply(chart.Edit{ID: name, At: time.Unix(1, 0), Change: chart.PutPool{Pool: chart.NewPool(name)}})
+		require.Equal(t, chart.Accepted, res.Status)
+		made, ok := tables.Since(before)
+		require.True(t, ok)
+		return made[0]
+	}
+	apply("one")
+	snapshot, err := tables.Snapshot()
+	require.NoError(t, err)
+	require.NoError(t, s.SaveTables(snapshot))
+	require.NoError(t, s.SaveEntries([]chart.Entry{apply("two"), apply("three")}))
+	require.NoError(t, s.Close())
+	s = open2(t, folder)
+	defer s.Close()
+	got, err := s.Tables()
+	require.NoError(t, err)
+	require.Equal(t, uint64(3), got.Revision())
+	require.Len(t, got.Pools(), 3)
+}
+
+func TestFolderIsLocked(t *testing.T) {
+	folder := t.TempDir()
+	s := open2(t, folder)
+	defer s.Close()
+	_, err := Open(folder)
+	require.ErrorContains(t, err, "in use by another process")
+}
+
+// TestDamageIsFound flips bytes all over the file: what was saved comes back unchanged, or the damage is named.
+func TestDamageIsFound(t *testing.T) {
+	folder := t.TempDir()
+	s := open2(t, folder)
+	require.NoError(t, s.Save([]pilot.Save{{Hard: pilot.HardState{Term: 3}, Entries: entries(1, 50, 1)}}))
+	want, err := s.Disk()
+	require.NoError(t, err)
+	require.NoError(t, s.Close())
+	whole, err := os.ReadFile(filepath.Join(folder, fileName))
+	require.NoError(t, err)
+	found := 0
+	for at := 0; at < len(whole); at += 97 {
+		damaged := append([]byte(nil), whole...)
+		damaged[at] ^= 0x55
+		other := t.TempDir()
+		require.NoError(t, os.WriteFile(filepath.Join(other, fileName), damaged, 0o600))
+		s, err := Open(other)
+		if err != nil {
+			require.True(t, DamageError.Has(err) || Error.Has(err), "%v", err)
+			found++
+			continue
+		}
+		disk, err := s.Disk()
+		require.NoError(t, s.Close())
+		if err != nil {
+			found++
+			continue
+		}
+		require.Equal(t, want, disk, "byte %d was flipped unnoticed", at)
+	}
+	require.NotZero(t, found)
+}
+
+func TestTornAndEmptyFilesAreNamed(t *testing.T) {
+	folder := t.TempDir()
+	s := open2(t, folder)
+	require.NoError(t, s.Save([]pilot.Save{{Entries: entries(1, 500, 1)}}))
+	require.NoError(t, s.Close())
+	path := filepath.Join(folder, fileName)
+	whole, err := os.ReadFile(path)
+	require.NoError(t, err)
+	tests := map[string]int{"empty": 0, "one page": 4096, "half": len(whole) / 2}
+	for name, size := range tests {
+		t.Run(name, func(t *testing.T) {
+			other := t.TempDir()
+			require.NoError(t, os.WriteFile(filepath.Join(other, fileName), whole[:size], 0o600))
+			_, err := Open(other)
+			require.True(t, DamageError.Has(err), "%v", err)
+		})
+	}
+}
+
+func TestBackupAndRestore(t *testing.T) {
+	folder, other := t.TempDir(), t.TempDir()
+	s := open2(t, folder)
+	require.NoError(t, s.Save([]pilot.Save{{Entries: entries(1, 5, 1)}}))
+	backup := filepath.Join(other, "backup")
+	require.NoError(t, s.Backup(backup))
+	require.NoError(t, s.Close())
+	require.ErrorContains(t, Restore(folder, backup), "is there already")
+	target := filepath.Join(other, "new")
+	require.NoError(t, Restore(target, backup))
+	s = open2(t, target)
+	defer s.Close()
+	disk, err := s.Disk()
+	require.NoError(t, err)
+	require.Len(t, disk.Entries, 5)
+	require.NoError(t, os.WriteFile(backup, []byte("nonsense"), 0o600))
+	require.Error(t, Restore(filepath.Join(other, "bad"), backup))
+}
--- a/src/deck/edit.go
+++ b/src/deck/edit.go
@@ -54,6 +54,13 @@
 	return nil
 }
 
+// Voters returns the state hosts that vote, as this process knows them from the log; nil if it is none of them.
+func (s *state) Voters() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.voters
+}
+
 type hereFunc func(ctx context.Context, data []byte) ([]byte, error)
 
 // atLeader tries every state host in turn until the leader answers; the error says whether it may have been carried out.
--- a/src/deck/state.go
+++ b/src/deck/state.go
@@ -44,6 +44,7 @@
 	// changed is closed and replaced when the tables change.
 	changed chan struct{}
 	leader  string
+	voters  []string
 }
 
 type waitingEdit struct {
@@ -194,6 +195,7 @@
 	if len(outside) > 0 {
 		s.enqueue(outside)
 	}
+	s.noteVoters()
 	s.compact(now)
 }
 
@@ -325,6 +327,16 @@
 	}
 }
 
+// noteVoters keeps the committed membership for those who ask.
+func (s *state) noteVoters() {
+	if s.node.ConfigPending() {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.voters = s.node.Config().Voters
+}
+
 func (s *state) compact(now time.Time) {
 	if s.node == nil || s.node.LogSize() < compactAfter {
 		return
--- a/src/editor.go
+++ b/src/editor.go
@@ -26,6 +26,7 @@
 	Revision uint64   `json:"revision"`
 	InForce  []string `json:"inforce"`
 	Missing  []string `json:"missing"`
+	Away     []string `json:"away"`
 }
 
 const (
--- a/src/helm/services.go
+++ b/src/helm/services.go
@@ -37,6 +37,8 @@
 type Editor interface {
 	// Edit returns the result, or an error when its fate is not known or it did not reach a leader.
 	Edit(ctx context.Context, e chart.Edit) (chart.Result, error)
+	// Voters returns the state hosts that vote, as this process knows them from the log; nil if it is none of them.
+	Voters() []string
 	// Read returns once this process serves everything accepted before the call.
 	Read(ctx context.Context) error
 }
--- a/src/jetty/operators.go
+++ b/src/jetty/operators.go
@@ -145,9 +145,11 @@
 	Edit     string   `json:"edit"`
 	Revision uint64   `json:"revision,omitempty"`
 	Warnings []string `json:"warnings,omitempty"`
-	// InForce and Missing name the processes that serve the revision and those that do not yet.
+	// InForce names the processes that serve the revision, Missing those that do not yet, and Away those that cannot
+	// be reached.
 	InForce []string `json:"inforce,omitempty"`
 	Missing []string `json:"missing,omitempty"`
+	Away    []string `json:"away,omitempty"`
 }
 
 type wireConflict struct {
@@ -237,7 +239,7 @@
 	}
 	limit := time.Now().Add(min(d, maxWait))
 	for {
-		out.InForce, out.Missing = s.inForce(out.Revision)
+		out.InForce, out.Missing, out.Away = s.inForce(out.Revision)
 		if len(out.Missing) == 0 || time.Now().After(limit) {
 			return
 		}
@@ -245,7 +247,7 @@
 	}
 }
 
-func (s *Server) inForce(revision uint64) (in, missing []string) {
+func (s *Server) inForce(revision uint64) (in, missing, away []string) {
 	self := s.h.Settings.Name
 	if s.h.Tables.Revision() >= revision {
 		in = append(in, self)
@@ -257,11 +259,13 @@
 		case p.Member.Summary.Revision >= revision:
 			in = append(in, p.Member.Name)
 		case p.Status == roster.Unheard:
+		case p.Status == roster.Dead:
+			away = append(away, p.Member.Name)
 		default:
 			missing = append(missing, p.Member.Name)
 		}
 	}
-	return in, missing
+	return in, missing, away
 }
 
 var errMatch = errors.New("If-Match takes a revision in quotes, If-None-Match takes *; at most one of them is expected")
--- a/src/jetty/server.go
+++ b/src/jetty/server.go
@@ -179,6 +179,8 @@
 		s.only(ctx, "GET", func() { s.history(ctx) })
 	case "members":
 		s.only(ctx, "GET", func() { s.members(ctx) })
+	case "voters":
+		s.only(ctx, "GET", func() { writeJSON(ctx, fasthttp.StatusOK, append([]string{}, s.h.Editor.Voters()...)) })
 	case "targets":
 		s.only(ctx, "GET", func() { s.targets(ctx) })
 	case "burn":
--- a/src/main.go
+++ b/src/main.go
@@ -30,6 +30,9 @@
 		return runTable(newCommand(name, synopsis, stdin, stdout, stderr), name == "route", rest)
 	case "load":
 		return runLoad(newCommand(name, "load -entries ADDRESS,... [options]", stdin, stdout, stderr), rest)
+	case "state":
+		synopsis := "state show | verify | backup -file FILE | restore -file FILE, each with -data FOLDER"
+		return runState(newCommand(name, synopsis, stdin, stdout, stderr), rest)
 	case "burn":
 		return runBurn(newCommand(name, "burn [-api ADDRESS] [-json] [-plot FILE]", stdin, stdout, stderr), rest)
 	case "status":
--- a/src/options.go
+++ b/src/options.go
@@ -21,6 +21,7 @@
   pool      get, list, put, remove pools; apply a file of both tables
   load      load a running system with stand-ins of targets, check every promise
   burn      report how fast the service-level budgets burn
+  state     show, verify, back up, restore the data folder of a stopped process
   status    print what a process tells of itself
 
 Each command explains itself with -help. Exit codes: 0 all went well, 1 a fault or
--- a/src/pilot/elect.go
+++ b/src/pilot/elect.go
@@ -9,11 +9,14 @@
 	n.votes = map[string]bool{n.name: true}
 	n.resetElection(now)
 	term := n.hard.Term + 1
+	if n.leader != "" {
+		n.leader = ""
+		n.out = append(n.out, Leader{Term: n.hard.Term})
+	}
 	if pre {
 		n.role = preCandidate
 	} else {
 		n.role = candidate
-		n.leader = ""
 		n.hard = HardState{Term: term, Vote: n.name}
 		n.out = append(n.out, Save{Hard: n.hard})
 	}
--- a/src/pilot/node_test.go
+++ b/src/pilot/node_test.go
@@ -241,3 +241,24 @@
 	heartbeat := Append{Term: 3, PrevIndex: 1, PrevTerm: 1, Commit: 2}
 	require.Equal(t, 1, applies(n.Step(now, Received{From: "b", Message: heartbeat})))
 }
+
+func TestHostThatHearsNoLeaderSaysSo(t *testing.T) {
+	w := newWorld(t, 3)
+	w.settle(3 * time.Second)
+	led := w.leader()
+	for _, name := range w.names() {
+		require.Equal(t, led, w.peers[name].node.LeaderName())
+		w.cut[name] = name != led
+	}
+	w.cut = map[string]bool{led: true}
+	w.crash(led)
+	alone := ""
+	for _, name := range w.names() {
+		if name != led {
+			alone = name
+		}
+	}
+	w.cut[alone] = true
+	w.settle(3 * time.Second)
+	require.Empty(t, w.peers[alone].node.LeaderName())
+}
--- a/src/script_test.go
+++ b/src/script_test.go
@@ -11,6 +11,8 @@
 	"regexp"
 	"strconv"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -66,6 +68,10 @@
 			"leave":   eachWord(func(f *fleet, w string) { f.minion(w).Leave() }),
 			"die":     eachWord(func(f *fleet, w string) { f.minion(w).Kill() }),
 			"fail":    eachWord(func(f *fleet, w string) { f.minion(w).SetMode(hatchery.Failing) }),
+			"damage":  cmdDamage,
+			"votes":   cmdVotes,
+			"race":    cmdRace,
+			"edits":   cmdEdits,
 			"idle":    cmdIdle,
 			"held":    cmdHeld,
 			"none":    cmdNone,
@@ -287,3 +293,80 @@
 	}
 	return false
 }
+
+// cmdDamage flips a byte in the middle of every page of a file: damage FILE.
+func cmdDamage(ts *testscript.TestScript, _ bool, args []string) {
+	path := ts.MkAbs(args[0])
+	b, err := os.ReadFile(path)
+	ts.Check(err)
+	for at := 40; at < len(b); at += 4096 {
+		b[at] ^= 0x55
+	}
+	ts.Check(os.WriteFile(path, b, 0o600))
+}
+
+// cmdVotes waits until a state host votes again: votes ADDRESS NAME.
+func cmdVotes(ts *testscript.TestScript, _ bool, args []string) {
+	f := fleetOf(ts)
+	addr := parseAddr(ts, args[0])
+	f.await(args[1]+" to vote", func() bool {
+		r := f.client.Do(addr, drill.Call{Method: "GET", Path: "/v1/voters"})
+		return strings.Contains(string(r.Body), args[1])
+	})
+}
+
+// cmdRace lets hosts edit a pool at the same moment, each expecting the same revision: race POOL ROUNDS ADDRESS...
+func cmdRace(ts *testscript.TestScript, _ bool, args []string) {
+	f := fleetOf(ts)
+	for round := range number(args[1]) {
+		first := parseAddr(ts, args[2])
+		row := f.client.Do(first, drill.Call{Method: "GET", Path: "/v1/pools/" + args[0] + "?consistent=true", Deadline: callTimeout})
+		match := regexp.MustCompile(`"revision":(\d+)`).FindSubmatch(row.Body)
+		if match == nil {
+			ts.Fatalf("no revision in %s", row.Body)
+		}
+		won := f.raceOnce(args[0], string(match[1]), int(round), args[2:])
+		if won != 1 {
+			ts.Fatalf("%d of %d edits that expected revision %s were accepted", won, len(args)-2, match[1])
+		}
+	}
+}
+
+func (f *fleet) raceOnce(pool, revision string, round int, addrs []string) int {
+	var won atomic.Int32
+	var wg sync.WaitGroup
+	for i, a := range addrs {
+		wg.Go(func() {
+			c := drill.Call{
+				Method: "PUT", Path: "/v1/pools/" + pool, Body: []byte(fmt.Sprintf(`{"queue": %d}`, 100+10*round+i)),
+				Headers:  map[string]string{"If-Match": strconv.Quote(revision), "Edit-Id": fmt.Sprintf("race-%d-%d", round, i)},
+				Deadline: callTimeout,
+			}
+			// Each edit is sent twice, as its answer may have been lost; that must not change who won.
+			first := f.client.Do(netip.MustParseAddrPort(a), c)
+			again := f.client.Do(netip.MustParseAddrPort(addrs[0]), c)
+			if first.Status == 200 || again.Status == 200 {
+				won.Add(1)
+			}
+			if first.Status != again.Status && first.Outcome != "unknown" && again.Outcome != "unknown" {
+				won.Add(100)
+			}
+		})
+	}
+	wg.Wait()
+	return int(won.Load())
+}
+
+// cmdEdits makes many edits: edits ADDRESS COUNT.
+func cmdEdits(ts *testscript.TestScript, _ bool, args []string) {
+	f := fleetOf(ts)
+	addr := parseAddr(ts, args[0])
+	for i := range number(args[1]) {
+		r := f.client.Do(addr, drill.Call{
+			Method: "PUT", Path: "/v1/pools/many", Body: []byte(fmt.Sprintf(`{"queue": %d}`, i+1)), Deadline: callTimeout,
+		})
+		if r.Status != 200 {
+			ts.Fatalf("edit %d: %d %s", i, r.Status, r.Body)
+		}
+	}
+}
--- a/src/tables.go
+++ b/src/tables.go
@@ -251,6 +251,9 @@
 	if len(reply.Missing) > 0 {
 		fmt.Fprintf(t.stdout, "not yet at %s\n", strings.Join(reply.Missing, ", "))
 	}
+	if len(reply.Away) > 0 {
+		fmt.Fprintf(t.stdout, "out of reach: %s\n", strings.Join(reply.Away, ", "))
+	}
 	return ExitOK
 }
 
