Teams with weights and limits; answers are copied with the next start; rarer heartbeats

Cause: keyed work took 7.4 messages a task, of which two copied the answer; plain work 2.44, of which 0.44 were heartbeats and announcements. Teams had no quotas.

What changed: answers wait up to 50 ms for a batch, heartbeats to other domains every 1.6 s with three times the patience, announcements are passed on once a second (a leaving one at once), the log's heartbeat 300 ms.

Fixed besides: two test binaries at the same time used the same addresses.

--- a/src/berth/event.go
+++ b/src/berth/event.go
@@ -18,6 +18,10 @@
 	Queue int
 	// Admitted says that the task was admitted with others and is not refused for the length of the queue.
 	Admitted bool
+	// Team shares the targets with others by Weight, and uses no more than Limit.
+	Team   string
+	Weight int
+	Limit  Limit
 	// Local says that the task must not be handed to another host.
 	Local bool
 	// Spill says that hosts of other failure domains may get the task.
@@ -59,6 +63,8 @@
 	Overload
 	// TooLate means that the task would miss its deadline.
 	TooLate
+	// OverQuota means that the team used up its limit.
+	OverQuota
 )
 
 // Event is an input of a Planner.
@@ -101,6 +107,8 @@
 	// Near says that the host is in the same failure domain.
 	Near bool
 	Free map[string]int
+	// Demand is what limited teams ask for there, in tasks a second, by pool and team.
+	Demand map[string]int
 }
 
 // Gone tells that another host can no longer be reached.
--- a/src/berth/planner.go
+++ b/src/berth/planner.go
@@ -31,11 +31,13 @@
 	refused  int
 	excluded map[string]bool
 	ideal    time.Duration
+	quota    *quota
 }
 
 type neighbour struct {
-	near bool
-	free map[string]int
+	near   bool
+	free   map[string]int
+	demand map[string]int
 }
 
 // Planner places the tasks of one entry host; it belongs to one goroutine.
@@ -48,6 +50,7 @@
 	tasks   map[uint64]*task
 	others  map[string]neighbour
 	routes  map[string]float64
+	quotas  map[string]*quota
 	out     []Action
 }
 
@@ -73,6 +76,7 @@
 		tasks:   make(map[uint64]*task),
 		others:  make(map[string]neighbour),
 		routes:  make(map[string]float64),
+		quotas:  make(map[string]*quota),
 	}
 }
 
@@ -93,9 +97,11 @@
 	case Hosts:
 		p.setHosts(now, e.Hosts)
 	case Headroom:
-		p.others[e.Host] = neighbour{near: e.Near, free: e.Free}
+		p.others[e.Host] = neighbour{near: e.Near, free: e.Free, demand: e.Demand}
+		p.heardDemand()
 	case Gone:
 		delete(p.others, e.Host)
+		p.heardDemand()
 	case Tick:
 		p.tick(now)
 	}
@@ -125,7 +131,7 @@
 func (p *Planner) Waiting() int {
 	n := 0
 	for _, pool := range p.pools {
-		n += pool.queue.Len()
+		n += pool.queue.len()
 	}
 	return n
 }
@@ -133,6 +139,14 @@
 func (p *Planner) submit(now time.Time, t Task) {
 	k := &task{Task: t}
 	p.tasks[t.ID] = k
+	if q := p.quota(now, k); q != nil {
+		if retry, ok := p.within(now, q, k); !ok {
+			p.finish(k, Refused, OverQuota, retry)
+			return
+		}
+		q.inflight++
+		k.quota = q
+	}
 	p.pool(t.Pool).arrivals++
 	p.place(now, k)
 }
@@ -147,7 +161,7 @@
 		p.finish(k, Refused, reason, retry)
 		return
 	}
-	if pool.queue.Len() == 0 {
+	if pool.queue.len() == 0 {
 		if t := pool.pickBy(now, p.cfg.Placing, p.rng, k); t != nil {
 			p.start(now, k, t)
 			return
@@ -156,7 +170,7 @@
 	if p.handOn(k, handoffReserve) {
 		return
 	}
-	k.element = pool.queue.PushBack(k)
+	pool.queue.push(k)
 }
 
 // refusal says why count tasks like k cannot be taken on here.
@@ -170,9 +184,9 @@
 	case slots == 0:
 		return NoTarget, emptyRetry
 	}
-	waiting := pool.queue.Len()
-	wait := pool.wait(waiting+count-slots, slots)
-	if !k.Admitted && waiting+count > max(k.Queue, slots) {
+	waiting := pool.queue.len()
+	wait := pool.wait(pool.queue.ahead(k.Team, k.Weight)+count-slots, slots)
+	if !k.Admitted && waiting+count > max(k.Queue, slots) && !p.makeRoom(now, pool, k) {
 		return Overload, wait
 	}
 	if now.Add(wait).After(k.Deadline) {
@@ -181,6 +195,17 @@
 	return NoReason, 0
 }
 
+// makeRoom refuses the newest waiting task of a team that waits with more than its share, in favour of k's team.
+func (p *Planner) makeRoom(now time.Time, pool *pool, k *task) bool {
+	other := pool.queue.over(k.Team, k.Weight)
+	if other == nil {
+		return false
+	}
+	pool.queue.remove(other)
+	p.finish(other, Refused, Overload, pool.wait(pool.queue.len(), max(1, len(pool.seats))))
+	return true
+}
+
 // slots returns how many tasks like k the pool's owned targets run at once, whether any target of the pool
 // could ever run one, and whether any is known.
 func (p *Planner) slots(now time.Time, pool *pool, k *task) (n int, fits, known bool) {
@@ -269,6 +294,12 @@
 func (p *Planner) admit(now time.Time, a Admission) {
 	k := &task{Task: a.Task}
 	pool := p.pool(a.Task.Pool)
+	if q := p.quota(now, k); q != nil {
+		if retry, ok := q.admit(now, k.Limit, a.Count); !ok {
+			p.out = append(p.out, Admitted{Reason: OverQuota, Retry: retry})
+			return
+		}
+	}
 	reason, retry := p.refusal(now, pool, k, a.Count)
 	if reason == NoTarget || reason == Overload {
 		if p.elsewhere(pool, k) {
@@ -360,32 +391,31 @@
 	if !ok || k.element == nil {
 		return
 	}
-	p.pool(k.Pool).queue.Remove(k.element)
+	p.pool(k.Pool).queue.remove(k)
 	p.finish(k, Withdrawn, NoReason, 0)
 }
 
 func (p *Planner) finish(k *task, v Verdict, r Reason, retry time.Duration) {
 	delete(p.tasks, k.ID)
+	if k.quota != nil {
+		k.quota.inflight--
+	}
 	p.out = append(p.out, Finish{ID: k.ID, Verdict: v, Reason: r, Retry: retry, Ideal: k.ideal})
 }
 
 // pump starts waiting tasks while targets have room.
 func (p *Planner) pump(now time.Time, pool *pool) {
-	for pool.queue.Len() > 0 && p.pumpOne(now, pool) {
+	for pool.queue.len() > 0 && p.pumpOne(now, pool) {
 	}
 }
 
 func (p *Planner) pumpOne(now time.Time, pool *pool) bool {
-	looked := 0
-	for e := pool.queue.Front(); e != nil && looked < lookAhead; e = e.Next() {
-		looked++
-		k := e.Value.(*task)
+	for _, k := range pool.queue.candidates(lookAhead) {
 		t := pool.pickBy(now, p.cfg.Placing, p.rng, k)
 		if t == nil {
 			continue
 		}
-		pool.queue.Remove(e)
-		k.element = nil
+		pool.queue.serve(k)
 		p.start(now, k, t)
 		return true
 	}
@@ -398,6 +428,7 @@
 			p.forget(now, t)
 		}
 	}
+	p.tickQuotas(now)
 	for _, pool := range p.pools {
 		pool.observe(now)
 		pool.arrange(now)
@@ -408,14 +439,9 @@
 
 // dropLate refuses waiting tasks whose deadline passed.
 func (p *Planner) dropLate(now time.Time, pool *pool) {
-	for e := pool.queue.Front(); e != nil; {
-		next := e.Next()
-		k := e.Value.(*task)
-		if !now.Before(k.Deadline) {
-			pool.queue.Remove(e)
-			p.finish(k, Refused, TooLate, pool.wait(pool.queue.Len(), max(1, len(pool.seats))))
-		}
-		e = next
+	for _, k := range pool.queue.late(now) {
+		pool.queue.remove(k)
+		p.finish(k, Refused, TooLate, pool.wait(pool.queue.len(), max(1, len(pool.seats))))
 	}
 }
 
--- a/src/berth/pool.go
+++ b/src/berth/pool.go
@@ -1,7 +1,6 @@
 package berth
 
 import (
-	"container/list"
 	"math"
 	"sort"
 	"time"
@@ -37,7 +36,7 @@
 type pool struct {
 	name  string
 	seats []*seat
-	queue *list.List
+	queue *waiting
 	// first is the lowest rank that may have room.
 	first int
 	// service and inverse are the means of the run time and of its inverse, as on a target of factor 0, in seconds.
@@ -54,7 +53,7 @@
 
 func newPool(name string) *pool {
 	s := firstService.Seconds()
-	return &pool{name: name, queue: list.New(), service: s, inverse: 1 / s, tokens: retryBurst / 2}
+	return &pool{name: name, queue: newWaiting(), service: s, inverse: 1 / s, tokens: retryBurst / 2}
 }
 
 // wait returns how long until n tasks that find all of so many slots taken have started.
@@ -139,7 +138,7 @@
 	if s.fasterRate == 0 || now.Sub(t.tried) > exploreAfter {
 		return false
 	}
-	return q.delay(s, q.queue.Len()+1)*q.inverse+s.fasterShare/s.fasterRate < math.Exp(t.factor)
+	return q.delay(s, q.queue.len()+1)*q.inverse+s.fasterShare/s.fasterRate < math.Exp(t.factor)
 }
 
 // delay returns how many seconds one more task, behind n in all, costs those who wait for the faster targets: it holds
@@ -164,7 +163,7 @@
 
 // free returns how many tasks could start at once without waiting being better.
 func (q *pool) free(now time.Time) int {
-	n := -q.queue.Len()
+	n := -q.queue.len()
 	for _, s := range q.seats {
 		room := s.target.room(now, Need{})
 		if room == 0 {
--- a/src/chart/codec.go
+++ b/src/chart/codec.go
@@ -31,6 +31,15 @@
 	Name  string
 	Slots int
 	Queue int
+	Teams []wireTeam
+}
+
+type wireTeam struct {
+	_        struct{} `cbor:",toarray"`
+	Name     string
+	Weight   int
+	Rate     float64
+	Inflight int
 }
 
 type wireCopy struct {
@@ -209,7 +218,7 @@
 			Ratio: r.Objective.Ratio, Within: r.Objective.Within, Whole: r.Objective.Whole,
 		}}
 	case PutPool:
-		return wireChange{Pool: &wirePool{Name: c.Pool.Name, Slots: c.Pool.Slots, Queue: c.Pool.Queue}}
+		return wireChange{Pool: toWirePool(c.Pool)}
 	case RemoveRoute:
 		return wireChange{NoR: c.Name}
 	case RemovePool:
@@ -230,7 +239,7 @@
 			Objective: Objective{Ratio: r.Ratio, Within: r.Within, Whole: r.Whole},
 		}}
 	case w.Pool != nil:
-		return PutPool{Pool{Name: w.Pool.Name, Slots: w.Pool.Slots, Queue: w.Pool.Queue}}
+		return PutPool{fromWirePool(*w.Pool)}
 	case w.NoR != "":
 		return RemoveRoute{w.NoR}
 	case w.NoP != "":
@@ -241,6 +250,22 @@
 	return nil
 }
 
+func toWirePool(p Pool) *wirePool {
+	w := &wirePool{Name: p.Name, Slots: p.Slots, Queue: p.Queue}
+	for _, t := range p.Teams {
+		w.Teams = append(w.Teams, wireTeam{Name: t.Name, Weight: t.Weight, Rate: t.Rate, Inflight: t.Inflight})
+	}
+	return w
+}
+
+func fromWirePool(w wirePool) Pool {
+	p := Pool{Name: w.Name, Slots: w.Slots, Queue: w.Queue}
+	for _, t := range w.Teams {
+		p.Teams = append(p.Teams, Team{Name: t.Name, Weight: t.Weight, Rate: t.Rate, Inflight: t.Inflight})
+	}
+	return p
+}
+
 func toWireView(c SetView) *wireView {
 	w := &wireView{
 		Domain: c.Shard.Domain, Number: c.Shard.Number, Expect: c.Expect,
--- a/src/chart/row.go
+++ b/src/chart/row.go
@@ -41,6 +41,28 @@
 	Slots int
 	// Queue bounds the requests that wait for a target at one entry host.
 	Queue int
+	// Teams limits teams and weighs them, by name; a team that is not named has weight 1 and no limit.
+	Teams []Team
+}
+
+// Team is what a team may use of a pool, over all entry hosts.
+type Team struct {
+	Name string
+	// Weight is its share against other teams when targets are short.
+	Weight int
+	// Rate bounds its tasks a second, Inflight its tasks in flight; 0 means no limit.
+	Rate     float64
+	Inflight int
+}
+
+// Team returns what a team may use; one that is not named has weight 1 and no limit.
+func (p Pool) Team(name string) Team {
+	for _, t := range p.Teams {
+		if t.Name == name {
+			return t
+		}
+	}
+	return Team{Name: name, Weight: 1}
 }
 
 // RouteRow is a route with the revision of its last change.
@@ -73,6 +95,10 @@
 	MaxCores        = 4096
 	MaxMemory       = int64(1) << 50 // bytes
 	MaxAccelerators = 64
+	MaxTeams        = 1024
+	MaxRate         = 1e9
+	MaxInflight     = 1_000_000_000
+	MaxWeight       = 1000
 	MaxRatio        = 1000.0
 	MaxShare        = 0.999999
 )
@@ -116,6 +142,14 @@
 	var out []string
 	out = check(out, ValidName(p.Name), "pool name %q: lower-case letters, digits, dot, dash and underscore are expected", p.Name)
 	out = check(out, p.Slots >= 0 && p.Slots <= MaxSlots, "slots %d is out of range: 0 to %d", p.Slots, MaxSlots)
+	out = check(out, len(p.Teams) <= MaxTeams, "%d teams are named; at most %d are expected", len(p.Teams), MaxTeams)
+	seen := make(map[string]bool)
+	for _, t := range p.Teams {
+		out = check(out, ValidName(t.Name), "team name %q: lower-case letters, digits, dot, dash and underscore are expected", t.Name)
+		out = check(out, !seen[t.Name], "team %q stands twice", t.Name)
+		out = check(out, t.Weight >= 1 && t.Weight <= MaxWeight, "weight %d of team %q is out of range: 1 to %d", t.Weight, t.Name, MaxWeight)
+		seen[t.Name] = true
+	}
 	return check(out, p.Queue >= 1 && p.Queue <= MaxQueue, "queue %d is out of range: 1 to %d", p.Queue, MaxQueue)
 }
 
--- a/src/deck/dispatch.go
+++ b/src/deck/dispatch.go
@@ -103,7 +103,10 @@
 	now := d.h.Clock.Now()
 	d.h.Timers.Every(now, plannerTick, func(now time.Time) { d.step(now, berth.Tick{}) })
 	d.h.Timers.Every(now, announceBatch, d.relay)
-	d.h.Summaries = append(d.h.Summaries, func(now time.Time, s *roster.Summary) { s.Free = d.planner.Free(now) })
+	d.h.Summaries = append(d.h.Summaries, func(now time.Time, s *roster.Summary) {
+		s.Free = d.planner.Free(now)
+		s.Demand = d.planner.Demand()
+	})
 	d.h.Radio.Handle(kindRun, d.onRun)
 	d.h.Radio.Handle(kindAnnounce, d.onAnnounce)
 	d.setHosts(now)
@@ -179,6 +182,7 @@
 func (d *dispatch) announced(now time.Time, e announceEvent) {
 	for _, t := range e.targets {
 		d.addrs[t.Name] = t.Addr
+		t.Slots = d.limitSlots(t)
 		d.step(now, berth.Announced{Target: t})
 		if !e.relayed {
 			d.heard[t.Name] = t
@@ -189,6 +193,17 @@
 	}
 }
 
+// limitSlots returns the slots to use of a target: those it announces, or fewer if a pool of its limits them.
+func (d *dispatch) limitSlots(t berth.Target) int {
+	n := t.Slots
+	for _, name := range t.Pools {
+		if row, ok := d.h.Tables.Pool(name); ok && row.Pool.Slots > 0 {
+			n = min(n, row.Pool.Slots)
+		}
+	}
+	return n
+}
+
 // relay passes the announcements heard here on to the hosts of the targets' failure domains, many in one message.
 func (d *dispatch) relay(now time.Time) {
 	byDomain := make(map[string][]berth.Target)
@@ -236,7 +251,7 @@
 		for pool, n := range m.Summary.Free {
 			free[pool] = n
 		}
-		d.step(now, berth.Headroom{Host: m.Name, Near: m.Domain == d.h.Settings.Domain, Free: free})
+		d.step(now, berth.Headroom{Host: m.Name, Near: m.Domain == d.h.Settings.Domain, Free: free, Demand: m.Summary.Demand})
 	} else {
 		d.step(now, berth.Gone{Host: m.Name})
 	}
@@ -279,27 +294,23 @@
 // Exchanged returns the messages exchanged with targets.
 func (d *dispatch) Exchanged() uint64 { return d.sent.Load() }
 
-// Admit says whether n tasks of a route could run before the deadline.
-func (d *dispatch) Admit(_ context.Context, route chart.Route, n int, deadline time.Time) *helm.Refusal {
-	task, refusal := d.Plan(route, deadline)
-	if refusal != nil {
-		return refusal
-	}
+// Admit says whether n tasks like t could run before their deadline.
+func (d *dispatch) Admit(_ context.Context, t berth.Task, n int) *helm.Refusal {
 	reply := make(chan berth.Admitted, 1)
-	d.h.Post(d, admissionEvent{admission: berth.Admission{Task: task, Count: n}, reply: reply})
+	d.h.Post(d, admissionEvent{admission: berth.Admission{Task: t, Count: n}, reply: reply})
 	select {
 	case a := <-reply:
 		if a.OK {
 			return nil
 		}
-		return refusalFor(a.Reason, a.Retry, route.Pool)
+		return refusalFor(a.Reason, a.Retry, t.Pool)
 	case <-d.h.Done():
 		return &helm.Refusal{Code: helm.CodeStopping, Reason: "this process stops"}
 	}
 }
 
 // Plan makes a task out of a route's row, or says why it cannot be placed.
-func (d *dispatch) Plan(route chart.Route, deadline time.Time) (berth.Task, *helm.Refusal) {
+func (d *dispatch) Plan(route chart.Route, team string, deadline time.Time) (berth.Task, *helm.Refusal) {
 	pool, ok := d.h.Tables.Pool(route.Pool)
 	if !ok {
 		return berth.Task{}, &helm.Refusal{
@@ -307,9 +318,11 @@
 			Reason: "route " + route.Name + " names pool " + route.Pool + ", which is not there",
 		}
 	}
+	t := pool.Pool.Team(team)
 	return berth.Task{
 		Route: route.Name, Pool: route.Pool, Deadline: deadline, Queue: pool.Pool.Queue, Spill: route.Spill,
 		Attempts: 1, Need: berth.Need{Cores: route.Cores, Memory: route.Memory, Accelerators: route.Accelerators},
+		Team: team, Weight: t.Weight, Limit: berth.Limit{Rate: t.Rate, Inflight: t.Inflight},
 	}, nil
 }
 
@@ -447,6 +460,8 @@
 		return &helm.Refusal{Code: helm.CodeNoTarget, Reason: "pool " + pool + " has no target that takes work now", Retry: retry}
 	case berth.NeverFits:
 		return &helm.Refusal{Code: helm.CodeNeverFits, Reason: "no target of pool " + pool + " is large enough for the task", Retry: retry}
+	case berth.OverQuota:
+		return &helm.Refusal{Code: helm.CodeQuota, Reason: "the team used up its limit of pool " + pool, Retry: retry}
 	case berth.TooLate:
 		return &helm.Refusal{Code: helm.CodeDeadline, Reason: "the task would miss its deadline", Retry: retry}
 	default:
--- a/src/deck/execute.go
+++ b/src/deck/execute.go
@@ -23,7 +23,7 @@
 }
 
 func (s *submit) executeOne(ctx context.Context, sub helm.Submission, route chart.Route) helm.Answer {
-	task, refusal := s.h.Dispatcher.Plan(route, sub.Deadline)
+	task, refusal := s.h.Dispatcher.Plan(route, sub.Team, sub.Deadline)
 	if refusal != nil {
 		return notRun(refusal.Code, refusal.Reason, refusal.Retry)
 	}
@@ -45,10 +45,10 @@
 
 // executeJob runs all tasks of a job, each at most once; the first that fails marks the job failed and cancels the rest.
 func (s *submit) executeJob(ctx context.Context, sub helm.Submission, route chart.Route) helm.Answer {
-	if r := s.h.Dispatcher.Admit(ctx, route, len(sub.Tasks), sub.Deadline); r != nil {
-		return notRun(r.Code, r.Reason, r.Retry)
+	task, refusal := s.h.Dispatcher.Plan(route, sub.Team, sub.Deadline)
+	if refusal == nil {
+		refusal = s.h.Dispatcher.Admit(ctx, task, len(sub.Tasks))
 	}
-	task, refusal := s.h.Dispatcher.Plan(route, sub.Deadline)
 	if refusal != nil {
 		return notRun(refusal.Code, refusal.Reason, refusal.Retry)
 	}
--- a/src/deck/kinds.go
+++ b/src/deck/kinds.go
@@ -44,7 +44,7 @@
 	ledgerTick    = 25 * time.Millisecond
 	stateTick     = 25 * time.Millisecond
 	repairTick    = 500 * time.Millisecond
-	announceBatch = 500 * time.Millisecond
+	announceBatch = time.Second
 	batchTimeout  = 500 * time.Millisecond
 	pilotTimeout  = 500 * time.Millisecond
 	followWait    = 2 * time.Second
--- a/src/fleet_test.go
+++ b/src/fleet_test.go
@@ -61,6 +61,9 @@
 // lastNetwork gives every fleet of a test binary IP addresses of its own.
 var lastNetwork atomic.Int32
 
+// runOctet keeps test binaries that run at the same time apart.
+func runOctet() byte { return byte(1 + os.Getpid()%250) }
+
 // newFleet writes the settings of two processes in each of three failure domains, the first of each a state host.
 func newFleet(t require.TestingT, folder, program, placing string) *fleet {
 	f := &fleet{
@@ -73,7 +76,7 @@
 	for d, domain := range fleetDomains {
 		for i := range demoPerDomain {
 			h := &host{name: fmt.Sprintf("%s-%d", domain, i+1), domain: domain}
-			ip := netip.AddrFrom4([4]byte{127, 1, byte(group), byte(d*demoPerDomain + i + 1)})
+			ip := netip.AddrFrom4([4]byte{127, runOctet(), byte(group), byte(d*demoPerDomain + i + 1)})
 			h.callers = netip.AddrPortFrom(ip, 8080)
 			h.peers = netip.AddrPortFrom(ip, 9090)
 			h.settings = filepath.Join(folder, h.name+".json")
--- a/src/helm/services.go
+++ b/src/helm/services.go
@@ -46,11 +46,11 @@
 // Dispatcher runs tasks on targets; it is safe for concurrent use.
 type Dispatcher interface {
 	// Plan makes a task out of a route's row, or says why it cannot be placed.
-	Plan(route chart.Route, deadline time.Time) (berth.Task, *Refusal)
+	Plan(route chart.Route, team string, deadline time.Time) (berth.Task, *Refusal)
 	// Run carries out one task and returns what became of it.
 	Run(ctx context.Context, t berth.Task, work Task) Answer
-	// Admit says whether n tasks of a route could run before the deadline; the error carries the refusal.
-	Admit(ctx context.Context, route chart.Route, n int, deadline time.Time) *Refusal
+	// Admit says whether n tasks like t could run before their deadline; the error carries the refusal.
+	Admit(ctx context.Context, t berth.Task, n int) *Refusal
 	// Announce takes a target's announcement.
 	Announce(a berth.Target)
 	// Targets returns the targets known, by name.
--- a/src/jetty/rows.go
+++ b/src/jetty/rows.go
@@ -98,6 +98,16 @@
 		"name":  r.String(&pool.Name, textLimit),
 		"slots": r.Int(&pool.Slots, 0, chart.MaxSlots),
 		"queue": r.Int(&pool.Queue, 1, chart.MaxQueue),
+		"teams": r.Each(func(v *hujson.Value) {
+			t := chart.Team{Weight: 1}
+			r.Object(v, survey.Fields{
+				"name":     r.String(&t.Name, textLimit),
+				"weight":   r.Int(&t.Weight, 1, chart.MaxWeight),
+				"rate":     r.Float(&t.Rate, 0, chart.MaxRate),
+				"inflight": r.Int(&t.Inflight, 0, chart.MaxInflight),
+			}, "name")
+			pool.Teams = append(pool.Teams, t)
+		}),
 	}
 }
 
@@ -117,9 +127,17 @@
 }
 
 type wirePool struct {
-	Name  string `json:"name"`
-	Slots int    `json:"slots,omitempty"`
-	Queue int    `json:"queue"`
+	Name  string     `json:"name"`
+	Slots int        `json:"slots,omitempty"`
+	Queue int        `json:"queue"`
+	Teams []wireTeam `json:"teams,omitempty"`
+}
+
+type wireTeam struct {
+	Name     string  `json:"name"`
+	Weight   int     `json:"weight"`
+	Rate     float64 `json:"rate,omitempty"`
+	Inflight int     `json:"inflight,omitempty"`
 }
 
 type wireRow struct {
@@ -139,7 +157,11 @@
 }
 
 func toWirePool(p chart.Pool) *wirePool {
-	return &wirePool{Name: p.Name, Slots: p.Slots, Queue: p.Queue}
+	w := &wirePool{Name: p.Name, Slots: p.Slots, Queue: p.Queue}
+	for _, t := range p.Teams {
+		w.Teams = append(w.Teams, wireTeam{Name: t.Name, Weight: t.Weight, Rate: t.Rate, Inflight: t.Inflight})
+	}
+	return w
 }
 
 func routeRow(r chart.RouteRow) wireRow {
--- a/src/ledger/follower.go
+++ b/src/ledger/follower.go
@@ -10,6 +10,9 @@
 	seq    uint64
 	key    string
 	remove bool
+	// lazy operations wait for an urgent one, or for lazyDelay after at; nobody waits for them.
+	lazy bool
+	at   time.Time
 }
 
 // follower is a copy as its primary sees it; at most one batch to it is unanswered.
@@ -61,8 +64,13 @@
 	return s.copyOut(now, operation{key: en.Key})
 }
 
+// putLazily copies an answer, in the next batch that is sent anyway or soon after.
+func (s *shard) putLazily(now time.Time, en *entry) {
+	s.copyOut(now, operation{key: en.Key, lazy: true, at: now})
+}
+
 func (s *shard) remove(now time.Time, key string) {
-	s.copyOut(now, operation{key: key, remove: true})
+	s.copyOut(now, operation{key: key, remove: true, lazy: true, at: now})
 }
 
 func (s *shard) copyOut(now time.Time, op operation) uint64 {
@@ -88,7 +96,7 @@
 
 // pump sends the next batch if none is unanswered; the first batch of a stream goes out even if it is empty.
 func (f *follower) pump(now time.Time) {
-	if f.flight != nil || (len(f.queue) == 0 && f.number > 0) {
+	if f.flight != nil || (f.number > 0 && !f.due(now)) {
 		return
 	}
 	f.number++
@@ -101,6 +109,16 @@
 	f.send(now)
 }
 
+// due reports whether something in the queue must go now.
+func (f *follower) due(now time.Time) bool {
+	for _, op := range f.queue {
+		if !op.lazy || now.Sub(op.at) >= lazyDelay {
+			return true
+		}
+	}
+	return false
+}
+
 // fill moves operations from the queue into the batch and returns the number of the last one.
 func (f *follower) fill(b *Batch) uint64 {
 	last := f.acked
@@ -154,7 +172,7 @@
 	f.acked = f.flightSeq
 	s.settle(now)
 	f.pump(now)
-	if f.flight == nil && !f.caughtUp {
+	if f.flight == nil && len(f.queue) == 0 && !f.caughtUp {
 		f.caughtUp = true
 		s.l.emit(Noted{Shard: s.id, Note: CaughtUp, View: s.view, Host: f.host})
 		s.govern(now)
@@ -165,4 +183,5 @@
 	if f.flight != nil && f.lost && now.Sub(f.sent) >= retryAfter {
 		f.send(now)
 	}
+	f.pump(now)
 }
--- a/src/ledger/ledger_test.go
+++ b/src/ledger/ledger_test.go
@@ -166,6 +166,15 @@
 	r.step(name, Finish{Shard: testShard, Key: key, Ticket: ticket, Answer: []byte(answer), Ran: true})
 }
 
+// copyAnswers lets the answers reach the backup, which they do in a batch of their own after a while.
+func (r *rig) copyAnswers() {
+	r.now = r.now.Add(lazyDelay)
+	for name := range r.ledgers {
+		r.step(name, Tick{})
+	}
+	r.deliver(nil)
+}
+
 func (r *rig) crash(name string) {
 	delete(r.ledgers, name)
 	h := r.hosts[name]
@@ -233,7 +242,7 @@
 		}, Lost},
 		"after the answer was copied": {func(r *rig, p string) string {
 			r.finish(p, "k", r.run("k"), "answer")
-			r.deliver(nil)
+			r.copyAnswers()
 			return "k"
 		}, Repeat},
 		"a key never seen": {func(r *rig, p string) string { return "fresh" }, Run},
@@ -292,7 +301,7 @@
 			r := newRig(t, "a", "b")
 			p, b := r.primary(), r.backup()
 			r.finish(p, "k", r.run("k"), "answer")
-			r.deliver(nil)
+			r.copyAnswers()
 			r.crash(b)
 			r.tellHosts()
 			r.settle()
@@ -347,7 +356,7 @@
 		key := string(rune('A' + i))
 		keys = append(keys, key)
 		r.finish(p, key, r.run(key), "answer")
-		r.deliver(nil)
+		r.copyAnswers()
 	}
 	require.Equal(t, Full, r.last(r.submit(p, "one more", 1)))
 	for _, key := range keys {
@@ -437,7 +446,7 @@
 	first := append([]envelope(nil), r.sends...)
 	r.deliver(nil)
 	r.finish(p, "k", ticket, "answer")
-	r.deliver(nil)
+	r.copyAnswers()
 	r.sends = first
 	r.deliver(nil)
 	r.crash(p)
--- a/src/ledger/record.go
+++ b/src/ledger/record.go
@@ -19,6 +19,8 @@
 	batchBytes   = 1 << 20
 	// retryAfter is when an unanswered batch is sent again.
 	retryAfter = 100 * time.Millisecond
+	// lazyDelay is how long an answer may wait for a batch to share.
+	lazyDelay = 50 * time.Millisecond
 	// dropAfter is how long a backup may fail before its removal is proposed.
 	dropAfter        = time.Second
 	pressureInterval = 10 * time.Second
--- a/src/ledger/shard.go
+++ b/src/ledger/shard.go
@@ -189,7 +189,7 @@
 	}
 	s.complete(now, en, e.Answer)
 	if s.isPrimary() {
-		s.put(now, en)
+		s.putLazily(now, en)
 		return
 	}
 	if len(s.view.Copies) > 0 {
--- a/src/pilot/node.go
+++ b/src/pilot/node.go
@@ -8,7 +8,7 @@
 
 // Timing of elections and heartbeats.
 const (
-	HeartbeatInterval = 200 * time.Millisecond
+	HeartbeatInterval = 300 * time.Millisecond
 	ElectionTimeout   = 800 * time.Millisecond
 	// batchLimit bounds the entries of one Append.
 	batchLimit = 256
--- a/src/roster/codec.go
+++ b/src/roster/codec.go
@@ -31,6 +31,7 @@
 	Blank    bool
 	Founders map[string]string
 	Free     map[string]int
+	Demand   map[string]int
 }
 
 type wireContact struct {
@@ -56,7 +57,7 @@
 		Incarnation: m.Incarnation, Weight: m.Weight, Entry: m.Entry, Voter: m.Voter,
 		Summary: wireSummary{
 			Leaving: s.Leaving, Revision: s.Revision, Disk: s.Disk, Blank: s.Blank,
-			Founders: s.Founders, Free: s.Free,
+			Founders: s.Founders, Free: s.Free, Demand: s.Demand,
 		},
 	}}
 	for _, c := range b.Contacts {
@@ -103,7 +104,7 @@
 		Incarnation: w.Incarnation, Weight: w.Weight, Entry: w.Entry, Voter: w.Voter,
 		Summary: Summary{
 			Leaving: s.Leaving, Revision: s.Revision, Disk: s.Disk, Blank: s.Blank,
-			Founders: s.Founders, Free: s.Free,
+			Founders: s.Founders, Free: s.Free, Demand: s.Demand,
 		},
 	}, nil
 }
--- a/src/roster/member.go
+++ b/src/roster/member.go
@@ -31,6 +31,8 @@
 	Founders map[string]string
 	// Free is how many more tasks each pool could start here at once.
 	Free map[string]int
+	// Demand is what teams with a limit ask for here, in tasks a second, by pool and team.
+	Demand map[string]int
 }
 
 // Contact is where a member can be found.
@@ -70,13 +72,17 @@
 	// Heard is when the peer was last heard, Acked when it last answered.
 	Heard time.Time
 	Acked time.Time
+	// Patience is how many times longer than a member of the own domain it may be silent.
+	Patience time.Duration
 }
 
 // Timing of heartbeats; a silent connection is replaced after two missed ones, before its peer is suspected.
 const (
 	BeatInterval = 400 * time.Millisecond
-	// FarEvery is how many intervals lie between the heartbeats to another failure domain.
-	FarEvery     = 2
+	// FarEvery is how many intervals lie between the heartbeats to another failure domain, and FarPatience how many
+	// times longer its members may be silent.
+	FarEvery     = 4
+	FarPatience  = 3
 	BeatTimeout  = 500 * time.Millisecond
 	SuspectAfter = 1600 * time.Millisecond
 	DeadAfter    = 3200 * time.Millisecond
--- a/src/roster/roster.go
+++ b/src/roster/roster.go
@@ -111,7 +111,7 @@
 
 // Reachable reports whether calls to the peer are answered.
 func (p Peer) Reachable(now time.Time) bool {
-	return p.Status == Alive && now.Sub(p.Acked) < SuspectAfter
+	return p.Status == Alive && now.Sub(p.Acked) < p.Patience*SuspectAfter
 }
 
 func (r *Roster) learn(now time.Time, b Beat, acked bool) {
@@ -123,7 +123,7 @@
 	}
 	p, known := r.peers[b.From.Name]
 	if !known {
-		p = &Peer{}
+		p = &Peer{Patience: r.patience(b.From.Domain)}
 		r.peers[b.From.Name] = p
 	}
 	if b.From.Incarnation < p.Member.Incarnation {
@@ -152,10 +152,17 @@
 	}
 	r.peers[c.Name] = &Peer{
 		Member: Member{Name: c.Name, Domain: c.Domain, Peers: c.Peers, Incarnation: c.Incarnation},
-		Heard:  now,
+		Heard:  now, Patience: r.patience(c.Domain),
 	}
 }
 
+func (r *Roster) patience(domain string) time.Duration {
+	if domain == r.self.Domain {
+		return 1
+	}
+	return FarPatience
+}
+
 func (r *Roster) age(now time.Time) {
 	for _, p := range r.sorted() {
 		silent := now.Sub(p.Heard)
@@ -166,9 +173,9 @@
 			continue
 		case status == Unheard:
 			continue
-		case silent > DeadAfter:
+		case silent > p.Patience*DeadAfter:
 			status = Dead
-		case silent > SuspectAfter:
+		case silent > p.Patience*SuspectAfter:
 			status = Suspect
 		}
 		if status == p.Status {
--- a/src/state.go
+++ b/src/state.go
@@ -50,17 +50,17 @@
 	if err != nil {
 		return err
 	}
-	defer store.Close()
+	defer closeStore(store)
 	return store.Backup(file)
 }
 
 // showState verifies a data folder whole, and prints what is in it if asked to.
-func showState(c *command, folder string, print bool) error {
+func showState(c *command, folder string, whole bool) error {
 	store, err := archive.OpenExisting(folder)
 	if err != nil {
 		return err
 	}
-	defer store.Close()
+	defer closeStore(store)
 	disk, err := store.Disk()
 	if err != nil {
 		return err
@@ -69,7 +69,7 @@
 	if err != nil {
 		return err
 	}
-	if !print {
+	if !whole {
 		fmt.Fprintf(c.stdout, "%s: no damage found in %d bytes\n", folder, store.Size())
 		return nil
 	}
@@ -78,6 +78,8 @@
 	return nil
 }
 
+func closeStore(s *archive.Store) { _ = s.Close() } // it was only read
+
 func printDisk(c *command, d pilot.Disk) {
 	last := d.Snapshot.Index + uint64(len(d.Entries))
 	fmt.Fprintf(c.stdout, "log: term %d, snapshot at %d, last entry %d\n", d.Hard.Term, d.Snapshot.Index, last)
