--- a/src/berth/judge.go
+++ b/src/berth/judge.go
@@ -103,7 +103,7 @@
 		p.out = append(p.out, Judged{Target: a.Name, Kind: Left})
 	}
 	moved := !slices.Equal(t.Pools, a.Pools)
-	resized := t.Slots != a.Slots
+	resized := t.Slots != a.Slots || t.Leaving != a.Leaving
 	t.Target = a
 	t.heard = now
 	if !known || resized {
@@ -111,6 +111,8 @@
 	}
 	if moved {
 		p.movePools(now, t)
+	} else if resized {
+		t.arrange(now)
 	}
 	t.freed()
 	if a.Reports {
@@ -141,6 +143,13 @@
 	t.seats = nil
 }
 
+// arrange brings the target's pools up to date after it changed.
+func (t *target) arrange(now time.Time) {
+	for _, st := range t.seats {
+		st.pool.arrange(now)
+	}
+}
+
 // freed notes that the target may have room again.
 func (t *target) freed() {
 	for _, st := range t.seats {
--- a/src/berth/planner.go
+++ b/src/berth/planner.go
@@ -17,7 +17,7 @@
 	// refusedTries bounds how often a task that targets refuse is placed again.
 	refusedTries = 8
 	// handoffReserve is how much room another host must report to be handed a task.
-	handoffReserve = 2
+	handoffReserve = 6
 	// emptyRetry is when a pool without targets may have one.
 	emptyRetry = time.Second
 )
@@ -209,6 +209,9 @@
 // slots returns how many tasks like k the pool's owned targets run at once, whether any target of the pool
 // could ever run one, and whether any is known.
 func (p *Planner) slots(now time.Time, pool *pool, k *task) (n int, fits, known bool) {
+	if pool.workers == 0 && k.Need.Accelerators == 0 {
+		return pool.slots, len(pool.seats) > 0, len(pool.seats) > 0
+	}
 	for _, s := range pool.seats {
 		t := s.target
 		known = true
@@ -216,7 +219,7 @@
 			continue
 		}
 		fits = true
-		if t.owned && !t.Leaving && (t.ejected.IsZero() || !now.Before(t.ejected)) {
+		if t.serving(now) {
 			n += max(1, t.capacity(k.Need))
 		}
 	}
--- a/src/berth/pool.go
+++ b/src/berth/pool.go
@@ -37,6 +37,9 @@
 	name  string
 	seats []*seat
 	queue *waiting
+	// slots is how many tasks the minions run at once at this host's shares, workers how many of the targets are workers.
+	slots   int
+	workers int
 	// first is the lowest rank that may have room.
 	first int
 	// service and inverse are the means of the run time and of its inverse, as on a target of factor 0, in seconds.
@@ -90,7 +93,9 @@
 		return a.Name < b.Name
 	})
 	var rate, share float64
+	q.slots, q.workers = 0, 0
 	for i, s := range q.seats {
+		q.count(now, s.target)
 		s.rank = i
 		s.fasterRate = rate
 		s.fasterShare = share
@@ -103,6 +108,15 @@
 	q.first = 0
 }
 
+func (q *pool) count(now time.Time, t *target) {
+	switch {
+	case t.Slots == 0:
+		q.workers++
+	case t.serving(now):
+		q.slots += max(1, t.capacity(Need{}))
+	}
+}
+
 // freed notes that a seat may have room again.
 func (s *seat) freed() { s.pool.first = min(s.pool.first, s.rank) }
 
--- a/src/berth/target.go
+++ b/src/berth/target.go
@@ -85,6 +85,11 @@
 	seats []*seat
 }
 
+// serving reports whether the target takes work from this host at all, be it busy now or not.
+func (t *target) serving(now time.Time) bool {
+	return t.owned && !t.Leaving && (t.ejected.IsZero() || !now.Before(t.ejected))
+}
+
 func (t *target) usable(now time.Time) bool {
 	if !t.owned || t.Leaving || now.Before(t.pausedUntil) {
 		return false
--- a/src/drill/load.go
+++ b/src/drill/load.go
@@ -5,6 +5,7 @@
 	"math"
 	"math/rand/v2"
 	"net/netip"
+	"net/url"
 	"strconv"
 	"sync"
 	"time"
@@ -29,6 +30,8 @@
 	JobTasks                      int
 	// AgainShare is the share of submissions with a key that are submitted twice at once, through two hosts.
 	AgainShare float64
+	// CancelShare is the share of submissions with a key that are cancelled, at any moment of their run.
+	CancelShare float64
 	// Burst multiplies the rate between BurstFrom and BurstTo.
 	Burst              float64
 	BurstFrom, BurstTo time.Duration
@@ -40,7 +43,9 @@
 	job  bool
 	once bool
 	// again says that the submission is sent twice at once, through two hosts.
-	again   bool
+	again bool
+	// cancel is when the submission is cancelled; zero means never.
+	cancel  time.Duration
 	domain  string
 	tasks   []hatchery.Work
 	replies []Reply
@@ -125,6 +130,9 @@
 		s.key = s.domain + "/" + strconv.FormatUint(p.Seed, 36) + "-" + strconv.Itoa(n)
 	}
 	s.again = s.key != "" && l.rng.Float64() < p.AgainShare
+	if s.key != "" && l.rng.Float64() < p.CancelShare {
+		s.cancel = 1 + time.Duration(l.rng.Float64()*float64(p.MaxSize))
+	}
 	s.once = !s.job && s.key == "" && l.rng.Float64() < p.OnceShare
 	for i := range count {
 		s.tasks = append(s.tasks, hatchery.Work{
@@ -147,10 +155,21 @@
 	if s.again {
 		wg.Go(func() { l.sendUntilAnswered(s) })
 	}
+	if s.cancel > 0 {
+		wg.Go(func() { l.cancel(s) })
+	}
 	l.sendUntilAnswered(s)
 	wg.Wait()
 }
 
+// cancel asks any host of the domain to cancel a submission.
+func (l *Load) cancel(s *submission) {
+	time.Sleep(s.cancel)
+	if e, ok := l.pick(s.domain); ok {
+		l.client.Do(e.Addr, Call{Method: "DELETE", Path: "/v1/submissions/" + url.PathEscape(s.key), Deadline: l.plan.Deadline})
+	}
+}
+
 // sendUntilAnswered goes to another host when one cannot be reached, and submits a key again when its fate is open.
 func (l *Load) sendUntilAnswered(s *submission) {
 	began := time.Now()
--- a/src/drill/verify.go
+++ b/src/drill/verify.go
@@ -61,8 +61,11 @@
 	}
 	l.verifyStarts(sub, s)
 	for _, r := range sub.replies {
-		if r.Outcome == "done" {
+		switch {
+		case r.Outcome == "done":
 			verifyBody(sub, r, s)
+		case r.Outcome == "failed" && sub.job:
+			l.verifyFailed(sub, r, s)
 		}
 	}
 }
@@ -122,6 +125,25 @@
 	return text
 }
 
+// verifyFailed checks a failed job: every task has an outcome, and those said not to have run did not.
+func (l *Load) verifyFailed(sub *submission, r Reply, s *Summary) {
+	var j wireJob
+	if err := json.Unmarshal(r.Body, &j); err != nil || len(j.Tasks) != len(sub.tasks) {
+		s.Partial++
+		return
+	}
+	for i, t := range j.Tasks {
+		if t.Body != "" {
+			s.Partial++
+		}
+		if t.Outcome == "notrun" && l.book.Starts(sub.tasks[i].ID) > 0 {
+			s.Untrue++
+			s.Broken = append(s.Broken, l.describe(sub))
+			return
+		}
+	}
+}
+
 func verifyBody(sub *submission, r Reply, s *Summary) {
 	if !sub.job {
 		if string(r.Body) != sub.tasks[0].Answer() {
--- a/src/fleet_test.go
+++ b/src/fleet_test.go
@@ -37,6 +37,8 @@
 	wg      sync.WaitGroup
 	summary drill.Summary
 	placing string
+	// cancelShare is the share of submissions with a key that the load cancels; with it, all are jobs with a key.
+	cancelShare float64
 }
 
 type host struct {
@@ -247,11 +249,15 @@
 
 // begin starts a load that runs until finish.
 func (f *fleet) begin(rate float64, seed uint64) {
+	jobs, keys := demoJobShare, demoKeyShare
+	if f.cancelShare > 0 {
+		jobs, keys = 1.0, 1.0
+	}
 	f.load = drill.NewLoad(drill.Plan{
 		Entries: f.entries(), Route: demoRoute, Rate: rate, Length: time.Hour, Seed: seed,
 		MinSize: demoMinSize, MaxSize: demoMaxSize, Fastest: 4, Deadline: demoDeadline,
-		JobShare: demoJobShare, KeyShare: demoKeyShare, OnceShare: demoOnceShare, JobTasks: demoJobTasks,
-		AgainShare: demoAgainShare,
+		JobShare: jobs, KeyShare: keys, OnceShare: demoOnceShare, JobTasks: demoJobTasks,
+		AgainShare: demoAgainShare, CancelShare: f.cancelShare,
 	}, f.client, f.book)
 	f.load.Usable = func(e drill.Entry) bool { return f.host(e.Name).up.Load() }
 	f.watch = drill.NewWatch(f.client, f.entries())
--- a/src/main.go
+++ b/src/main.go
@@ -33,6 +33,8 @@
 	case "state":
 		synopsis := "state show | verify | backup -file FILE | restore -file FILE, each with -data FOLDER"
 		return runState(newCommand(name, synopsis, stdin, stdout, stderr), rest)
+	case "capacity":
+		return runCapacity(newCommand(name, "capacity [-out FOLDER]", stdin, stdout, stderr), rest)
 	case "burn":
 		return runBurn(newCommand(name, "burn [-api ADDRESS] [-json] [-plot FILE]", stdin, stdout, stderr), rest)
 	case "status":
--- a/src/options.go
+++ b/src/options.go
@@ -22,6 +22,7 @@
   load      load a running system with stand-ins of targets, check every promise
   burn      report how fast the service-level budgets burn
   state     show, verify, back up, restore the data folder of a stopped process
+  capacity  measure how state and processor time grow with size
   status    print what a process tells of itself
 
 Each command explains itself with -help. Exit codes: 0 all went well, 1 a fault or
--- a/src/placement_bench_test.go
+++ b/src/placement_bench_test.go
@@ -1,9 +1,12 @@
 package sesamecleat
 
 import (
+	"bytes"
 	"context"
 	"fmt"
+	"os"
 	"os/exec"
+	"strings"
 	"testing"
 	"time"
 
@@ -33,11 +36,16 @@
 // BenchmarkPlacement loads six processes and 50 minions; each case is one run, whatever b.N is.
 func BenchmarkPlacement(b *testing.B) {
 	cases := map[string]benchCase{
-		"shares":        {placing: "shares", load: 0.8},
-		"random":        {placing: "random", load: 0.8},
-		"robin":         {placing: "robin", load: 0.8},
-		"shares-keys":   {placing: "shares", load: 0.8, plan: func(p *drill.Plan) { p.KeyShare = 1 }},
-		"shares-jobs":   {placing: "shares", load: 0.8, plan: func(p *drill.Plan) { p.JobShare = 1; p.JobTasks = 20 }},
+		"shares":      {placing: "shares", load: 0.8},
+		"random":      {placing: "random", load: 0.8},
+		"robin":       {placing: "robin", load: 0.8},
+		"shares-keys": {placing: "shares", load: 0.8, plan: func(p *drill.Plan) { p.KeyShare = 1 }},
+		"shares-jobs": {placing: "shares", load: 0.8, plan: func(p *drill.Plan) { p.JobShare = 1; p.JobTasks = 20 }},
+		"shares-small": {placing: "shares", load: 0.2, plan: func(p *drill.Plan) {
+			p.MinSize, p.MaxSize = 20*time.Millisecond, 40*time.Millisecond
+			p.Rate = 4000
+			p.Length = 10 * time.Second
+		}},
 		"shares-broken": {placing: "shares", load: 0.6, failing: 5},
 		"shares-burst": {placing: "shares", load: 0.6, plan: func(p *drill.Plan) {
 			p.Burst = 3
@@ -50,10 +58,11 @@
 	}
 }
 
-func benchPlacement(b *testing.B, c benchCase) {
+// benchFleet starts six processes with their tables and the 50 minions.
+func benchFleet(b *testing.B, placing string, failing int) *fleet {
 	program, err := exec.LookPath("sesamecleat")
 	require.NoError(b, err)
-	f := newFleet(b, b.TempDir(), program, c.placing)
+	f := newFleet(b, b.TempDir(), program, placing)
 	b.Cleanup(f.close)
 	for _, h := range f.hosts {
 		f.start(h)
@@ -65,7 +74,12 @@
 	for _, d := range fleetDomains {
 		f.settled(d)
 	}
-	f.raiseBench(c.failing)
+	f.raiseBench(failing)
+	return f
+}
+
+func benchPlacement(b *testing.B, c benchCase) {
+	f := benchFleet(b, c.placing, c.failing)
 	plan := drill.Plan{
 		Entries: f.entries(), Route: demoRoute, Rate: benchCapacity * c.load, Length: benchLength, Seed: 1,
 		MinSize: benchMinSize, MaxSize: benchMaxSize, Fastest: 4, Deadline: 10 * time.Second,
@@ -79,7 +93,9 @@
 	}
 	l := drill.NewLoad(plan, f.client, f.book)
 	before, started := messages(f.client, f.entries(), f.minions), f.book.Total()
+	cpu := f.cpu()
 	l.Run(context.Background())
+	b.ReportMetric(float64((f.cpu()-cpu).Microseconds())/float64(f.book.Total()-started), "cpu-us/task")
 	s := l.Verify()
 	s.MessagesPerTask = float64(messages(f.client, f.entries(), f.minions)-before) / float64(f.book.Total()-started)
 	refused := uint64(0)
@@ -106,3 +122,52 @@
 		m.SetMode(hatchery.Failing)
 	}
 }
+
+// cpu returns the processor time that all processes have used.
+func (f *fleet) cpu() time.Duration {
+	var ticks uint64
+	for _, h := range f.hosts {
+		raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", h.cmd.Process.Pid))
+		require.NoError(f.t, err)
+		fields := strings.Fields(string(raw[bytes.LastIndexByte(raw, ')')+1:]))
+		ticks += number(fields[statUser]) + number(fields[statSystem])
+	}
+	return time.Duration(ticks) * time.Second / clockTicks
+}
+
+// Where processor time stands behind the name in /proc/PID/stat, in ticks.
+const (
+	statUser   = 11
+	statSystem = 12
+	clockTicks = 100 // a second
+)
+
+// BenchmarkLedger compares requests with and without a key in one system: the same load, the same sizes.
+func BenchmarkLedger(b *testing.B) {
+	f := benchFleet(b, "shares", 0)
+	plan := drill.Plan{
+		Entries: f.entries(), Route: demoRoute, Rate: 400, Length: 4 * time.Second, Seed: 3,
+		MinSize: ledgerWork, MaxSize: ledgerWork, Fastest: 4, Deadline: 10 * time.Second,
+	}
+	drill.NewLoad(plan, f.client, f.book).Run(context.Background())
+	plan.Length = 15 * time.Second
+	run := func(keys float64, seed uint64) (drill.Summary, float64) {
+		plan.KeyShare, plan.Seed = keys, seed
+		l := drill.NewLoad(plan, f.client, f.book)
+		before, started := messages(f.client, f.entries(), f.minions), f.book.Total()
+		l.Run(context.Background())
+		sent := float64(messages(f.client, f.entries(), f.minions)-before) / float64(f.book.Total()-started)
+		return l.Verify(), sent
+	}
+	without, plainMessages := run(0, 4)
+	with, keyMessages := run(1, 5)
+	b.Logf("without %s\nwith    %s", without, with)
+	b.ReportMetric(0, "ns/op")
+	b.ReportMetric(float64((with.P50-without.P50).Microseconds())/1000, "added-p50-ms")
+	b.ReportMetric(float64((with.P99-without.P99).Microseconds())/1000, "added-p99-ms")
+	b.ReportMetric(keyMessages-plainMessages, "added-msgs")
+	require.True(b, with.Held() && without.Held())
+}
+
+// ledgerWork takes 10 ms on the fastest target.
+const ledgerWork = 40 * time.Millisecond
--- a/src/script_test.go
+++ b/src/script_test.go
@@ -68,6 +68,7 @@
 			"leave":   eachWord(func(f *fleet, w string) { f.minion(w).Leave() }),
 			"die":     eachWord(func(f *fleet, w string) { f.minion(w).Kill() }),
 			"fail":    eachWord(func(f *fleet, w string) { f.minion(w).SetMode(hatchery.Failing) }),
+			"cancels": eachWord(func(f *fleet, w string) { f.cancelShare = float64(number(w)) / 100 }),
 			"damage":  cmdDamage,
 			"votes":   cmdVotes,
 			"race":    cmdRace,
@@ -93,7 +94,7 @@
 func (t scriptT) Errorf(format string, args ...any) { t.Log(fmt.Sprintf(format, args...)) }
 
 func number(w string) uint64 {
-	n, err := strconv.ParseUint(w, 10, 32)
+	n, err := strconv.ParseUint(w, 10, 63)
 	if err != nil {
 		panic(err)
 	}
