--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test race fuzz lint ci demo
+.PHONY: build test race fuzz schedules lint ci demo bench capacity
 
 build:
 	go build -o sesamecleat .
@@ -14,3 +14,22 @@
 
 demo:
 	go run . demo -faults
+
+# Longer runs than CI's, with a seed of the day.
+schedules:
+	go test ./src/ledger -run TestSchedules -rapid.checks=100000 -rapid.steps=150 -rapid.seed=$$(date +%s)
+	go test ./src/pilot -run TestSchedules -rapid.checks=20000 -rapid.steps=300 -rapid.seed=$$(date +%s)
+
+fuzz:
+	go test ./src/manifest -run '^$$' -fuzz FuzzParse -fuzztime 30s
+	go test ./src/pilot -run '^$$' -fuzz FuzzDecodeMessage -fuzztime 30s
+	go test ./src/roster -run '^$$' -fuzz FuzzDecodeBeat -fuzztime 30s
+	go test ./src/radio -run '^$$' -fuzz FuzzReadFrame -fuzztime 30s
+	go test ./src/gauge -run '^$$' -fuzz FuzzRestore -fuzztime 30s
+	go test ./src/deck -run '^$$' -fuzz FuzzDecode -fuzztime 30s
+
+bench:
+	go test ./src ./src/berth -run '^$$' -bench . -benchtime 1x
+
+capacity:
+	go run . capacity -out docs/capacity
--- a/src/deck/dispatch.go
+++ b/src/deck/dispatch.go
@@ -364,7 +364,12 @@
 	case berth.Start:
 		if ctx.Err() == nil && left > 0 {
 			d.sent.Add(2)
+			settled := context.AfterFunc(ctx, func() {
+				d.sent.Add(2)
+				d.clients.stop(a.Addr, id)
+			})
 			answer, verdict = d.clients.try(a, id, t.Route, work, left)
+			settled()
 		}
 	case berth.Handoff:
 		if ctx.Err() == nil && left > 0 {
--- a/src/deck/kinds.go
+++ b/src/deck/kinds.go
@@ -41,8 +41,8 @@
 // Timing of the plug-ins.
 const (
 	plannerTick   = 50 * time.Millisecond
-	ledgerTick    = 25 * time.Millisecond
-	stateTick     = 25 * time.Millisecond
+	ledgerTick    = 50 * time.Millisecond
+	stateTick     = 50 * time.Millisecond
 	repairTick    = 500 * time.Millisecond
 	announceBatch = time.Second
 	batchTimeout  = 500 * time.Millisecond
--- a/src/deck/targets.go
+++ b/src/deck/targets.go
@@ -21,6 +21,7 @@
 	headerRoute   = "Route"
 	headerOutcome = "Outcome"
 	headerLease   = "Lease-Ms"
+	headerLimit   = "Deadline-Ms"
 )
 
 // unsent is the class of errors before anything of a request left.
@@ -31,6 +32,7 @@
 	targetIdle        = 5 * time.Second
 	targetDialTimeout = 500 * time.Millisecond
 	taskPath          = "/tasks"
+	stopTimeout       = time.Second
 	answerLimit       = 64 << 20 // bytes
 )
 
@@ -102,7 +104,9 @@
 	req.SetRequestURI("http://" + s.Addr.String() + taskPath)
 	req.Header.Set(headerTask, id)
 	req.Header.Set(headerRoute, route)
-	req.Header.Set(headerLease, strconv.FormatInt(left.Milliseconds(), 10))
+	ms := strconv.FormatInt(left.Milliseconds(), 10)
+	req.Header.Set(headerLease, ms)
+	req.Header.Set(headerLimit, ms)
 	if t.Type != "" {
 		req.Header.SetContentType(t.Type)
 	}
@@ -114,6 +118,17 @@
 	return readAnswer(hc, s, id, resp)
 }
 
+// stop asks a target to end a task that nobody waits for any longer; a target that does not know how goes on.
+func (c *clients) stop(addr netip.AddrPort, id string) {
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	resp := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(resp)
+	req.Header.SetMethod(fasthttp.MethodDelete)
+	req.SetRequestURI("http://" + addr.String() + taskPath + "/" + id)
+	_ = c.get(addr).DoTimeout(req, resp, stopTimeout) // the task's lease ends it in the end
+}
+
 func failedTry(s berth.Start, err error) (helm.Answer, berth.Verdict) {
 	if unsent.Has(err) || errors.Is(err, fasthttp.ErrNoFreeConns) {
 		return helm.Answer{
--- a/src/deck/targets_test.go
+++ b/src/deck/targets_test.go
@@ -139,6 +139,20 @@
 	require.Equal(t, helm.NotRun, a.Outcome)
 }
 
+func TestStopNamesTheTask(t *testing.T) {
+	asked := make(chan string, 1)
+	_, start := newScripted(t, func(_ *scripted, _ int, c net.Conn, r *bufio.Reader) {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		asked <- req.Method + " " + req.URL.Path
+		fmt.Fprint(c, "HTTP/1.1 204 No Content\r\n\r\n")
+	})
+	newClients(nil).stop(start.Addr, "host.1.7")
+	require.Equal(t, "DELETE /tasks/host.1.7", <-asked)
+}
+
 func TestVerdicts(t *testing.T) {
 	tests := map[string]struct {
 		raw  string
--- a/src/hatchery/minion.go
+++ b/src/hatchery/minion.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -68,6 +69,9 @@
 	wg       sync.WaitGroup
 	mu       sync.Mutex
 	conns    map[net.Conn]struct{}
+	// stops holds what ends each running task, by the id the dispatcher gave it.
+	stops   map[string]chan struct{}
+	stopped atomic.Uint64
 }
 
 // NewMinion returns a stand-in that serves and announces itself from now on.
@@ -78,6 +82,7 @@
 	}
 	m := &Minion{
 		o: o, listener: ln, quit: make(chan struct{}), conns: make(map[net.Conn]struct{}),
+		stops:  make(map[string]chan struct{}),
 		client: &fasthttp.Client{ReadTimeout: announceTimeout, WriteTimeout: announceTimeout},
 	}
 	m.server = &fasthttp.Server{Handler: m.handle, Logger: quiet{}, ConnState: m.track, NoDefaultDate: true}
@@ -141,7 +146,42 @@
 	}
 }
 
+// Stopped returns how many tasks were ended on request.
+func (m *Minion) Stopped() uint64 { return m.stopped.Load() }
+
+// stop ends a running task.
+func (m *Minion) stop(ctx *fasthttp.RequestCtx) {
+	id := strings.TrimPrefix(string(ctx.Path()), "/tasks/")
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if c, ok := m.stops[id]; ok {
+		close(c)
+		delete(m.stops, id)
+		m.stopped.Add(1)
+	}
+	ctx.SetStatusCode(fasthttp.StatusNoContent)
+}
+
+// running notes a task that can be stopped, and returns what tells it and what forgets it.
+func (m *Minion) running(id string) (<-chan struct{}, func()) {
+	c := make(chan struct{})
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.stops[id] = c
+	return c, func() {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		if m.stops[id] == c {
+			delete(m.stops, id)
+		}
+	}
+}
+
 func (m *Minion) handle(ctx *fasthttp.RequestCtx) {
+	if ctx.IsDelete() {
+		m.stop(ctx)
+		return
+	}
 	w, ok := DecodeWork(ctx.PostBody())
 	if !ok {
 		ctx.Error("the work cannot be read", fasthttp.StatusBadRequest)
@@ -163,17 +203,27 @@
 	case Silent:
 		<-m.quit
 	case Sound:
-		m.work(w)
+		if !m.work(w, string(ctx.Request.Header.Peek("Task-Id"))) {
+			ctx.Error("stopped", fasthttp.StatusInternalServerError)
+			return
+		}
 		ctx.SetBodyString(w.Answer())
 	}
 }
 
-func (m *Minion) work(w Work) {
+// work takes the time that the work needs, and reports whether it was finished.
+func (m *Minion) work(w Work, id string) bool {
+	stop, forget := m.running(id)
+	defer forget()
 	timer := time.NewTimer(time.Duration(float64(w.Size) / m.o.Speed))
 	defer timer.Stop()
 	select {
 	case <-timer.C:
+		return true
+	case <-stop:
+		return false
 	case <-m.quit:
+		return false
 	}
 }
 
--- a/src/helm/helm.go
+++ b/src/helm/helm.go
@@ -216,7 +216,7 @@
 		now := h.Clock.Now()
 		h.Timers.Run(now)
 		if next, ok := h.Timers.Next(); ok {
-			timer.Reset(max(0, next.Sub(now)))
+			timer.Reset(max(timerSlack, next.Sub(now)))
 		}
 		select {
 		case e := <-h.queue:
@@ -229,7 +229,11 @@
 	}
 }
 
-const deliverBatch = 256
+const (
+	deliverBatch = 256
+	// timerSlack lets timers that are due close together share a wake-up.
+	timerSlack = 2 * time.Millisecond
+)
 
 // deliverWaiting takes what else waits, so that timers are looked at once a batch.
 func (h *Helm) deliverWaiting() {
--- a/src/placement_bench_test.go
+++ b/src/placement_bench_test.go
@@ -3,9 +3,11 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"fmt"
 	"os"
 	"os/exec"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -171,3 +173,31 @@
 
 // ledgerWork takes 10 ms on the fastest target.
 const ledgerWork = 40 * time.Millisecond
+
+// BenchmarkInForce measures the time from the acceptance of an edit until all six processes serve it.
+func BenchmarkInForce(b *testing.B) {
+	f := benchFleet(b, "shares", 0)
+	var took []time.Duration
+	for i := range inForceEdits {
+		r := f.client.Do(f.hosts[i%len(f.hosts)].callers, drill.Call{
+			Method: "PUT", Path: "/v1/pools/scratch", Body: []byte(fmt.Sprintf(`{"queue": %d}`, i+1)), Deadline: callTimeout,
+		})
+		accepted := time.Now()
+		var reply editReply
+		require.NoError(b, json.Unmarshal(r.Body, &reply))
+		for _, h := range f.hosts {
+			for {
+				if s, ok := f.client.Status(h.callers); ok && s.Revision >= reply.Revision {
+					break
+				}
+			}
+		}
+		took = append(took, time.Since(accepted))
+	}
+	slices.Sort(took)
+	b.ReportMetric(0, "ns/op")
+	b.ReportMetric(float64(took[len(took)/2].Microseconds())/1000, "p50-ms")
+	b.ReportMetric(float64(took[len(took)*99/100].Microseconds())/1000, "p99-ms")
+}
+
+const inForceEdits = 300
--- a/src/roster/member.go
+++ b/src/roster/member.go
@@ -87,6 +87,8 @@
 	SuspectAfter = 1600 * time.Millisecond
 	DeadAfter    = 3200 * time.Millisecond
 	ForgetAfter  = 10 * time.Minute
+	// FarContacts is how many members of other failure domains a heartbeat names.
+	FarContacts = 4
 	// PerDomain is how many members of each other failure domain are sent heartbeats.
 	PerDomain = 2
 )
--- a/src/roster/roster.go
+++ b/src/roster/roster.go
@@ -75,15 +75,25 @@
 // SetSummary replaces what this process tells of itself.
 func (r *Roster) SetSummary(s Summary) { r.self.Summary = s }
 
-// Beat returns the heartbeat to send or to answer with.
+// Beat returns the heartbeat to send or to answer with; it names the members of the own domain and a few others in
+// turn, so that its size does not grow with the fleet.
 func (r *Roster) Beat() Beat {
 	b := Beat{From: r.self}
+	var far []Contact
 	for _, p := range r.sorted() {
 		if p.Status == Dead || p.Status == Unheard {
 			continue
 		}
 		m := p.Member
-		b.Contacts = append(b.Contacts, Contact{Name: m.Name, Domain: m.Domain, Peers: m.Peers, Incarnation: m.Incarnation})
+		c := Contact{Name: m.Name, Domain: m.Domain, Peers: m.Peers, Incarnation: m.Incarnation}
+		if m.Domain == r.self.Domain {
+			b.Contacts = append(b.Contacts, c)
+			continue
+		}
+		far = append(far, c)
+	}
+	for i := range min(FarContacts, len(far)) {
+		b.Contacts = append(b.Contacts, far[(r.beats*FarContacts+i)%len(far)])
 	}
 	return b
 }
--- a/src/roster/roster_test.go
+++ b/src/roster/roster_test.go
@@ -139,3 +139,25 @@
 	f.Add(b)
 	f.Fuzz(func(_ *testing.T, b []byte) { _, _ = DecodeBeat(b) })
 }
+
+// TestHeartbeatsNameEveryoneInTurn shows that a heartbeat stays small and yet all members are told of.
+func TestHeartbeatsNameEveryoneInTurn(t *testing.T) {
+	r := NewRoster(member(1, "near", 1), nil)
+	for n := range 30 {
+		domain := "far"
+		if n < 3 {
+			domain = "near"
+		}
+		r.Step(testStart, Heard{Beat{From: member(n+2, domain, 1)}})
+	}
+	told := make(map[string]bool)
+	for range 30 {
+		r.Step(testStart, Tick{})
+		contacts := r.Beat().Contacts
+		require.Len(t, contacts, 3+FarContacts)
+		for _, c := range contacts {
+			told[c.Name] = true
+		}
+	}
+	require.Len(t, told, 30)
+}
--- a/src/script_test.go
+++ b/src/script_test.go
@@ -69,6 +69,7 @@
 			"die":     eachWord(func(f *fleet, w string) { f.minion(w).Kill() }),
 			"fail":    eachWord(func(f *fleet, w string) { f.minion(w).SetMode(hatchery.Failing) }),
 			"cancels": eachWord(func(f *fleet, w string) { f.cancelShare = float64(number(w)) / 100 }),
+			"stopped": cmdStopped,
 			"damage":  cmdDamage,
 			"votes":   cmdVotes,
 			"race":    cmdRace,
@@ -306,6 +307,17 @@
 	ts.Check(os.WriteFile(path, b, 0o600))
 }
 
+// cmdStopped checks that targets were asked to end tasks that nobody waits for.
+func cmdStopped(ts *testscript.TestScript, _ bool, _ []string) {
+	var n uint64
+	for _, m := range fleetOf(ts).minions {
+		n += m.Stopped()
+	}
+	if n == 0 {
+		ts.Fatalf("no task was stopped on a target")
+	}
+}
+
 // cmdVotes waits until a state host votes again: votes ADDRESS NAME.
 func cmdVotes(ts *testscript.TestScript, _ bool, args []string) {
 	f := fleetOf(ts)
