--- a/src/deck/gauge.go
+++ b/src/deck/gauge.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"sesamecleat/src/gauge"
 	"sesamecleat/src/helm"
 	"sesamecleat/src/logbook"
@@ -23,6 +25,18 @@
 	mu sync.Mutex
 	// gauge is guarded by mu.
 	gauge *gauge.Gauge
+	// meters maps each answerKind to its answerMeters.
+	meters sync.Map
+}
+
+type answerKind struct {
+	outcome helm.Outcome
+	code    helm.Code
+}
+
+type answerMeters struct {
+	count   *metrics.Counter
+	seconds *metrics.Histogram
 }
 
 type burnPeersEvent struct{ reply chan []roster.Peer }
@@ -71,8 +85,9 @@
 // Record counts an answer that took so long.
 func (r *recorder) Record(s helm.Submission, a helm.Answer, took time.Duration) {
 	now := r.h.Clock.Now()
-	r.h.Metrics.GetOrCreateCounter(fmt.Sprintf(`sesamecleat_answers_total{outcome=%q,code=%q}`, a.Outcome, a.Code)).Inc()
-	r.h.Metrics.GetOrCreateHistogram(fmt.Sprintf(`sesamecleat_answer_seconds{outcome=%q}`, a.Outcome)).Update(took.Seconds())
+	m := r.metersFor(answerKind{a.Outcome, a.Code})
+	m.count.Inc()
+	m.seconds.Update(took.Seconds())
 	row, known := r.h.Tables.Route(s.Route)
 	if !known {
 		return
@@ -93,6 +108,18 @@
 	r.gauge.Record(now, s.Route, s.Team, sample)
 }
 
+// metersFor returns the metrics of a kind of answer, whose names are made once.
+func (r *recorder) metersFor(k answerKind) *answerMeters {
+	if m, ok := r.meters.Load(k); ok {
+		return m.(*answerMeters)
+	}
+	m, _ := r.meters.LoadOrStore(k, &answerMeters{
+		count:   r.h.Metrics.GetOrCreateCounter(fmt.Sprintf(`sesamecleat_answers_total{outcome=%q,code=%q}`, k.outcome, k.code)),
+		seconds: r.h.Metrics.GetOrCreateHistogram(fmt.Sprintf(`sesamecleat_answer_seconds{outcome=%q}`, k.outcome)),
+	})
+	return m.(*answerMeters)
+}
+
 // Budgets returns the state of every promise over all processes, and those that did not answer.
 func (r *recorder) Budgets(ctx context.Context) ([]gauge.Budget, []string) {
 	parts, missing := r.gather(ctx)
