--- a/src/burn.go
+++ b/src/burn.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"net/netip"
 
 	"gonum.org/v1/plot"
 	"gonum.org/v1/plot/plotter"
@@ -32,15 +31,10 @@
 	api := c.flags.String("api", defaultAPI, "address of an entry host")
 	asJSON := c.flags.Bool("json", false, "print JSON")
 	picture := c.flags.String("plot", "", "file for a picture of the budgets left; its ending names the form, such as .png or .svg")
-	words, code, ok := c.parse(args)
+	t, code, ok := c.reader(args, api)
 	if !ok {
 		return code
 	}
-	addr, err := netip.ParseAddrPort(*api)
-	if err != nil || len(words) > 0 {
-		return c.usageError("-api ADDRESS is expected")
-	}
-	t := &tableCommand{command: c, o: &tableOptions{}, client: drill.NewClient(), api: addr}
 	path := "/v1/burn"
 	if *asJSON {
 		path += "?format=json"
--- a/src/constants.go
+++ b/src/constants.go
@@ -20,6 +20,7 @@
 const (
 	demoDomains      = "khulna-ghat,mongla-ghat,satkhira-ghat"
 	demoPerDomain    = 2
+	demoVoters       = 3
 	demoMinions      = 6
 	demoSlots        = 8
 	demoRate         = 600.0 // tasks a second
--- a/src/deck/dispatch_test.go
+++ b/src/deck/dispatch_test.go
@@ -9,6 +9,24 @@
 	"sesamecleat/src/helm"
 )
 
+func TestForwardLostOnTheWayBackIsNoRefusal(t *testing.T) {
+	tests := map[string]struct {
+		unsure bool
+		last   helm.Outcome
+		want   helm.Outcome
+	}{
+		"nothing was sent":                 {false, helm.NotRun, helm.NotRun},
+		"lost, then nobody decides":        {true, helm.NotRun, helm.Unknown},
+		"lost, then answered":              {true, helm.Done, helm.Done},
+		"lost, then known to have started": {true, helm.Unknown, helm.Unknown},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			require.Equal(t, tt.want, afterForwards(tt.unsure, helm.Answer{Outcome: tt.last}).Outcome)
+		})
+	}
+}
+
 func TestRefusalAfterATryThatMayHaveRunIsNoRefusal(t *testing.T) {
 	lost := helm.Answer{Outcome: helm.Failed, Code: helm.CodeTargetLost}
 	tests := map[string]struct {
--- /dev/null
+++ b/src/deck/run.go
@@ -0,0 +1,161 @@
+package deck
+
+import (
+	"context"
+	"net/netip"
+	"strconv"
+	"time"
+
+	"sesamecleat/src/berth"
+	"sesamecleat/src/helm"
+	"sesamecleat/src/logbook"
+	"sesamecleat/src/radio"
+)
+
+// Run carries out one task and returns what became of it.
+func (d *dispatch) Run(ctx context.Context, t berth.Task, work helm.Task) helm.Answer {
+	t.ID = d.lastID.Add(1)
+	p := &placement{steps: make(chan berth.Action, 2)}
+	d.h.Post(d, submitEvent{task: t, placement: p})
+	id := d.h.Settings.Name + "." + strconv.FormatUint(d.h.Incarnation, 36) + "." + strconv.FormatUint(t.ID, 36)
+	var last helm.Answer
+	var ran *helm.Answer
+	done := ctx.Done()
+	for {
+		select {
+		case a := <-p.steps:
+			if f, ok := a.(berth.Finish); ok {
+				return conclude(t, f, last, ran)
+			}
+			last = d.take(ctx, t, id, work, a)
+			if tried := last; tried.Outcome != "" && tried.Outcome != helm.NotRun {
+				ran = &tried
+			}
+		case <-done:
+			done = nil
+			d.h.Post(d, withdrawEvent{id: t.ID})
+		case <-d.h.Done():
+			return helm.Answer{Outcome: helm.Unknown, Code: helm.CodeStopping, Reason: "this process stopped"}
+		}
+	}
+}
+
+// take carries out one try and reports its end.
+func (d *dispatch) take(ctx context.Context, t berth.Task, id string, work helm.Task, a berth.Action) helm.Answer {
+	began := d.h.Clock.Now()
+	var answer helm.Answer
+	verdict := berth.Withdrawn
+	left := t.Deadline.Sub(began)
+	switch a := a.(type) {
+	case berth.Start:
+		if ctx.Err() == nil && left > 0 {
+			d.sent.Add(2)
+			settled := context.AfterFunc(ctx, func() {
+				d.sent.Add(2)
+				d.clients.stop(a.Addr, id)
+			})
+			answer, verdict = d.clients.try(a, id, t.Route, work, left)
+			settled()
+		}
+	case berth.Handoff:
+		if ctx.Err() == nil && left > 0 {
+			answer, verdict = d.handOff(ctx, a.Host, t, work)
+		}
+	}
+	if answer.Code == helm.CodeCrossed {
+		d.h.Log.Write(logbook.AnswerCrossed, logbook.F("target", answer.Target))
+	}
+	d.h.Post(d, endedEvent{berth.Ended{ID: t.ID, Verdict: verdict, Took: d.h.Clock.Now().Sub(began)}})
+	return answer
+}
+
+func (d *dispatch) handOff(ctx context.Context, host string, t berth.Task, work helm.Task) (helm.Answer, berth.Verdict) {
+	addr := d.address(host)
+	body, err := encodeRun(t, work.Type, work.Body, d.h.Clock.Now())
+	if err != nil || !addr.IsValid() {
+		return helm.Answer{Outcome: helm.NotRun, Code: helm.CodeNoTarget, Reason: "the host is not known"}, berth.Unsent
+	}
+	ctx, cancel := context.WithDeadline(ctx, t.Deadline)
+	defer cancel()
+	out, err := d.h.Radio.Call(ctx, addr, kindRun, body)
+	if radio.NotSent.Has(err) {
+		return helm.Answer{Outcome: helm.NotRun, Code: helm.CodeNoTarget, Reason: err.Error()}, berth.Unsent
+	}
+	var a helm.Answer
+	if err == nil {
+		a, err = decodeAnswer(out)
+	}
+	if err != nil {
+		return helm.Answer{
+			Outcome: helm.Failed, Code: helm.CodeTargetLost, Reason: "the host that took the task did not answer: " + err.Error(),
+		}, berth.Lost
+	}
+	return a, verdictOf(a)
+}
+
+func verdictOf(a helm.Answer) berth.Verdict {
+	switch {
+	case a.Outcome == helm.Done:
+		return berth.Succeeded
+	case a.Outcome == helm.NotRun:
+		return berth.Busy
+	case a.Code == helm.CodeTargetError:
+		return berth.Failed
+	default:
+		return berth.Lost
+	}
+}
+
+func (d *dispatch) onRun(ctx context.Context, _ netip.AddrPort, body []byte) ([]byte, error) {
+	t, work, err := decodeRun(body, d.h.Clock.Now())
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithDeadline(ctx, t.Deadline)
+	defer cancel()
+	return encodeAnswer(d.Run(ctx, t, work))
+}
+
+func (d *dispatch) address(host string) netip.AddrPort {
+	reply := make(chan netip.AddrPort, 1)
+	d.h.Post(d, addressEvent{host: host, reply: reply})
+	select {
+	case a := <-reply:
+		return a
+	case <-d.h.Done():
+		return netip.AddrPort{}
+	}
+}
+
+// conclude turns the end of a task into the caller's answer; ran is the last try that may have run, if there was one,
+// and keeps a refusal of a later try from being told as the whole truth.
+func conclude(t berth.Task, f berth.Finish, last helm.Answer, ran *helm.Answer) helm.Answer {
+	last.Ideal = max(last.Ideal, f.Ideal)
+	tried := f.Verdict == berth.Succeeded || f.Verdict == berth.Failed || f.Verdict == berth.Lost
+	switch {
+	case tried:
+		return last
+	case ran != nil:
+		return *ran
+	case f.Verdict == berth.Withdrawn:
+		return helm.Answer{Outcome: helm.NotRun, Code: helm.CodeDeadline, Reason: "the time was over before the task could start"}
+	default:
+		r := refusalFor(f.Reason, f.Retry, t.Pool)
+		return helm.Answer{Outcome: helm.NotRun, Code: r.Code, Reason: r.Reason, Retry: r.Retry}
+	}
+}
+
+func refusalFor(reason berth.Reason, retry time.Duration, pool string) *helm.Refusal {
+	switch reason {
+	case berth.NoTarget:
+		return &helm.Refusal{Code: helm.CodeNoTarget, Reason: "pool " + pool + " has no target that takes work now", Retry: retry}
+	case berth.NeverFits:
+		return &helm.Refusal{Code: helm.CodeNeverFits, Reason: "no target of pool " + pool + " is large enough for the task", Retry: retry}
+	case berth.OverQuota:
+		return &helm.Refusal{Code: helm.CodeQuota, Reason: "the team used up its limit of pool " + pool, Retry: retry}
+	case berth.TooLate:
+		return &helm.Refusal{Code: helm.CodeDeadline, Reason: "the task would miss its deadline", Retry: retry}
+	default:
+		return &helm.Refusal{Code: helm.CodeOverload, Reason: "too much work waits for pool " + pool, Retry: retry}
+	}
+}
--- a/src/deck/submit.go
+++ b/src/deck/submit.go
@@ -126,7 +126,7 @@
 func (s *submit) decide(ctx context.Context, sub helm.Submission, route chart.Route) helm.Answer {
 	shard := ledger.Home(sub.Key, s.h.Settings.Domains)
 	unsure := false
-	answer := notRun(helm.CodeHomeAway, "no host can decide about the key now", time.Second)
+	var answer helm.Answer
 	for {
 		var again bool
 		if s.primaryHere(shard) {
@@ -139,13 +139,18 @@
 			break
 		}
 	}
-	if unsure && answer.Outcome == helm.NotRun {
-		return helm.Answer{
-			Outcome: helm.Unknown, Code: helm.CodeHomeLost,
-			Reason: "the host that decides about the key did not answer; send the same key again to learn more",
-		}
+	return afterForwards(unsure, answer)
+}
+
+// afterForwards keeps a refusal from being told when an earlier forward may have arrived and run.
+func afterForwards(unsure bool, last helm.Answer) helm.Answer {
+	if !unsure || last.Outcome != helm.NotRun {
+		return last
+	}
+	return helm.Answer{
+		Outcome: helm.Unknown, Code: helm.CodeHomeLost,
+		Reason: "the host that decides about the key did not answer; send the same key again to learn more",
 	}
-	return answer
 }
 
 func (s *submit) primaryHere(shard chart.Shard) bool {
--- a/src/demo.go
+++ b/src/demo.go
@@ -99,7 +99,7 @@
 // start brings up the processes, the tables and the stand-ins.
 func (d *demo) start() error {
 	var err error
-	if d.settings, err = demoSettings(d.folder); err != nil {
+	if d.settings, err = localSettings(d.folder, strings.Split(demoDomains, ","), demoPerDomain, demoVoters); err != nil {
 		return err
 	}
 	var addrs []netip.AddrPort
@@ -269,14 +269,14 @@
 	fmt.Fprintf(d.c.stderr, format+"\n", args...)
 }
 
-// demoSettings returns the settings of all processes, on ports that are free now.
-func demoSettings(folder string) ([]manifest.Settings, error) {
-	domains := strings.Split(demoDomains, ",")
+// localSettings returns the settings of processes on loopback ports that are free now; the first hosts of the first
+// domains are state hosts.
+func localSettings(folder string, domains []string, perDomain, stateHosts int) ([]manifest.Settings, error) {
 	var out []manifest.Settings
 	var contacts []netip.AddrPort
 	var voters []string
 	for _, domain := range domains {
-		for i := range demoPerDomain {
+		for i := range perDomain {
 			s := manifest.New()
 			s.Name = fmt.Sprintf("%s-%d", domain, i+1)
 			s.Domain = domain
@@ -292,7 +292,7 @@
 			}
 			s.Advertise = s.Peers
 			s.Data = filepath.Join(folder, s.Name)
-			if i == 0 {
+			if i == 0 && len(voters) < stateHosts {
 				s.Roles = []manifest.Role{manifest.Entry, manifest.State}
 				contacts = append(contacts, s.Peers)
 				voters = append(voters, s.Name)
--- a/src/drill/load.go
+++ b/src/drill/load.go
@@ -241,7 +241,7 @@
 	l.note(s, r)
 	switch r.Outcome {
 	case "done":
-		l.meter.done(took, l.ideal(s))
+		l.meter.done(took, l.ideal(s), s.key != "")
 	case "notrun":
 		l.meter.refused(took)
 	}
--- a/src/drill/summary.go
+++ b/src/drill/summary.go
@@ -14,6 +14,8 @@
 	Twice, Partial, Crossed, Untrue, Reverted int
 	P50, P99                                  time.Duration
 	Mean, Ratio50, Ratio99, MessagesPerTask   float64
+	// Keyed50 and Keyed99 are the quantiles of submissions with a key, Plain50 and Plain99 of those without.
+	Keyed50, Keyed99, Plain50, Plain99 time.Duration
 	// RefusalP99 is how long refusals took.
 	RefusalP99 time.Duration
 	// Broken describes each broken promise.
@@ -48,6 +50,8 @@
 type meter struct {
 	mu       sync.Mutex
 	latency  *hdrhistogram.Histogram
+	keyed    *hdrhistogram.Histogram
+	plain    *hdrhistogram.Histogram
 	ratio    *hdrhistogram.Histogram
 	refusal  *hdrhistogram.Histogram
 	ratioSum float64
@@ -57,14 +61,21 @@
 func newMeter() *meter {
 	return &meter{
 		latency: hdrhistogram.New(1, histogramMax, histogramSize),
+		keyed:   hdrhistogram.New(1, histogramMax, histogramSize),
+		plain:   hdrhistogram.New(1, histogramMax, histogramSize),
 		ratio:   hdrhistogram.New(1, histogramMax, histogramSize),
 		refusal: hdrhistogram.New(1, histogramMax, histogramSize),
 	}
 }
 
-func (m *meter) done(took, ideal time.Duration) {
+func (m *meter) done(took, ideal time.Duration, keyed bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	part := m.plain
+	if keyed {
+		part = m.keyed
+	}
+	_ = part.RecordValue(max(1, took.Microseconds())) // values over the maximum are left out
 	r := float64(took) / float64(max(ideal, time.Microsecond))
 	_ = m.latency.RecordValue(max(1, took.Microseconds())) // values over the maximum are left out
 	_ = m.ratio.RecordValue(int64(r * ratioScale))
@@ -81,12 +92,17 @@
 func (m *meter) fill(s *Summary) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	s.P50 = time.Duration(m.latency.ValueAtQuantile(50)) * time.Microsecond
-	s.P99 = time.Duration(m.latency.ValueAtQuantile(99)) * time.Microsecond
-	s.RefusalP99 = time.Duration(m.refusal.ValueAtQuantile(99)) * time.Microsecond
+	s.P50, s.P99 = quantile(m.latency, 50), quantile(m.latency, 99)
+	s.RefusalP99 = quantile(m.refusal, 99)
+	s.Keyed50, s.Keyed99 = quantile(m.keyed, 50), quantile(m.keyed, 99)
+	s.Plain50, s.Plain99 = quantile(m.plain, 50), quantile(m.plain, 99)
 	s.Ratio50 = float64(m.ratio.ValueAtQuantile(50)) / ratioScale
 	s.Ratio99 = float64(m.ratio.ValueAtQuantile(99)) / ratioScale
 	if m.n > 0 {
 		s.Mean = m.ratioSum / float64(m.n)
 	}
 }
+
+func quantile(h *hdrhistogram.Histogram, q float64) time.Duration {
+	return time.Duration(h.ValueAtQuantile(q)) * time.Microsecond
+}
--- a/src/placement_bench_test.go
+++ b/src/placement_bench_test.go
@@ -144,7 +144,7 @@
 	clockTicks = 100 // a second
 )
 
-// BenchmarkLedger compares requests with and without a key in one system: the same load, the same sizes.
+// BenchmarkLedger compares requests with and without a key, mixed in one load of one size; messages are counted apart.
 func BenchmarkLedger(b *testing.B) {
 	f := benchFleet(b, "shares", 0)
 	plan := drill.Plan{
@@ -161,14 +161,15 @@
 		sent := float64(messages(f.client, f.entries(), f.minions)-before) / float64(f.book.Total()-started)
 		return l.Verify(), sent
 	}
-	without, plainMessages := run(0, 4)
-	with, keyMessages := run(1, 5)
-	b.Logf("without %s\nwith    %s", without, with)
+	mixed, _ := run(0.5, 4)
+	without, plainMessages := run(0, 5)
+	with, keyMessages := run(1, 6)
+	b.Logf("mixed %s plain %s/%s keyed %s/%s", mixed, mixed.Plain50, mixed.Plain99, mixed.Keyed50, mixed.Keyed99)
 	b.ReportMetric(0, "ns/op")
-	b.ReportMetric(float64((with.P50-without.P50).Microseconds())/1000, "added-p50-ms")
-	b.ReportMetric(float64((with.P99-without.P99).Microseconds())/1000, "added-p99-ms")
+	b.ReportMetric(float64((mixed.Keyed50-mixed.Plain50).Microseconds())/1000, "added-p50-ms")
+	b.ReportMetric(float64((mixed.Keyed99-mixed.Plain99).Microseconds())/1000, "added-p99-ms")
 	b.ReportMetric(keyMessages-plainMessages, "added-msgs")
-	require.True(b, with.Held() && without.Held())
+	require.True(b, mixed.Held() && with.Held() && without.Held())
 }
 
 // ledgerWork takes 10 ms on the fastest target.
--- a/src/radio/link.go
+++ b/src/radio/link.go
@@ -54,6 +54,7 @@
 	stop := context.AfterFunc(ctx, func() { s.CancelRead(0); s.CancelWrite(0) })
 	defer stop()
 	r.sent.Add(1)
+	r.bytes.Add(uint64(headerSize + len(body)))
 	if err := writeFrame(s, byte(k), body); err != nil {
 		s.CancelWrite(0)
 		return conn, nil, Unsure.Wrap(err)
--- a/src/radio/radio.go
+++ b/src/radio/radio.go
@@ -76,6 +76,7 @@
 
 	sent     atomic.Uint64
 	received atomic.Uint64
+	bytes    atomic.Uint64
 }
 
 // Notices are told what is worth an event.
@@ -146,6 +147,9 @@
 	r.wg.Wait()
 }
 
+// Bytes returns the sizes of all messages sent, without what the transport adds.
+func (r *Radio) Bytes() uint64 { return r.bytes.Load() }
+
 // Messages returns how many messages were sent and received, answers included.
 func (r *Radio) Messages() (sent, received uint64) { return r.sent.Load(), r.received.Load() }
 
@@ -205,6 +209,7 @@
 	}
 	out, err := h(r.ctx, from, body)
 	r.sent.Add(1)
+	r.bytes.Add(uint64(headerSize + len(out)))
 	if err != nil {
 		_ = writeFrame(s, byte(statusRefused), []byte(err.Error()))
 		return
--- /dev/null
+++ b/src/spread_bench_test.go
@@ -0,0 +1,112 @@
+package sesamecleat
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"sesamecleat/src/chart"
+	"sesamecleat/src/helm"
+	"sesamecleat/src/radio"
+	"sesamecleat/src/tide"
+)
+
+const (
+	spreadEdits = 200
+	spreadRest  = 8 * time.Second
+	spreadReady = 60 * time.Second
+)
+
+// BenchmarkSpread runs many whole processes inside this one, and measures what they cost at rest and how long an edit
+// takes to be in force at all of them.
+func BenchmarkSpread(b *testing.B) {
+	for _, size := range []struct{ domains, perDomain int }{{3, 2}, {8, 3}, {24, 4}} {
+		b.Run(fmt.Sprint(size.domains*size.perDomain), func(b *testing.B) { benchSpread(b, size.domains, size.perDomain) })
+	}
+}
+
+func benchSpread(b *testing.B, domains, perDomain int) {
+	var names []string
+	for i := range domains {
+		names = append(names, fmt.Sprintf("domain-%02d", i))
+	}
+	settings, err := localSettings(b.TempDir(), names, perDomain, demoVoters)
+	require.NoError(b, err)
+	var all []*helm.Helm
+	for _, s := range settings {
+		if len(s.Roles) == 1 {
+			s.Data = ""
+		}
+		h, err := helm.New(s, helm.Options{Clock: tide.System{}, Log: io.Discard, Listen: radio.ListenUDP})
+		require.NoError(b, err)
+		require.NoError(b, h.Start())
+		b.Cleanup(h.Stop)
+		all = append(all, h)
+	}
+	edit(b, all[0], 0)
+	inForce(b, all, all[0].Tables.Revision())
+	time.Sleep(spreadRest) // the membership settles
+	reportRest(b, all)
+	var took []time.Duration
+	for i := range spreadEdits {
+		revision := edit(b, all[i%len(all)], i+1)
+		began := time.Now()
+		inForce(b, all, revision)
+		took = append(took, time.Since(began))
+	}
+	slices.Sort(took)
+	b.ReportMetric(0, "ns/op")
+	b.ReportMetric(float64(took[len(took)/2].Microseconds())/1000, "p50-ms")
+	b.ReportMetric(float64(took[len(took)*99/100].Microseconds())/1000, "p99-ms")
+}
+
+func edit(b *testing.B, h *helm.Helm, i int) uint64 {
+	pool := chart.NewPool("scratch")
+	pool.Queue = i + 1
+	limit := time.Now().Add(spreadReady)
+	for {
+		r, err := h.Editor.Edit(b.Context(), chart.Edit{ID: fmt.Sprint("spread-", i), At: time.Now(), Change: chart.PutPool{Pool: pool}})
+		if err == nil {
+			return r.Revision
+		}
+		require.True(b, time.Now().Before(limit), "%v", err)
+	}
+}
+
+func inForce(b *testing.B, all []*helm.Helm, revision uint64) {
+	limit := time.Now().Add(spreadReady)
+	for _, h := range all {
+		for h.Tables.Revision() < revision {
+			require.True(b, time.Now().Before(limit), "%s has revision %d of %d", h.Settings.Name, h.Tables.Revision(), revision)
+			time.Sleep(100 * time.Microsecond)
+		}
+	}
+}
+
+// reportRest measures processor time, messages and bytes for each process while nothing happens.
+func reportRest(b *testing.B, all []*helm.Helm) {
+	cpu, messages, bytes := spreadCosts(all)
+	time.Sleep(spreadRest)
+	cpu2, messages2, bytes2 := spreadCosts(all)
+	each := float64(len(all)) * spreadRest.Seconds()
+	b.ReportMetric(100*(cpu2-cpu).Seconds()/each, "core-percent")
+	b.ReportMetric(float64(messages2-messages)/each, "msgs/s")
+	b.ReportMetric(float64(bytes2-bytes)/each, "B/s")
+}
+
+func spreadCosts(all []*helm.Helm) (cpu time.Duration, messages, bytes uint64) {
+	var usage syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &usage) // cannot fail for this process
+	cpu = time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+	for _, h := range all {
+		sent, _ := h.Radio.Messages()
+		messages += sent
+		bytes += h.Radio.Bytes()
+	}
+	return cpu, messages, bytes
+}
--- a/src/tables.go
+++ b/src/tables.go
@@ -257,17 +257,25 @@
 	return ExitOK
 }
 
-func runStatus(c *command, args []string) int {
-	api := c.flags.String("api", defaultAPI, "address of a process")
+// reader reads the options of a command that takes no words, and returns what fetches from the process at api.
+func (c *command) reader(args []string, api *string) (t *tableCommand, code int, ok bool) {
 	words, code, ok := c.parse(args)
 	if !ok {
-		return code
+		return nil, code, false
 	}
 	addr, err := netip.ParseAddrPort(*api)
 	if err != nil || len(words) > 0 {
-		return c.usageError("-api ADDRESS is expected")
+		return nil, c.usageError("-api ADDRESS is expected"), false
+	}
+	return &tableCommand{command: c, o: &tableOptions{}, client: drill.NewClient(), api: addr}, ExitOK, true
+}
+
+func runStatus(c *command, args []string) int {
+	api := c.flags.String("api", defaultAPI, "address of a process")
+	t, code, ok := c.reader(args, api)
+	if !ok {
+		return code
 	}
-	t := &tableCommand{command: c, o: &tableOptions{}, client: drill.NewClient(), api: addr}
 	r, code := t.fetch("/v1/status")
 	if code == ExitOK {
 		fmt.Fprintf(c.stdout, "%s", r.Body)
