--- a/Makefile
+++ b/Makefile
@@ -26,6 +26,9 @@
 	go test ./src/roster -run '^$$' -fuzz FuzzDecodeBeat -fuzztime 30s
 	go test ./src/radio -run '^$$' -fuzz FuzzReadFrame -fuzztime 30s
 	go test ./src/gauge -run '^$$' -fuzz FuzzRestore -fuzztime 30s
+	go test ./src/ledger -run '^$$' -fuzz FuzzDecode -fuzztime 30s
+	go test ./src/chart -run '^$$' -fuzz FuzzDecodeEdit -fuzztime 30s
+	go test ./src/jetty -run '^$$' -fuzz FuzzParseTarget -fuzztime 30s
 	go test ./src/deck -run '^$$' -fuzz FuzzDecode -fuzztime 30s
 
 bench:
--- a/src/deck/targets.go
+++ b/src/deck/targets.go
@@ -136,10 +136,11 @@
 			Reason: "the target could not be connected: " + err.Error(),
 		}, berth.Unsent
 	}
-	return helm.Answer{
-		Outcome: helm.Failed, Code: helm.CodeTargetLost, Target: s.Target,
-		Reason: "the target did not answer: " + err.Error(),
-	}, berth.Lost
+	reason := "the target did not answer: " + err.Error()
+	if errors.Is(err, fasthttp.ErrTimeout) {
+		reason = "the target did not answer in time"
+	}
+	return helm.Answer{Outcome: helm.Failed, Code: helm.CodeTargetLost, Target: s.Target, Reason: reason}, berth.Lost
 }
 
 // readAnswer judges an answer; one that bears another task's id never reaches the caller.
--- a/src/ledger/ledger_test.go
+++ b/src/ledger/ledger_test.go
@@ -476,3 +476,31 @@
 	r.settle()
 	require.Equal(t, Run, r.last(r.submit(b, "k", 1)))
 }
+
+func TestBatchComesBackFromItsBytes(t *testing.T) {
+	want := Batch{
+		Shard: testShard, From: "a", Incarnation: 3, Epoch: 4, Stream: 5, Number: 6, First: true, Removes: []string{"gone"},
+		Puts: []Record{{
+			Key: "k", Digest: 7, Epoch: 4, Starter: chart.Copy{Name: "a", Incarnation: 3}, Finished: true,
+			Answer: []byte("x"), Expires: testStart.UTC(),
+		}},
+	}
+	b, err := EncodeBatch(want)
+	require.NoError(t, err)
+	got, err := DecodeBatch(b)
+	require.NoError(t, err)
+	require.Equal(t, want, got)
+}
+
+func FuzzDecode(f *testing.F) {
+	b, _ := EncodeBatch(Batch{Shard: testShard, Puts: []Record{{Key: "k"}}})
+	f.Add(b)
+	f.Fuzz(func(_ *testing.T, b []byte) {
+		if batch, err := DecodeBatch(b); err == nil {
+			l := NewLedger(Config{Self: "b", Incarnation: 1, Domain: testDomain, Retention: time.Minute, Records: 10})
+			l.Step(testStart, Received{Batch: batch})
+		}
+		_, _ = DecodeAck(b)
+		_, _ = DecodeLate(b)
+	})
+}
--- a/src/script_test.go
+++ b/src/script_test.go
@@ -70,6 +70,7 @@
 			"fail":    eachWord(func(f *fleet, w string) { f.minion(w).SetMode(hatchery.Failing) }),
 			"cancels": eachWord(func(f *fleet, w string) { f.cancelShare = float64(number(w)) / 100 }),
 			"stopped": cmdStopped,
+			"pad":     cmdPad,
 			"damage":  cmdDamage,
 			"votes":   cmdVotes,
 			"race":    cmdRace,
@@ -383,3 +384,9 @@
 		}
 	}
 }
+
+// cmdPad shortens what stand-ins put behind their answers: pad FILE.
+func cmdPad(ts *testscript.TestScript, _ bool, args []string) {
+	text := regexp.MustCompile(`x{100,}`).ReplaceAllString(ts.ReadFile(args[0]), "PAD")
+	ts.Check(os.WriteFile(ts.MkAbs(args[0]), []byte(text), 0o600))
+}
