--- a/src/berth/event.go
+++ b/src/berth/event.go
@@ -176,6 +176,8 @@
 	Expired
 	Ejected
 	Restored
+	// Departed means that a target that was leaving is gone.
+	Departed
 )
 
 func (Start) action()    {}
--- a/src/berth/judge.go
+++ b/src/berth/judge.go
@@ -160,9 +160,11 @@
 func (p *Planner) forget(now time.Time, t *target) {
 	p.leavePools(now, t)
 	delete(p.targets, t.Name)
-	if !t.Leaving {
-		p.out = append(p.out, Judged{Target: t.Name, Kind: Expired})
+	kind := Expired
+	if t.Leaving {
+		kind = Departed
 	}
+	p.out = append(p.out, Judged{Target: t.Name, Kind: kind})
 }
 
 func (p *Planner) setHosts(now time.Time, hosts []Host) {
--- a/src/berth/planner_test.go
+++ b/src/berth/planner_test.go
@@ -194,7 +194,9 @@
 		require.Equal(t, "two", starts(s.step(Submit{Task: s.task(id, 1)}))[0].Target)
 	}
 	s.pass(4 * time.Second)
-	require.Contains(t, s.step(Tick{}), Action(Judged{Target: "two", Kind: Expired}))
+	gone := s.step(Tick{})
+	require.Contains(t, gone, Action(Judged{Target: "two", Kind: Expired}))
+	require.Contains(t, gone, Action(Judged{Target: "one", Kind: Departed}))
 	f := finishOf(t, s.step(Submit{Task: s.task(3, 1)}), 3)
 	require.Equal(t, NoTarget, f.Reason)
 }
--- a/src/deck/announce.go
+++ b/src/deck/announce.go
@@ -13,6 +13,9 @@
 
 func (d *dispatch) announced(now time.Time, e announceEvent) {
 	for _, t := range e.targets {
+		if old, known := d.addrs[t.Name]; known && old != t.Addr {
+			d.clients.forget(old)
+		}
 		d.addrs[t.Name] = t.Addr
 		t.Slots = d.limitSlots(t)
 		d.step(now, berth.Announced{Target: t})
@@ -25,6 +28,12 @@
 	}
 }
 
+// forget closes what is open to a target that is gone.
+func (d *dispatch) forget(target string) {
+	d.clients.forget(d.addrs[target])
+	delete(d.addrs, target)
+}
+
 // limitSlots returns the slots to use of a target: those it announces, or fewer if a pool of its limits them.
 func (d *dispatch) limitSlots(t berth.Target) int {
 	n := t.Slots
@@ -120,8 +129,9 @@
 		d.h.Log.Write(logbook.TargetLeaving, target)
 	case berth.Expired:
 		d.h.Log.Write(logbook.TargetExpired, target)
-		d.clients.forget(d.addrs[j.Target])
-		delete(d.addrs, j.Target)
+		d.forget(j.Target)
+	case berth.Departed:
+		d.forget(j.Target)
 	case berth.Ejected:
 		d.h.Log.Write(logbook.TargetEjected, target)
 	case berth.Restored:
--- a/src/manifest/settings_test.go
+++ b/src/manifest/settings_test.go
@@ -1,7 +1,10 @@
 package manifest
 
 import (
+	"os"
 	"path/filepath"
+	"regexp"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -42,6 +45,23 @@
 	}
 }
 
+// TestEverySettingIsDocumented holds the operators' page to the keys that are read.
+func TestEverySettingIsDocumented(t *testing.T) {
+	page, err := os.ReadFile("../../docs/OPERATING.md")
+	require.NoError(t, err)
+	known := regexp.MustCompile(`known are ([a-z, ]+)`)
+	for text, prefix := range map[string]string{`{"?": 1}`: "`", `{"limits": {"?": 1}}`: "."} {
+		_, err := Parse("f", []byte(text))
+		found := known.FindStringSubmatch(err.Error())
+		require.NotNil(t, found)
+		for key := range strings.SplitSeq(found[1], ", ") {
+			if key != "limits" {
+				require.Contains(t, string(page), prefix+key+"`")
+			}
+		}
+	}
+}
+
 func FuzzParse(f *testing.F) {
 	for _, seed := range []string{``, `{}`, `{"name": 1}`, `{"limits": {"body": 1e9}}`, "{\"keys\": [\"\xff\"]}", `{"domains": [[]]}`} {
 		f.Add([]byte(seed))
