--- a/src/berth/place.go
+++ b/src/berth/place.go
@@ -7,7 +7,11 @@
 // place starts, hands on, queues or refuses a task.
 func (p *Planner) place(now time.Time, k *task) {
 	pool := p.pool(k.Pool)
-	if reason, retry := p.refusal(now, pool, k, 1); reason != NoReason {
+	reason, retry := p.refusal(now, pool, k, 1)
+	if reason == Overload && p.makeRoom(pool, k) {
+		reason = NoReason
+	}
+	if reason != NoReason {
 		if reason != NeverFits && (p.handOn(k, 0) || p.handToOwner(pool, k)) {
 			return
 		}
@@ -39,17 +43,17 @@
 	}
 	waiting := pool.queue.len()
 	wait := pool.wait(pool.queue.ahead(k.Team, k.Weight)+count-slots, slots)
-	if !k.Admitted && waiting+count > max(k.Queue, slots) && !p.makeRoom(now, pool, k) {
-		return Overload, wait
-	}
 	if now.Add(wait).After(k.Deadline) {
 		return TooLate, wait
 	}
+	if !k.Admitted && waiting+count > max(k.Queue, slots) {
+		return Overload, wait
+	}
 	return NoReason, 0
 }
 
 // makeRoom refuses the newest waiting task of a team that waits with more than its share, in favour of k's team.
-func (p *Planner) makeRoom(now time.Time, pool *pool, k *task) bool {
+func (p *Planner) makeRoom(pool *pool, k *task) bool {
 	other := pool.queue.over(k.Team, k.Weight)
 	if other == nil {
 		return false
--- a/src/berth/quota_test.go
+++ b/src/berth/quota_test.go
@@ -129,3 +129,21 @@
 	k.Admitted = true
 	require.Len(t, starts(s.step(Submit{Task: k})), 1, "a task of an admitted job is not refused")
 }
+
+// TestTaskThatWouldBeLateTakesNobodysPlace shows that a full queue makes room only for a task that is taken on.
+func TestTaskThatWouldBeLateTakesNobodysPlace(t *testing.T) {
+	s := newStage(t)
+	s.minion("one", 1)
+	for id := uint64(1); id <= 20; id++ {
+		k := s.task(id, 1)
+		k.Team, k.Queue, k.Deadline = "flood", 10, s.now.Add(time.Hour)
+		s.step(Submit{Task: k})
+	}
+	waiting := s.p.Waiting()
+	k := s.task(100, 1)
+	k.Team, k.Queue, k.Deadline = "padma", 10, s.now.Add(time.Millisecond)
+	out := s.step(Submit{Task: k})
+	require.Len(t, out, 1)
+	require.Equal(t, TooLate, finishOf(t, out, 100).Reason)
+	require.Equal(t, waiting, s.p.Waiting())
+}
--- a/src/deck/dispatch_test.go
+++ b/src/deck/dispatch_test.go
@@ -1,7 +1,9 @@
 package deck
 
 import (
+	"context"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -47,7 +49,17 @@
 			if tt.ran != nil {
 				last = *tt.ran
 			}
-			require.Equal(t, tt.want, conclude(berth.Task{}, tt.finish, last, tt.ran).Outcome)
+			require.Equal(t, tt.want, conclude(t.Context(), berth.Task{}, tt.finish, last, tt.ran).Outcome)
 		})
 	}
 }
+
+func TestWithdrawnTaskTellsWhy(t *testing.T) {
+	withdrawn := berth.Finish{Verdict: berth.Withdrawn}
+	late, end := context.WithDeadline(t.Context(), time.Unix(0, 0))
+	defer end()
+	cancelled, cancel := context.WithCancel(t.Context())
+	cancel()
+	require.Equal(t, helm.CodeDeadline, conclude(late, berth.Task{}, withdrawn, helm.Answer{}, nil).Code)
+	require.Equal(t, helm.CodeCancelled, conclude(cancelled, berth.Task{}, withdrawn, helm.Answer{}, nil).Code)
+}
--- a/src/deck/run.go
+++ b/src/deck/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/netip"
 	"strconv"
 	"time"
@@ -25,7 +26,7 @@
 		select {
 		case a := <-p.steps:
 			if f, ok := a.(berth.Finish); ok {
-				return conclude(t, f, last, ran)
+				return conclude(ctx, t, f, last, ran)
 			}
 			last = d.take(ctx, t, id, work, a)
 			if tried := last; tried.Outcome != "" && tried.Outcome != helm.NotRun {
@@ -129,7 +130,7 @@
 
 // conclude turns the end of a task into the caller's answer; ran is the last try that may have run, if there was one,
 // and keeps a refusal of a later try from being told as the whole truth.
-func conclude(t berth.Task, f berth.Finish, last helm.Answer, ran *helm.Answer) helm.Answer {
+func conclude(ctx context.Context, t berth.Task, f berth.Finish, last helm.Answer, ran *helm.Answer) helm.Answer {
 	last.Ideal = max(last.Ideal, f.Ideal)
 	tried := f.Verdict == berth.Succeeded || f.Verdict == berth.Failed || f.Verdict == berth.Lost
 	switch {
@@ -137,6 +138,8 @@
 		return last
 	case ran != nil:
 		return *ran
+	case f.Verdict == berth.Withdrawn && errors.Is(ctx.Err(), context.Canceled):
+		return helm.Answer{Outcome: helm.NotRun, Code: helm.CodeCancelled, Reason: "it was cancelled before it started"}
 	case f.Verdict == berth.Withdrawn:
 		return helm.Answer{Outcome: helm.NotRun, Code: helm.CodeDeadline, Reason: "the time was over before the task could start"}
 	default:
