--- a/src/ledger/ledger_test.go
+++ b/src/ledger/ledger_test.go
@@ -182,6 +182,13 @@
 	r.hosts[name] = h
 }
 
+// leave marks a host as being stopped; the others learn it with tellHosts.
+func (r *rig) leave(name string) {
+	h := r.hosts[name]
+	h.Leaving = true
+	r.hosts[name] = h
+}
+
 func (r *rig) primary() string { return r.views[testShard].Copies[0].Name }
 
 func (r *rig) backup() string {
@@ -396,9 +403,7 @@
 	r := newRig(t, "a", "b")
 	p, b := r.primary(), r.backup()
 	ticket := r.run("k")
-	h := r.hosts[p]
-	h.Leaving = true
-	r.hosts[p] = h
+	r.leave(p)
 	require.True(t, r.ledgers[p].Concerned())
 	r.tellHosts()
 	r.settle()
@@ -414,9 +419,7 @@
 	r := newRig(t, "a", "b")
 	p, b := r.primary(), r.backup()
 	r.run("k")
-	h := r.hosts[p]
-	h.Leaving = true
-	r.hosts[p] = h
+	r.leave(p)
 	r.tellHosts()
 	r.settle()
 	joined := r.submit(b, "k", 1)
