--- /dev/null
+++ b/src/charter/codec.go
@@ -0,0 +1,86 @@
+package charter
+
+import (
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/zeebo/errs"
+)
+
+// Error is the class of this package's errors.
+var Error = errs.Class("charter")
+
+type wireRoute struct {
+	_        struct{} `cbor:",toarray"`
+	Name     string
+	Host     string
+	Prefix   string
+	Pool     string
+	Timeout  int64
+	Target   int64
+	Stretch  float64
+	Priority int
+	Attempts int
+	Advised  bool
+}
+
+type wirePool struct {
+	_           struct{} `cbor:",toarray"`
+	Name        string
+	Guarded     bool
+	Connections int
+}
+
+type wireConfig struct {
+	_       struct{} `cbor:",toarray"`
+	Version uint64
+	Routes  []wireRoute
+	Pools   []wirePool
+	Header  int
+	Body    int
+	Idle    int64
+	Source  []byte
+}
+
+// Encode returns the bytes of a configuration.
+func Encode(c *Config) ([]byte, error) {
+	w := wireConfig{
+		Version: c.Version, Source: c.Source,
+		Header: c.Limits.Header, Body: c.Limits.Body, Idle: int64(c.Limits.Idle),
+	}
+	for _, r := range c.Routes {
+		w.Routes = append(w.Routes, wireRoute{
+			Name: r.Name, Host: r.Host, Prefix: r.Prefix, Pool: r.Pool, Timeout: int64(r.Timeout),
+			Target: int64(r.Target), Stretch: r.Stretch, Priority: r.Priority, Attempts: r.Attempts, Advised: r.Advised,
+		})
+	}
+	for _, p := range c.Pools {
+		w.Pools = append(w.Pools, wirePool{Name: p.Name, Guarded: p.Guarded, Connections: p.Connections})
+	}
+	b, err := cbor.Marshal(w)
+	return b, Error.Wrap(err)
+}
+
+// Decode returns the configuration that was encoded, ready for Match.
+func Decode(b []byte) (*Config, error) {
+	var w wireConfig
+	if err := cbor.Unmarshal(b, &w); err != nil {
+		return nil, Error.Wrap(err)
+	}
+	c := &Config{
+		Version: w.Version, Source: w.Source,
+		Limits: Limits{Header: w.Header, Body: w.Body, Idle: time.Duration(w.Idle)},
+	}
+	for _, r := range w.Routes {
+		c.Routes = append(c.Routes, Route{
+			Name: r.Name, Host: r.Host, Prefix: r.Prefix, Pool: r.Pool, Timeout: time.Duration(r.Timeout),
+			Target: time.Duration(r.Target), Stretch: r.Stretch, Priority: r.Priority, Attempts: r.Attempts,
+			Advised: r.Advised,
+		})
+	}
+	for _, p := range w.Pools {
+		c.Pools = append(c.Pools, Pool{Name: p.Name, Guarded: p.Guarded, Connections: p.Connections})
+	}
+	c.Index()
+	return c, nil
+}
--- /dev/null
+++ b/src/convoy/claim.go
@@ -0,0 +1,143 @@
+package convoy
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// claim takes the workers of a domain over; each is asked what runs there before it gets anything.
+func (p *Planner) claim(now time.Time, e Claimed) {
+	p.claims[e.Domain] = e.Token
+	p.gentle[e.Domain] = e.Gentle
+	for _, id := range slices.Sorted(maps.Keys(p.targets)) {
+		t := p.targets[id]
+		if t.Domain != e.Domain || (e.Gentle && p.workers[id] == nil) {
+			continue
+		}
+		if w, ok := p.workers[id]; ok {
+			p.renewToken(now, w, e.Token)
+			continue
+		}
+		p.adopt(now, t)
+	}
+}
+
+// renewToken begins anew with a worker under a higher token.
+func (p *Planner) renewToken(now time.Time, w *worker, token int64) {
+	w.token = token
+	w.yielding = false
+	if w.phase == phaseFenced {
+		w.phase = phaseNew
+		w.nextHold = now
+	}
+}
+
+// freed takes over a worker that the former planner has let go of.
+func (p *Planner) freed(now time.Time, id string) {
+	t, known := p.targets[id]
+	if _, claimed := p.claims[t.Domain]; !known || !claimed || p.workers[id] != nil {
+		return
+	}
+	p.adopt(now, t)
+}
+
+func (p *Planner) adopt(now time.Time, t Target) {
+	if t.Silent {
+		return
+	}
+	w := newWorker(t, p.claims[t.Domain])
+	p.workers[t.ID] = w
+	p.hold(now, w)
+}
+
+// yield stops giving new jobs to a domain's workers and lets go of each once nothing runs there.
+func (p *Planner) yield(now time.Time, domain string) {
+	delete(p.claims, domain)
+	for _, w := range p.sorted() {
+		if w.target.Domain == domain {
+			w.yielding = true
+		}
+	}
+	if len(p.claims) == 0 {
+		p.passOn(now)
+	}
+	for _, w := range p.sorted() {
+		p.release(now, w)
+	}
+}
+
+// passOn hands the jobs of which no task has started back to their entry hosts.
+func (p *Planner) passOn(now time.Time) {
+	for _, j := range append([]*job(nil), p.queue...) {
+		if !j.started {
+			p.end(now, j, Elsewhere, "the workers are handed over", 0)
+		}
+	}
+}
+
+// loseRuns ends the jobs that have a run on a worker whose fate cannot be learned.
+func (p *Planner) loseRuns(now time.Time, w *worker, reason string) {
+	for _, r := range sortedRuns(w) {
+		delete(w.runs, r.key)
+		w.used = w.used.minus(r.need)
+		t := r.task
+		if t == nil {
+			p.cleared(r.key)
+			continue
+		}
+		r.task = nil
+		t.run = nil
+		p.end(now, t.job, Lost, reason, 0)
+	}
+	for key := range w.strays {
+		delete(w.strays, key)
+		p.cleared(key)
+	}
+}
+
+// release lets go of a worker that is handed over, once no task needs it.
+func (p *Planner) release(now time.Time, w *worker) {
+	if !w.yielding || len(w.runs) > 0 || len(w.strays) > 0 {
+		return
+	}
+	for _, j := range p.queue {
+		if j.started && j.waiting > 0 && w.phase == phaseReady {
+			return
+		}
+	}
+	delete(p.workers, w.target.ID)
+	p.act(Release{Target: w.target, Domain: w.target.Domain})
+	p.act(Forget{ID: w.target.ID})
+}
+
+func (p *Planner) stop(now time.Time) {
+	p.stopping = true
+	for _, domain := range slices.Sorted(maps.Keys(p.claims)) {
+		p.yield(now, domain)
+	}
+	p.passOn(now)
+}
+
+// thaw asks every worker anew after this process stood still; leases may be gone, and tokens outdated.
+func (p *Planner) thaw(now time.Time) {
+	for _, w := range p.sorted() {
+		if w.phase == phaseReady {
+			w.phase = phaseNew
+		}
+	}
+}
+
+// outbid asks for a higher token when a worker of an own domain keeps refusing the one in use.
+func (p *Planner) outbid(now time.Time, w *worker) {
+	token, claimed := p.claims[w.target.Domain]
+	if w.phase != phaseFenced || !claimed || now.Sub(w.fencedAt) < outbidAfter {
+		return
+	}
+	w.fencedAt = now
+	if token > w.token {
+		p.renewToken(now, w, token)
+		return
+	}
+	p.act(Outbid{Domain: w.target.Domain})
+}
--- /dev/null
+++ b/src/convoy/judge.go
@@ -0,0 +1,79 @@
+package convoy
+
+import (
+	"fmt"
+	"time"
+)
+
+// refusal is why a job is not taken on.
+type refusal struct {
+	reason string
+	retry  time.Duration
+}
+
+// judge decides at once whether a job can be served before its caller stops waiting.
+func (p *Planner) judge(now time.Time, j *job) (refusal, bool) {
+	for _, s := range j.Steps {
+		if len(p.workers) > 0 && !p.everFits(j, s) {
+			return refusal{fmt.Sprintf("no worker of pool %s has the room or the label that a task needs", j.Pool), retryCeiling}, false
+		}
+	}
+	slots := p.Slots()
+	chain := p.kind(j.Route).usual(j.Chain())
+	if slots == 0 {
+		if len(p.workers) == 0 {
+			return refusal{"no worker is in reach", retryFloor}, false
+		}
+		return refusal{}, true
+	}
+	wait := p.backlog(now, j, slots)
+	if now.Add(wait + chain).After(j.Deadline) {
+		return refusal{fmt.Sprintf("%s of waiting and %s of work do not end before the deadline", wait, chain), clampRetry(wait)}, false
+	}
+	return refusal{}, true
+}
+
+// backlog estimates how long the work that goes before a job keeps all slots busy.
+func (p *Planner) backlog(now time.Time, j *job, slots int) time.Duration {
+	ahead := 0.0
+	for _, q := range p.queue {
+		if p.before(now, q, j) > 0 {
+			continue
+		}
+		for i, s := range q.Steps {
+			if q.due(i) {
+				ahead += float64(min(q.waiting, s.Count)) * float64(p.kind(q.Route).usual(s.Estimate))
+			}
+		}
+	}
+	return time.Duration(ahead / float64(slots))
+}
+
+func (p *Planner) everFits(j *job, s Step) bool {
+	for _, w := range p.workers {
+		if w.target.Pool == j.Pool && s.Need.Fits(w.target.Room) && w.labelled(s.Label) {
+			return true
+		}
+	}
+	return false
+}
+
+// expire gives up the jobs that can no longer end before their caller stops waiting; what has not started is refused.
+func (p *Planner) expire(now time.Time) {
+	for _, j := range p.jobList() {
+		if !j.started {
+			chain := p.kind(j.Route).usual(j.Chain())
+			if now.Add(chain).After(j.Deadline) {
+				p.note(NoteGivenUp, j.ID, "", "no room before its deadline")
+				p.end(now, j, Refused, "no room before its deadline", clampRetry(chain))
+			}
+			continue
+		}
+		if now.After(j.Deadline) {
+			p.note(NoteGivenUp, j.ID, "", "its deadline has passed")
+			p.end(now, j, Lost, "its deadline has passed", 0)
+		}
+	}
+}
+
+func clampRetry(d time.Duration) time.Duration { return min(retryCeiling, max(retryFloor, d)) }
--- /dev/null
+++ b/src/convoy/place.go
@@ -0,0 +1,100 @@
+package convoy
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+// place starts waiting tasks wherever there is room, in the order of the queue.
+func (p *Planner) place(now time.Time) {
+	if len(p.queue) == 0 {
+		return
+	}
+	p.sortQueue(now)
+	// smallest is the least room, in thousandths of a core, that was not found in this round.
+	smallest := int64(math.MaxInt64)
+	for _, j := range append([]*job(nil), p.queue...) {
+		if j.ended || p.leftover[j.ID] > 0 {
+			continue
+		}
+		p.placeJob(now, j, &smallest)
+	}
+	p.queue = slices.DeleteFunc(p.queue, func(j *job) bool { return j.ended || j.waiting == 0 })
+	p.offerElsewhere(now)
+}
+
+func (p *Planner) placeJob(now time.Time, j *job, smallest *int64) {
+	for i, s := range j.Steps {
+		if j.left[i] == 0 || !j.due(i) || s.Need.Milli >= *smallest {
+			continue
+		}
+		for _, t := range j.tasks[i] {
+			if t.done || t.run != nil {
+				continue
+			}
+			w := p.pick(now, j, s, t)
+			if w == nil {
+				*smallest = min(*smallest, s.Need.Milli)
+				break
+			}
+			p.begin(now, w, t, p.expect(now, w, j, s))
+		}
+	}
+}
+
+// expect returns how long a task should take on a worker.
+func (p *Planner) expect(now time.Time, w *worker, j *job, s Step) time.Duration {
+	return time.Duration(float64(p.kind(j.Route).usual(s.Estimate)) / w.pace(now))
+}
+
+// pick returns the fastest worker with room for a task; among those about as fast, the one that the task leaves fullest,
+// so that wide room stays for wide tasks.
+func (p *Planner) pick(now time.Time, j *job, s Step, t *task) *worker {
+	var best *worker
+	bestScore := math.Inf(-1)
+	for _, w := range p.workers {
+		if !p.suits(now, w, j, s, t) {
+			continue
+		}
+		score := math.Round(8 * math.Log(w.pace(now)))
+		if s.Rack != "" && !w.labelled(s.Rack) {
+			score -= 4
+		}
+		score -= 0.5 * float64(w.free().minus(s.Need).Milli) / float64(max(1, w.target.Room.Milli))
+		if score > bestScore || (score == bestScore && w.target.ID < best.target.ID) {
+			best, bestScore = w, score
+		}
+	}
+	return best
+}
+
+func (p *Planner) suits(now time.Time, w *worker, j *job, s Step, t *task) bool {
+	if w.target.Pool != j.Pool || !w.open(now) || !s.Need.Fits(w.free()) || !w.labelled(s.Label) {
+		return false
+	}
+	if w.yielding && !j.started {
+		return false
+	}
+	if w.failed >= shunAfter && len(w.runs) > 0 {
+		return false
+	}
+	if s.Spread > 0 && w.onStep(t) >= s.Spread {
+		return false
+	}
+	return !slices.Contains(t.avoid, w.target.ID) || len(t.avoid) >= len(p.workers)
+}
+
+// offerElsewhere hands jobs that wait back to their entry hosts while other planners have room for them.
+func (p *Planner) offerElsewhere(now time.Time) {
+	if p.elsewhere <= 0 {
+		return
+	}
+	for _, j := range append([]*job(nil), p.queue...) {
+		if j.started || now.Sub(j.Arrived) < handoverAfter || j.Tasks() > p.elsewhere {
+			continue
+		}
+		p.elsewhere -= j.Tasks()
+		p.end(now, j, Elsewhere, "another planner has room", 0)
+	}
+}
--- /dev/null
+++ b/src/convoy/run.go
@@ -0,0 +1,272 @@
+package convoy
+
+import (
+	"fmt"
+	"time"
+)
+
+// began orders the start of a task on a worker.
+func (p *Planner) begin(now time.Time, w *worker, t *task, expected time.Duration) {
+	step := t.job.Steps[t.step]
+	t.number++
+	r := &run{
+		key: RunKey{Task: t.ref().String(), Run: t.number}, task: t,
+		began: now, expected: expected, need: step.Need,
+	}
+	t.run = r
+	w.runs[r.key] = r
+	w.used = w.used.plus(step.Need)
+	t.job.started = true
+	t.job.waiting--
+	p.act(Start{Target: w.target, Token: w.token, Key: r.key, Spec: t.job.Spec, Lease: w.grant(now, p.tuning.MaxLease)})
+}
+
+func (p *Planner) started(now time.Time, e Started) {
+	w, ok := p.workers[e.ID]
+	if !ok {
+		return
+	}
+	r, ok := w.runs[e.Key]
+	if !ok || r.state != runStarting {
+		p.judgeWorker(now, w, e.Verdict)
+		return
+	}
+	switch e.Verdict {
+	case Accepted:
+		r.state = runWorking
+		r.began = now
+		if r.task == nil {
+			p.orderStop(now, w, r)
+		}
+		return
+	case Unanswered:
+		r.state = runDoubtful
+		r.began = now
+		return
+	case Outdated:
+		if r.task != nil {
+			r.task.number = r.task.number*2 + 1
+		}
+	case Invalid:
+		p.removeRun(now, w, r, false)
+		if r.task != nil {
+			p.end(now, r.task.job, Failed, "the worker cannot read the task", 0)
+		}
+		return
+	}
+	p.removeRun(now, w, r, true)
+	p.judgeWorker(now, w, e.Verdict)
+}
+
+// judgeWorker draws from a refused order what it says about the worker.
+func (p *Planner) judgeWorker(now time.Time, w *worker, v Verdict) {
+	switch v {
+	case Fenced:
+		p.fence(now, w)
+	case NoRoom, TooLate:
+		w.passUntil = now.Add(noRoomPause)
+	case Busy:
+		w.passUntil = now.Add(busyPause)
+	case Moved:
+		p.gone(now, w, "the address belongs to another worker")
+	case NotSent:
+		w.passUntil = now.Add(busyPause)
+	}
+}
+
+// removeRun takes out a run that is certain not to be at work, and puts its task back if it is still wanted.
+func (p *Planner) removeRun(now time.Time, w *worker, r *run, again bool) {
+	delete(w.runs, r.key)
+	w.used = w.used.minus(r.need)
+	t := r.task
+	if t == nil {
+		p.cleared(r.key)
+		return
+	}
+	t.run = nil
+	if again && !t.job.ended {
+		p.requeue(now, t)
+	}
+}
+
+// requeue lets a task wait for room again.
+func (p *Planner) requeue(_ time.Time, t *task) {
+	t.job.waiting++
+	for _, j := range p.queue {
+		if j == t.job {
+			return
+		}
+	}
+	p.enqueue(t.job)
+}
+
+// dead takes out a run that can no longer be at work though its end was not listed.
+func (p *Planner) dead(now time.Time, w *worker, r *run) {
+	if r.task != nil {
+		p.note(NoteRestarted, r.task.job.ID, w.target.ID, "the run ended with its worker or its lease")
+	}
+	p.removeRun(now, w, r, true)
+}
+
+// orderStop ends a run, and makes sure that it never begins if it has not.
+func (p *Planner) orderStop(now time.Time, w *worker, r *run) {
+	if r.state != runDoubtful {
+		r.state = runStopping
+	}
+	if now.Sub(r.stopped) < stopRetry {
+		return
+	}
+	r.stopped = now
+	p.act(Stop{Target: w.target, Token: w.token, Key: r.key})
+}
+
+func (p *Planner) retryStops(now time.Time, w *worker) {
+	for _, r := range sortedRuns(w) {
+		if !r.stopped.IsZero() && now.Sub(r.stopped) >= stopRetry {
+			p.orderStop(now, w, r)
+		}
+	}
+	for key, last := range w.strays {
+		if now.Sub(last) >= stopRetry && w.phase == phaseReady {
+			p.stray(now, w, key)
+		}
+	}
+}
+
+// stopped takes the answer to a stop: a run that was not there yet can never begin.
+func (p *Planner) stopped(now time.Time, e Stopped) {
+	w, ok := p.workers[e.ID]
+	if !ok {
+		return
+	}
+	r, ok := w.runs[e.Key]
+	if ok && e.Verdict == Accepted && r.state == runDoubtful && !r.listed {
+		p.removeRun(now, w, r, true)
+		return
+	}
+	if e.Verdict == Fenced || e.Verdict == Moved {
+		p.judgeWorker(now, w, e.Verdict)
+	}
+}
+
+// ended takes note of an end that a worker lists.
+func (p *Planner) ended(now time.Time, w *worker, end EndRow) {
+	r, known := w.runs[end.Key]
+	if !known {
+		if _, stray := w.strays[end.Key]; stray {
+			delete(w.strays, end.Key)
+			p.cleared(end.Key)
+		}
+		return
+	}
+	t := r.task
+	p.removeRun(now, w, r, false)
+	if now.Before(w.passUntil) && w.failed == 0 {
+		w.passUntil = now
+	}
+	if t == nil || t.job.ended {
+		return
+	}
+	switch end.How {
+	case EndedDone:
+		p.finished(now, w, t, r)
+	case EndedFailed:
+		p.taskFailed(now, w, t)
+	default:
+		p.requeue(now, t)
+	}
+}
+
+func (p *Planner) finished(now time.Time, w *worker, t *task, r *run) {
+	took := now.Sub(r.began) - overhead
+	step := t.job.Steps[t.step]
+	k := p.kind(t.job.Route)
+	usual := k.usual(step.Estimate)
+	w.learn(now, usual, took)
+	k.learn(step.Estimate, time.Duration(float64(took)*w.pace(now)))
+	w.failed, w.lastFailed = 0, ""
+	t.done = true
+	j := t.job
+	j.left[t.step]--
+	if j.left[t.step] > 0 {
+		return
+	}
+	for _, left := range j.left {
+		if left > 0 {
+			p.open(j)
+			return
+		}
+	}
+	p.end(now, j, Completed, "", 0)
+}
+
+// taskFailed counts a failure against the task, and against the worker if it fails one job after the other.
+func (p *Planner) taskFailed(now time.Time, w *worker, t *task) {
+	t.failed++
+	t.avoid = append(t.avoid, w.target.ID)
+	if w.lastFailed != t.job.ID {
+		w.failed++
+		w.lastFailed = t.job.ID
+	}
+	if w.failed >= shunAfter {
+		pause := min(shunLast, shunFirst<<min(w.failed-shunAfter, 8))
+		w.passUntil = now.Add(pause)
+		p.note(NoteWorkerSlow, t.job.ID, w.target.ID, fmt.Sprintf("%d failures in a row, passed over for %s", w.failed, pause))
+	}
+	if t.failed >= t.job.Attempts {
+		p.end(now, t.job, Failed, fmt.Sprintf("task %s failed %d times", t.ref(), t.failed), 0)
+		return
+	}
+	p.requeue(now, t)
+}
+
+// progress learns from how far a run has come, and moves it if it stands still or crawls while there is room elsewhere.
+func (p *Planner) progress(now time.Time, w *worker, r *run, percent float64) {
+	r.listed = true
+	if r.state == runStarting || r.state == runDoubtful {
+		r.state = runWorking
+		r.stopped = time.Time{}
+	}
+	if r.task == nil || r.task.job.ended {
+		p.orderStop(now, w, r)
+		return
+	}
+	if r.state != runWorking {
+		return
+	}
+	atWork := now.Sub(r.began)
+	if atWork < slowAfter || atWork < r.expected {
+		return
+	}
+	left := slowFactor * float64(r.expected)
+	if percent >= 1 {
+		left = float64(atWork) * (100 - percent) / percent
+	}
+	step := r.task.job.Steps[r.task.step]
+	fresh := p.kind(r.task.job.Route).usual(step.Estimate)
+	if left < slowFactor*float64(fresh) || !p.betterThan(now, w, step) {
+		return
+	}
+	p.note(NoteWorkerSlow, r.task.job.ID, w.target.ID,
+		fmt.Sprintf("%.0f%% after %s, %s expected; the task is moved", percent, atWork, r.expected))
+	w.learn(now, fresh, time.Duration(float64(atWork)+left))
+	p.orderStop(now, w, r)
+}
+
+// betterThan reports whether another worker with room is clearly faster.
+func (p *Planner) betterThan(now time.Time, slow *worker, s Step) bool {
+	for _, w := range p.workers {
+		if w != slow && w.open(now) && s.Need.Fits(w.free()) && w.pace(now) > 2*slow.pace(now)*0.9 {
+			return true
+		}
+	}
+	return false
+}
+
+// cleared counts down what an ended job or another planner left at work.
+func (p *Planner) cleared(key RunKey) {
+	id := jobOf(key)
+	if p.leftover[id]--; p.leftover[id] <= 0 {
+		delete(p.leftover, id)
+	}
+}
--- /dev/null
+++ b/src/flotilla/fleet.go
@@ -0,0 +1,261 @@
+package flotilla
+
+import (
+	"net/netip"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/zeebo/xxh3"
+)
+
+// Event is an input of a Fleet; it is one of Tick, Heard and Outbid.
+type Event interface{ event() }
+
+// Tick lets time pass.
+type Tick struct{}
+
+// Heard brings a beat.
+type Heard struct{ Beat Beat }
+
+// Outbid asks for a higher token for a domain that this process plans.
+type Outbid struct{ Domain string }
+
+func (Tick) event()   {}
+func (Heard) event()  {}
+func (Outbid) event() {}
+
+// Action is an output of a Fleet; it is one of the types below.
+type Action interface{ action() }
+
+// Send asks for a beat to an address.
+type Send struct{ To netip.AddrPort }
+
+// Joined tells of a peer that is heard for the first time, or again.
+type Joined struct{ Peer Peer }
+
+// Lost tells of a peer that is silent, or that has restarted since.
+type Lost struct {
+	Peer   Peer
+	Reason string
+}
+
+// Updated tells that a peer described itself anew.
+type Updated struct{ Peer Peer }
+
+// Claimed tells that this process plans a domain from now on; Gentle while a predecessor hands over.
+type Claimed struct {
+	Domain string
+	Token  int64
+	Gentle bool
+	From   string
+}
+
+// Yielded tells that another process plans a domain from now on.
+type Yielded struct {
+	Domain string
+	To     string
+}
+
+func (Send) action()    {}
+func (Joined) action()  {}
+func (Lost) action()    {}
+func (Updated) action() {}
+func (Claimed) action() {}
+func (Yielded) action() {}
+
+// claim is a domain that this process plans.
+type claim struct {
+	token int64
+	// from names the predecessor that still hands over, until the time given.
+	from  string
+	until time.Time
+}
+
+// Fleet decides who is there and who plans what; it belongs to one goroutine.
+type Fleet struct {
+	self     Member
+	domains  []string
+	contacts []netip.AddrPort
+	peers    map[string]*Peer
+	claims   map[string]*claim
+	// tokens holds the highest token ever heard of, by domain.
+	tokens map[string]int64
+	// vacant is since when a domain has had no planner.
+	vacant map[string]time.Time
+	begun  time.Time
+	turn   int
+	out    []Action
+}
+
+// NewFleet returns a fleet that knows nothing but itself and the addresses to contact first.
+func NewFleet(self Member, domains []string, contacts []netip.AddrPort, now time.Time) *Fleet {
+	return &Fleet{
+		self: self, domains: domains, contacts: contacts, begun: now,
+		peers: make(map[string]*Peer), claims: make(map[string]*claim),
+		tokens: make(map[string]int64), vacant: make(map[string]time.Time),
+	}
+}
+
+// Step takes one event and returns the actions it leads to.
+func (f *Fleet) Step(now time.Time, ev Event) []Action {
+	f.out = nil
+	switch e := ev.(type) {
+	case Tick:
+		f.age(now)
+		f.govern(now)
+		f.sendBeats(now)
+	case Heard:
+		f.learn(now, e.Beat)
+	case Outbid:
+		f.outbid(now, e.Domain)
+	}
+	return f.out
+}
+
+// SetContacts replaces the addresses to contact first.
+func (f *Fleet) SetContacts(contacts []netip.AddrPort) { f.contacts = contacts }
+
+// Describe changes what this process tells of itself; its claims are the fleet's own.
+func (f *Fleet) Describe(change func(m *Member)) {
+	claims := f.self.Claims
+	change(&f.self)
+	f.self.Claims = claims
+}
+
+// Self returns this process as it describes itself.
+func (f *Fleet) Self() Member { return f.self }
+
+// Peers returns every peer known, by name.
+func (f *Fleet) Peers() []Peer {
+	out := make([]Peer, 0, len(f.peers))
+	for _, p := range f.sorted() {
+		out = append(out, *p)
+	}
+	return out
+}
+
+// Peer returns what is known of a process.
+func (f *Fleet) Peer(name string) (Peer, bool) {
+	p, ok := f.peers[name]
+	if !ok {
+		return Peer{}, false
+	}
+	return *p, true
+}
+
+// Beat returns the beat to send; the contacts take turns.
+func (f *Fleet) Beat() Beat {
+	b := Beat{From: f.self}
+	alive := f.alive()
+	f.turn++
+	for i := range min(contactLimit, len(alive)) {
+		b.Contacts = append(b.Contacts, alive[(f.turn*contactLimit+i)%len(alive)].Member.Address)
+	}
+	return b
+}
+
+func (f *Fleet) act(a Action) { f.out = append(f.out, a) }
+
+func (f *Fleet) learn(now time.Time, b Beat) {
+	m := b.From
+	if m.Name == f.self.Name {
+		return
+	}
+	for _, a := range b.Contacts {
+		f.contact(a)
+	}
+	p, known := f.peers[m.Name]
+	if known && m.Incarnation < p.Member.Incarnation {
+		return
+	}
+	for _, c := range m.Claims {
+		f.tokens[c.Domain] = max(f.tokens[c.Domain], c.Token)
+	}
+	if known && p.Alive && m.Incarnation > p.Member.Incarnation {
+		p.Alive = false
+		f.act(Lost{Peer: *p, Reason: "restarted"})
+	}
+	if !known {
+		p = &Peer{}
+		f.peers[m.Name] = p
+	}
+	joined := !p.Alive
+	if joined {
+		p.Since = now
+	}
+	p.Member, p.Heard, p.Alive = m, now, true
+	if joined {
+		f.act(Joined{Peer: *p})
+		f.act(Send{To: m.Address})
+	}
+	f.act(Updated{Peer: *p})
+}
+
+// contact remembers an address to send beats to, until its process is known by name.
+func (f *Fleet) contact(a netip.AddrPort) {
+	if a == f.self.Address || slices.Contains(f.contacts, a) {
+		return
+	}
+	for _, p := range f.peers {
+		if p.Member.Address == a {
+			return
+		}
+	}
+	f.act(Send{To: a})
+}
+
+func (f *Fleet) age(now time.Time) {
+	for _, p := range f.sorted() {
+		silent := now.Sub(p.Heard)
+		if silent > forgetAfter {
+			delete(f.peers, p.Member.Name)
+		}
+		if p.Alive && silent > LostAfter {
+			p.Alive = false
+			f.act(Lost{Peer: *p, Reason: "silent"})
+		}
+	}
+}
+
+func (f *Fleet) sendBeats(now time.Time) {
+	sent := map[netip.AddrPort]bool{f.self.Address: true}
+	for _, p := range f.sorted() {
+		// A lost peer is tried at every fifth beat, in case only this direction is open again.
+		if !p.Alive && f.turn%5 != 0 {
+			continue
+		}
+		if !sent[p.Member.Address] {
+			sent[p.Member.Address] = true
+			f.act(Send{To: p.Member.Address})
+		}
+	}
+	for _, a := range f.contacts {
+		if !sent[a] {
+			sent[a] = true
+			f.act(Send{To: a})
+		}
+	}
+}
+
+func (f *Fleet) sorted() []*Peer {
+	out := make([]*Peer, 0, len(f.peers))
+	for _, p := range f.peers {
+		out = append(out, p)
+	}
+	slices.SortFunc(out, func(a, b *Peer) int { return strings.Compare(a.Member.Name, b.Member.Name) })
+	return out
+}
+
+func (f *Fleet) alive() []*Peer {
+	return slices.DeleteFunc(f.sorted(), func(p *Peer) bool { return !p.Alive })
+}
+
+// token returns a token higher than any heard of for the domain, which no other process makes.
+func (f *Fleet) token(now time.Time, domain string) int64 {
+	mark := int64(xxh3.HashString(f.self.Name) & (1<<tokenShift - 1))
+	least := f.tokens[domain]>>tokenShift + 1
+	token := max(now.UnixMilli(), least)<<tokenShift | mark
+	f.tokens[domain] = token
+	return token
+}
--- /dev/null
+++ b/src/flotilla/member.go
@@ -0,0 +1,74 @@
+package flotilla
+
+import (
+	"net/netip"
+	"time"
+)
+
+// Claim says that a process plans the workers of a domain; the claim with the highest token counts.
+type Claim struct {
+	Domain string
+	Token  int64
+}
+
+// Member is one process as it describes itself.
+type Member struct {
+	Name        string
+	Domain      string
+	Address     netip.AddrPort
+	Incarnation uint64
+	// Dispatcher processes take jobs in and may plan; Registry processes hold the configuration and the targets.
+	Dispatcher bool
+	Registry   bool
+	// Disk names the data folder of a registry host since it was made.
+	Disk string
+	// Leaving says that the process will end.
+	Leaving bool
+	// Config is the version of the configuration it holds; 0 means none.
+	Config uint64
+	// Targets counts the changes of its register of targets.
+	Targets uint64
+	Claims  []Claim
+	// Room is how many ordinary tasks could start at its workers at once, less those that wait.
+	Room int
+	// Waiting counts, by route, its jobs of which no task has started.
+	Waiting map[string]int
+}
+
+// Beat is what processes send each other.
+type Beat struct {
+	From Member
+	// Contacts are addresses of other processes.
+	Contacts []netip.AddrPort
+}
+
+// Peer is what this process knows of another one.
+type Peer struct {
+	Member Member
+	Heard  time.Time
+	// Since is when it was first heard after a silence.
+	Since time.Time
+	Alive bool
+}
+
+const (
+	// BeatInterval is the pause between beats; five fit into the silence after which a peer is taken for lost.
+	BeatInterval = 200 * time.Millisecond
+	// LostAfter is the silence after which a peer is taken for lost; below the longest lease of a worker, so that
+	// another host can plan as soon as the leases have run out.
+	LostAfter = 1000 * time.Millisecond
+	// forgetAfter is how long a lost peer is still sent beats.
+	forgetAfter = 60 * time.Second
+	// settleTime is how long a process listens before it claims a domain.
+	settleTime = 800 * time.Millisecond
+	// foreignAfter is how long a domain may be without an entry host before one of another domain plans there.
+	foreignAfter = 1500 * time.Millisecond
+	// returnAfter is how long an entry host must be heard before it takes its domain back from another one.
+	returnAfter = 1500 * time.Millisecond
+	// handoverLimit bounds how long a predecessor that leaves may hand workers over one by one.
+	handoverLimit = 5 * time.Second
+	// contactLimit bounds the addresses in one beat.
+	contactLimit = 24
+	// tokenShift leaves room for a mark of the process below the time in a token.
+	tokenShift = 12
+)
--- a/src/helm/disk.go
+++ b/src/helm/disk.go
@@ -5,6 +5,7 @@
 	"github.com/google/uuid"
 
 	"sesamecleat/src/archive"
+	"sesamecleat/src/manifest"
 )
 
 // DiskRecord is what a process keeps about itself in its data folder.
@@ -44,7 +45,7 @@
 func (h *Helm) openStore() error {
 	now := uint64(h.Clock.Now().UnixMilli())
 	h.Incarnation = now
-	if h.Settings.Data == "" {
+	if h.Settings.Data == "" || h.Settings.Has(manifest.Registry) {
 		return nil
 	}
 	store, err := archive.Open(h.Settings.Data)
--- a/src/helm/event.go
+++ b/src/helm/event.go
@@ -1,6 +1,7 @@
 package helm
 
 import (
+	"sesamecleat/src/manifest"
 	"sesamecleat/src/roster"
 )
 
@@ -28,3 +29,15 @@
 
 // HelmEvent marks an event.
 func (Leaving) HelmEvent() {}
+
+// StopNoticed tells that a planned stop is coming: work is still taken, and what others can take over is handed to them.
+type StopNoticed struct{}
+
+// Reloaded tells that the settings file has changed.
+type Reloaded struct{ Settings manifest.Settings }
+
+// HelmEvent marks an event.
+func (StopNoticed) HelmEvent() {}
+
+// HelmEvent marks an event.
+func (Reloaded) HelmEvent() {}
--- a/src/helm/helm.go
+++ b/src/helm/helm.go
@@ -62,6 +62,10 @@
 	Dispatcher Dispatcher
 	Submitter  Submitter
 	Recorder   Recorder
+	Fleet      Fleet
+	Jobs       Jobs
+	Registry   Registry
+	Workers    Workers
 
 	plugins []Plugin
 	queue   chan envelope
@@ -94,6 +98,9 @@
 		return nil, err
 	}
 	for _, r := range registry {
+		if !r.wanted(s) {
+			continue
+		}
 		h.plugins = append(h.plugins, r.factory(h))
 	}
 	return h, nil
@@ -144,13 +151,14 @@
 func (h *Helm) Drain() {
 	h.Log.Write(logbook.StopRequested)
 	h.leaving.Store(true)
+	h.Post(nil, StopNoticed{})
 	time.Sleep(h.Settings.Limits.Notice)
 	h.Post(nil, Leaving{})
 	began := time.Now()
 	limit := began.Add(h.Settings.Limits.Drain)
-	for h.busy() || (h.Submitter.Concerned() && time.Since(began) < handOverTime) {
+	for h.busy() || (h.concerned() && time.Since(began) < handOverTime) {
 		if time.Now().After(limit) {
-			h.Log.Write(logbook.StopCutOff, logbook.F("inflight", h.Submitter.Inflight()))
+			h.Log.Write(logbook.StopCutOff, logbook.F("inflight", h.inflight()))
 			return
 		}
 		time.Sleep(drainPoll)
@@ -158,7 +166,29 @@
 }
 
 // busy reports whether work is in flight here, taken from callers or from other hosts.
-func (h *Helm) busy() bool { return h.Submitter.Inflight() > 0 || h.Dispatcher.Guests() > 0 }
+func (h *Helm) busy() bool {
+	for _, p := range h.plugins {
+		if d, ok := p.(Drainer); ok && d.Busy() {
+			return true
+		}
+	}
+	return h.inflight() > 0 || (h.Dispatcher != nil && h.Dispatcher.Guests() > 0)
+}
+
+func (h *Helm) concerned() bool { return h.Submitter != nil && h.Submitter.Concerned() }
+
+func (h *Helm) inflight() int {
+	if h.Submitter == nil {
+		return 0
+	}
+	return h.Submitter.Inflight()
+}
+
+// Reload takes settings whose file has changed; only what plug-ins ask for anew takes effect.
+func (h *Helm) Reload(s manifest.Settings) {
+	h.Log.Write(logbook.SettingsReloaded, logbook.F("seeds", len(s.Seeds)))
+	h.Post(nil, Reloaded{Settings: s})
+}
 
 const (
 	refusedInterval = 10 * time.Second
--- a/src/helm/services.go
+++ b/src/helm/services.go
@@ -2,10 +2,14 @@
 
 import (
 	"context"
+	"net/netip"
 	"time"
 
 	"sesamecleat/src/berth"
 	"sesamecleat/src/chart"
+	"sesamecleat/src/charter"
+	"sesamecleat/src/convoy"
+	"sesamecleat/src/flotilla"
 	"sesamecleat/src/gauge"
 	"sesamecleat/src/roster"
 )
@@ -87,6 +91,64 @@
 	Budgets(ctx context.Context) ([]gauge.Budget, []string)
 }
 
+// Fleet is what plug-ins use of the processes known; its methods run on the control goroutine.
+type Fleet interface {
+	Peers() []flotilla.Peer
+	Peer(name string) (flotilla.Peer, bool)
+	Self() flotilla.Member
+	Planners() []flotilla.Member
+	// Describe changes what this process tells the others of itself, and tells them at once.
+	Describe(change func(m *flotilla.Member))
+	// Outbid asks for a higher token for a domain that this process plans.
+	Outbid(domain string)
+}
+
+// Jobs takes callers' jobs; it is safe for concurrent use.
+type Jobs interface {
+	// Config returns the configuration in force here, or nil before the first.
+	Config() *charter.Config
+	// Submit runs a job and returns what became of it; it gives the job up when ctx ends.
+	Submit(ctx context.Context, j convoy.Job) JobAnswer
+	// Waiting returns how many jobs of a route wait for room in the whole system, as far as is known here.
+	Waiting(route string) int
+	// Admitting reports whether new jobs are taken.
+	Admitting() bool
+	// Ready reports whether this process should get callers.
+	Ready() bool
+}
+
+// JobAnswer is what became of a job.
+type JobAnswer struct {
+	Outcome convoy.Outcome
+	Reason  string
+	// Retry is when room is expected; it counts with Refused.
+	Retry time.Duration
+}
+
+// Registry keeps the configuration and the targets; it is safe for concurrent use.
+type Registry interface {
+	// Put stores a configuration unless a version as high is stored; the error says that its fate is not known.
+	Put(ctx context.Context, c *charter.Config) error
+	// Newest returns the newest configuration stored at the time of the call, or nil if there is none.
+	Newest(ctx context.Context) (*charter.Config, error)
+	// Announce takes a target's announcement and returns where later ones should go, if not here.
+	Announce(t convoy.Target) netip.AddrPort
+	// Depart takes a target's farewell.
+	Depart(id string)
+}
+
+// Workers gives orders to workers; it is safe for concurrent use.
+type Workers interface {
+	// Hold asks for a worker's lists, and renews its lease.
+	Hold(o convoy.Hold) (convoy.Report, convoy.Verdict)
+	// Start asks a worker to run a task.
+	Start(o convoy.Start) convoy.Verdict
+	// Stop asks a worker to end a run.
+	Stop(o convoy.Stop) convoy.Verdict
+	// Forget closes the connections to a worker.
+	Forget(id string)
+}
+
 // Outcome is what became of a request, as its caller is told.
 type Outcome string
 
--- a/src/logbook/event.go
+++ b/src/logbook/event.go
@@ -32,13 +32,14 @@
 
 // The events of the kernel and its processes.
 var (
-	ProcessStarted  = Event{100, Info, "process started", "none"}
-	ProcessReady    = Event{101, Info, "process is ready for traffic", "none"}
-	StopRequested   = Event{102, Info, "graceful shutdown requested", "none"}
-	StopFinished    = Event{103, Info, "graceful shutdown finished", "none"}
-	StopCutOff      = Event{104, Warn, "graceful shutdown ran out of time with requests in flight", "raise limits.drain"}
-	SettingsRefused = Event{105, Error, "settings refused", "mend the findings"}
-	HandlerPanicked = Event{106, Error, "a handler panicked; its request was failed", "report the stack trace"}
+	ProcessStarted   = Event{100, Info, "process started", "none"}
+	ProcessReady     = Event{101, Info, "process is ready for traffic", "none"}
+	StopRequested    = Event{102, Info, "graceful shutdown requested", "none"}
+	StopFinished     = Event{103, Info, "graceful shutdown finished", "none"}
+	StopCutOff       = Event{104, Warn, "graceful shutdown ran out of time with requests in flight", "raise limits.drain"}
+	SettingsRefused  = Event{105, Error, "settings refused", "mend the findings"}
+	HandlerPanicked  = Event{106, Error, "a handler panicked; its request was failed", "report the stack trace"}
+	SettingsReloaded = Event{107, Info, "settings file read again", "none"}
 
 	MemberJoined    = Event{200, Info, "member joined", "none"}
 	MemberSuspected = Event{201, Warn, "member suspected", "look at the host and the network if it lasts"}
@@ -68,15 +69,48 @@
 	LedgerReset    = Event{501, Warn, "ledger lost every copy; unseen keys answer unknown for the retention", "look for what took down every copy"}
 	CopyCaughtUp   = Event{502, Info, "ledger copy caught up", "none"}
 	LedgerPressure = Event{503, Warn, "ledger is full; new keyed work is refused", "raise limits.records or add hosts"}
+
+	PeerHeard      = Event{600, Info, "process heard", "none"}
+	PeerLost       = Event{601, Warn, "process lost", "look at the host and the network if it lasts"}
+	DomainClaimed  = Event{602, Info, "this process plans the domain's workers", "none"}
+	DomainYielded  = Event{603, Info, "another process plans the domain's workers", "none"}
+	ConfigInForce  = Event{604, Info, "configuration in force", "none"}
+	ConfigStored   = Event{605, Info, "configuration stored", "none"}
+	VotersChanged  = Event{606, Info, "membership of the registry hosts changes", "none"}
+	ClockJumped    = Event{607, Warn, "this process stood still, or the time of day jumped", "look at the host"}
+	TargetListed   = Event{608, Info, "target announced itself, or changed", "none"}
+	TargetDeparted = Event{609, Info, "target left", "none"}
+	TargetSilent   = Event{610, Warn, "target stopped announcing itself", "look at the target"}
+
+	ConfigRefused = Event{611, Warn, "configuration refused as invalid", "mend the configuration"}
+	ConfigUnsure  = Event{612, Warn, "configuration not confirmed; it may or may not be stored", "send it again"}
+	ListenerEnded = Event{613, Error, "a listener ended", "restart the process"}
+
+	JobTaken      = Event{700, Info, "job taken in", "none"}
+	JobQueued     = Event{701, Info, "job waits for room", "none"}
+	TaskPlaced    = Event{702, Info, "task placed", "none"}
+	TaskRestarted = Event{703, Warn, "task starts again, as its run is over without an end", "look at the worker"}
+	JobGivenUp    = Event{704, Warn, "job given up", "see the reason"}
+	JobAnswered   = Event{705, Info, "job answered", "none"}
+	JobRefused    = Event{706, Warn, "job refused; nothing of it ran", "see the reason"}
+	JobMoved      = Event{707, Info, "job offered to another planner", "none"}
+	WorkerReady   = Event{708, Info, "worker answers and is used", "none"}
+	WorkerSlow    = Event{709, Warn, "worker is slow or fails what it starts", "look at the worker"}
+	WorkerLost    = Event{710, Warn, "worker does not answer", "look at the worker and the network"}
+	WorkerFenced  = Event{711, Warn, "worker follows another planner", "none if the domain changed hands"}
 )
 
 // Catalogue returns every event in the order of its number.
 func Catalogue() []Event {
 	return []Event{
-		ProcessStarted, ProcessReady, StopRequested, StopFinished, StopCutOff, SettingsRefused, HandlerPanicked,
+		ProcessStarted, ProcessReady, StopRequested, StopFinished, StopCutOff, SettingsRefused, HandlerPanicked, SettingsReloaded,
 		MemberJoined, MemberSuspected, MemberDied, MemberReturned, MemberRestarted, PeerReplaced, PeerRefused,
 		TargetAnnounced, TargetLeaving, TargetExpired, TargetEjected, TargetRestored, AnswerCrossed,
 		LeaderElected, LeaderLost, EditAccepted, TablesStale, TablesCurrent, DiskFailed, DiskDamaged, SnapshotLoaded,
 		ViewChanged, LedgerReset, CopyCaughtUp, LedgerPressure,
+		PeerHeard, PeerLost, DomainClaimed, DomainYielded, ConfigInForce, ConfigStored, VotersChanged, ClockJumped,
+		TargetListed, TargetDeparted, TargetSilent, ConfigRefused, ConfigUnsure, ListenerEnded,
+		JobTaken, JobQueued, TaskPlaced, TaskRestarted, JobGivenUp, JobAnswered, JobRefused, JobMoved,
+		WorkerReady, WorkerSlow, WorkerLost, WorkerFenced,
 	}
 }
--- a/src/main.go
+++ b/src/main.go
@@ -7,8 +7,10 @@
 	"sesamecleat/src/manifest"
 
 	// The plug-ins register themselves with the kernel.
+	_ "sesamecleat/platform"
 	_ "sesamecleat/src/deck"
 	_ "sesamecleat/src/jetty"
+	_ "sesamecleat/src/wharf"
 )
 
 // Main runs one command and returns the exit code.
--- a/src/manifest/settings.go
+++ b/src/manifest/settings.go
@@ -21,6 +21,10 @@
 	Entry Role = "entry"
 	// State votes on the tables; it needs a data folder.
 	State Role = "state"
+	// Dispatch takes callers' jobs in and may plan the workers of a failure domain.
+	Dispatch Role = "dispatch"
+	// Registry keeps the operator's configuration and the register of targets; it needs a data folder.
+	Registry Role = "registry"
 )
 
 // Placing is how an entry host chooses targets.
@@ -49,6 +53,22 @@
 	Weight    int
 	Placing   Placing
 	Limits    Limits
+	// Ready is where a dispatch process tells the balancer whether it should get callers.
+	Ready netip.AddrPort
+	// Control is where a registry process serves targets and operators.
+	Control netip.AddrPort
+	// Seeds are the control addresses of registry processes to contact first; they use the same port for peers.
+	Seeds []netip.AddrPort
+	// Founding says that the whole system starts for the first time, with empty data folders.
+	Founding bool
+	// Survive is how many registry hosts may be lost at once.
+	Survive int
+	// Lease is the longest lease that a worker grants.
+	Lease time.Duration
+	// Beat is the pause between a target's announcements.
+	Beat time.Duration
+	// Metrics is where metrics are served, unless callers' address does.
+	Metrics netip.AddrPort
 }
 
 // Limits bounds what one process takes on.
@@ -81,6 +101,9 @@
 	DefaultNotice      = time.Second
 	DefaultDrain       = 30 * time.Second
 	DefaultExpiry      = 6 * time.Second
+	DefaultLease       = time.Second
+	DefaultBeat        = 2 * time.Second
+	maxSurvive         = 3
 	MaxWeight          = 1000
 	keyLimit           = 256 // bytes
 	pathLimit          = 4096
@@ -93,6 +116,9 @@
 		Weight:  1,
 		Placing: Shares,
 		Roles:   []Role{Entry},
+		Survive: 1,
+		Lease:   DefaultLease,
+		Beat:    DefaultBeat,
 		Limits: Limits{
 			Body: DefaultBody, Connections: DefaultConnections, Inflight: DefaultInflight,
 			Records: DefaultRecords, Retention: DefaultRetention, Notice: DefaultNotice,
@@ -122,7 +148,12 @@
 	if !ok {
 		return s, report.Err()
 	}
-	r.Object(root, fields(r, &s), "name", "domain", "domains", "callers", "peers", "voters", "keys")
+	required := []string{"name", "domain", "domains", "peers", "keys"}
+	if !namesRole(root, Dispatch, Registry) {
+		required = append(required, "callers", "voters")
+	}
+	slices.Sort(required)
+	r.Object(root, fields(r, &s), required...)
 	if report.Err() == nil {
 		relations(r, root, &s)
 	}
@@ -132,6 +163,22 @@
 	return s, report.Err()
 }
 
+// namesRole reports whether the settings name one of the roles, before they are read.
+func namesRole(root *hujson.Value, roles ...Role) bool {
+	v := root.Find("/roles")
+	if v == nil {
+		return false
+	}
+	list, ok := v.Value.(*hujson.Array)
+	if !ok {
+		return false
+	}
+	return slices.ContainsFunc(list.Elements, func(e hujson.Value) bool {
+		lit, ok := e.Value.(hujson.Literal)
+		return ok && slices.Contains(roles, Role(lit.String()))
+	})
+}
+
 func fields(r *survey.Reader, s *Settings) survey.Fields {
 	return survey.Fields{
 		"name":      name(r, &s.Name),
@@ -152,6 +199,18 @@
 		"weight":  r.Int(&s.Weight, 1, MaxWeight),
 		"placing": placing(r, &s.Placing),
 		"limits":  func(v *hujson.Value) { r.Object(v, limitFields(r, &s.Limits)) },
+		"ready":   r.AddrPort(&s.Ready),
+		"control": r.AddrPort(&s.Control),
+		"metrics": r.AddrPort(&s.Metrics),
+		"seeds": r.Each(func(v *hujson.Value) {
+			var a netip.AddrPort
+			r.AddrPort(&a)(v)
+			s.Seeds = append(s.Seeds, a)
+		}),
+		"founding": r.Bool(&s.Founding),
+		"survive":  r.Int(&s.Survive, 0, maxSurvive),
+		"lease":    r.Duration(&s.Lease, 100*time.Millisecond, time.Minute),
+		"beat":     r.Duration(&s.Beat, 100*time.Millisecond, time.Minute),
 	}
 }
 
@@ -196,11 +255,12 @@
 	return r.Each(func(v *hujson.Value) {
 		var s string
 		r.String(&s, chart.NameLimit)(v)
-		if s != string(Entry) && s != string(State) {
-			r.Addf(v, "role %q is unknown; known are entry, state", s)
+		role := Role(s)
+		if !slices.Contains([]Role{Entry, State, Dispatch, Registry}, role) {
+			r.Addf(v, "role %q is unknown; known are entry, state, dispatch, registry", s)
 			return
 		}
-		*dst = append(*dst, Role(s))
+		*dst = append(*dst, role)
 	})
 }
 
@@ -236,6 +296,13 @@
 	if len(s.Keys) == 0 {
 		r.Addf(root, "keys is empty; processes prove themselves to each other with a common key")
 	}
+	if len(s.Roles) == 0 {
+		s.Roles = []Role{Entry}
+	}
+	if s.Has(Dispatch) || s.Has(Registry) {
+		jobRelations(r, root, s)
+		return
+	}
 	if len(s.Voters)%2 == 0 {
 		r.Addf(root, "voters names %d hosts; an odd number is expected", len(s.Voters))
 	}
@@ -245,7 +312,26 @@
 	if s.Has(State) != slices.Contains(s.Voters, s.Name) {
 		r.Addf(root, "role state and voters disagree about %q", s.Name)
 	}
-	if len(s.Roles) == 0 {
-		s.Roles = []Role{Entry}
+}
+
+// jobRelations checks what the roles dispatch and registry need of each other's settings.
+func jobRelations(r *survey.Reader, root *hujson.Value, s *Settings) {
+	if s.Has(Entry) || s.Has(State) {
+		r.Addf(root, "roles dispatch and registry do not go with entry and state in one process")
+	}
+	if s.Has(Dispatch) && !s.Callers.IsValid() {
+		r.Addf(root, "role dispatch needs an address for callers: key \"callers\" is missing")
+	}
+	if s.Has(Dispatch) && !s.Ready.IsValid() {
+		r.Addf(root, "role dispatch needs an address for the balancer: key \"ready\" is missing")
+	}
+	if s.Has(Registry) && !s.Control.IsValid() {
+		r.Addf(root, "role registry needs an address for targets and operators: key \"control\" is missing")
+	}
+	if s.Has(Registry) && s.Data == "" {
+		r.Addf(root, "role registry needs a data folder: key \"data\" is missing")
+	}
+	if len(s.Seeds) == 0 {
+		r.Addf(root, "seeds is empty; a process finds the others through registry hosts")
 	}
 }
--- a/src/pilot/node.go
+++ b/src/pilot/node.go
@@ -272,3 +272,6 @@
 	}
 	return 0
 }
+
+// Applied returns the last index handed to the state machine.
+func (n *Node) Applied() uint64 { return n.applied }
--- a/src/serve.go
+++ b/src/serve.go
@@ -16,7 +16,7 @@
 )
 
 func runServe(c *command, args []string) int {
-	file := c.flags.String("settings", "", "settings file of this process")
+	file := c.flags.String("settings", os.Getenv(settingsVariable), "settings file of this process")
 	profile := c.flags.String("profile", "", "file for a processor profile of the whole run")
 	words, code, ok := c.parse(args)
 	if !ok {
@@ -42,14 +42,37 @@
 		return ExitFault
 	}
 	defer endProfile()
-	stop := make(chan os.Signal, 1)
-	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
-	<-stop
+	awaitStop(c, h, *file)
 	h.Drain()
 	h.Stop()
 	return ExitOK
 }
 
+// settingsVariable names the settings file where the command line does not.
+const settingsVariable = "SESAMECLEAT_SETTINGS"
+
+// awaitStop returns when a planned stop is asked for; SIGHUP reads the settings file again.
+func awaitStop(c *command, h *helm.Helm, file string) {
+	stop := make(chan os.Signal, 1)
+	reload := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(reload, syscall.SIGHUP)
+	for {
+		select {
+		case <-stop:
+			return
+		case <-reload:
+			s, err := manifest.Load(file)
+			if err != nil {
+				fmt.Fprintln(c.stderr, plain(err))
+				h.Log.Write(logbook.SettingsRefused, logbook.F("file", file))
+				continue
+			}
+			h.Reload(s)
+		}
+	}
+}
+
 // startProfile writes a processor profile to a file, if one is named, until the function returned is called.
 func startProfile(file string) (func(), error) {
 	if file == "" {
--- /dev/null
+++ b/src/wharf/codec.go
@@ -0,0 +1,199 @@
+package wharf
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"sesamecleat/src/convoy"
+)
+
+type wireNeed struct {
+	_            struct{} `cbor:",toarray"`
+	Milli        int64
+	Memory       int64
+	Accelerators int64
+}
+
+type wireTarget struct {
+	_        struct{} `cbor:",toarray"`
+	ID       string
+	Pool     string
+	Domain   string
+	Address  string
+	Born     int64
+	Sequence int64
+	Room     wireNeed
+	Labels   []string
+	Leaving  bool
+	Silent   bool
+	Left     bool
+}
+
+type wireTargets struct {
+	_       struct{} `cbor:",toarray"`
+	Mark    uint64
+	Targets []wireTarget
+}
+
+type wireStep struct {
+	_        struct{} `cbor:",toarray"`
+	Count    int
+	Need     wireNeed
+	Estimate int64
+	After    []int
+	Label    string
+	Rack     string
+	Spread   int
+}
+
+// wireJob carries times as spans, as the clocks of two hosts may differ.
+type wireJob struct {
+	_        struct{} `cbor:",toarray"`
+	ID       string
+	Route    string
+	Pool     string
+	Host     string
+	Spec     string
+	Steps    []wireStep
+	Priority int
+	Attempts int
+	Stretch  float64
+	Target   int64
+	Age      int64
+	Left     int64
+	Version  uint64
+}
+
+type wireAnswer struct {
+	_       struct{} `cbor:",toarray"`
+	Outcome uint8
+	Reason  string
+	Retry   int64
+}
+
+type wireDrop struct {
+	_      struct{} `cbor:",toarray"`
+	ID     string
+	Host   string
+	Reason string
+}
+
+// offer is a job on its way to a planner, with the version of the configuration it was taken in under.
+type offer struct {
+	job     convoy.Job
+	version uint64
+}
+
+// answer is what a planner made of a job.
+type answer struct {
+	outcome convoy.Outcome
+	reason  string
+	retry   time.Duration
+}
+
+func toWireNeed(n convoy.Need) wireNeed {
+	return wireNeed{Milli: n.Milli, Memory: n.Memory, Accelerators: n.Accelerators}
+}
+
+func fromWireNeed(w wireNeed) convoy.Need {
+	return convoy.Need{Milli: w.Milli, Memory: w.Memory, Accelerators: w.Accelerators}
+}
+
+func encodeTargets(mark uint64, entries []entry) ([]byte, error) {
+	w := wireTargets{Mark: mark}
+	for _, e := range entries {
+		t := e.target
+		w.Targets = append(w.Targets, wireTarget{
+			ID: t.ID, Pool: t.Pool, Domain: t.Domain, Address: t.Address.String(), Born: t.Born, Sequence: t.Sequence,
+			Room: toWireNeed(t.Room), Labels: t.Labels, Leaving: t.Leaving, Silent: t.Silent, Left: e.left,
+		})
+	}
+	b, err := cbor.Marshal(w)
+	return b, Error.Wrap(err)
+}
+
+func decodeTargets(b []byte) (uint64, []entry, error) {
+	var w wireTargets
+	if err := cbor.Unmarshal(b, &w); err != nil {
+		return 0, nil, Error.Wrap(err)
+	}
+	var out []entry
+	for _, t := range w.Targets {
+		address, err := netip.ParseAddrPort(t.Address)
+		if err != nil {
+			return 0, nil, Error.Wrap(err)
+		}
+		out = append(out, entry{left: t.Left, target: convoy.Target{
+			ID: t.ID, Pool: t.Pool, Domain: t.Domain, Address: address, Born: t.Born, Sequence: t.Sequence,
+			Room: fromWireNeed(t.Room), Labels: t.Labels, Leaving: t.Leaving, Silent: t.Silent,
+		}})
+	}
+	return w.Mark, out, nil
+}
+
+func encodeOffer(now time.Time, o offer) ([]byte, error) {
+	j := o.job
+	w := wireJob{
+		ID: j.ID, Route: j.Route, Pool: j.Pool, Host: j.Host, Spec: j.Spec, Priority: j.Priority, Attempts: j.Attempts,
+		Stretch: j.Stretch, Target: int64(j.Target), Age: int64(now.Sub(j.Arrived)), Left: int64(j.Deadline.Sub(now)),
+		Version: o.version,
+	}
+	for _, s := range j.Steps {
+		w.Steps = append(w.Steps, wireStep{
+			Count: s.Count, Need: toWireNeed(s.Need), Estimate: int64(s.Estimate), After: s.After, Label: s.Label,
+			Rack: s.Rack, Spread: s.Spread,
+		})
+	}
+	b, err := cbor.Marshal(w)
+	return b, Error.Wrap(err)
+}
+
+func decodeOffer(now time.Time, b []byte) (offer, error) {
+	var w wireJob
+	if err := cbor.Unmarshal(b, &w); err != nil {
+		return offer{}, Error.Wrap(err)
+	}
+	j := convoy.Job{
+		ID: w.ID, Route: w.Route, Pool: w.Pool, Host: w.Host, Spec: w.Spec, Priority: w.Priority, Attempts: w.Attempts,
+		Stretch: w.Stretch, Target: time.Duration(w.Target),
+		Arrived: now.Add(-time.Duration(w.Age)), Deadline: now.Add(time.Duration(w.Left)),
+	}
+	for _, s := range w.Steps {
+		j.Steps = append(j.Steps, convoy.Step{
+			Count: s.Count, Need: fromWireNeed(s.Need), Estimate: time.Duration(s.Estimate), After: s.After,
+			Label: s.Label, Rack: s.Rack, Spread: s.Spread,
+		})
+	}
+	return offer{job: j, version: w.Version}, nil
+}
+
+func encodeAnswer(a answer) ([]byte, error) {
+	b, err := cbor.Marshal(wireAnswer{Outcome: uint8(a.outcome), Reason: a.reason, Retry: int64(a.retry)})
+	return b, Error.Wrap(err)
+}
+
+func decodeAnswer(b []byte) (answer, error) {
+	var w wireAnswer
+	if err := cbor.Unmarshal(b, &w); err != nil {
+		return answer{}, Error.Wrap(err)
+	}
+	if w.Outcome > uint8(convoy.Lost) {
+		return answer{}, Error.New("outcome %d is unknown", w.Outcome)
+	}
+	return answer{outcome: convoy.Outcome(w.Outcome), reason: w.Reason, retry: time.Duration(w.Retry)}, nil
+}
+
+func encodeDrop(d convoy.Dropped) ([]byte, error) {
+	b, err := cbor.Marshal(wireDrop{ID: d.ID, Host: d.Host, Reason: d.Reason})
+	return b, Error.Wrap(err)
+}
+
+func decodeDrop(b []byte) (convoy.Dropped, error) {
+	var w wireDrop
+	if err := cbor.Unmarshal(b, &w); err != nil {
+		return convoy.Dropped{}, Error.Wrap(err)
+	}
+	return convoy.Dropped{ID: w.ID, Host: w.Host, Reason: w.Reason}, nil
+}
--- /dev/null
+++ b/src/wharf/fleet.go
@@ -0,0 +1,249 @@
+package wharf
+
+import (
+	"crypto/hmac"
+	"crypto/sha256"
+	"errors"
+	"net"
+	"net/netip"
+	"time"
+
+	"sesamecleat/src/flotilla"
+	"sesamecleat/src/helm"
+	"sesamecleat/src/logbook"
+	"sesamecleat/src/manifest"
+)
+
+func init() {
+	helm.Register("fleet", orderFleet, newFleet, manifest.Dispatch, manifest.Registry)
+}
+
+const (
+	macSize   = 16 // bytes of the code that proves a beat's sender
+	beatLimit = 8 << 10
+)
+
+// fleet sends and takes beats as datagrams on the port after the one for peers.
+type fleet struct {
+	h      *helm.Helm
+	fleet  *flotilla.Fleet
+	conn   *net.UDPConn
+	ended  chan struct{}
+	told   time.Time
+	dirty  bool
+	steady time.Time
+}
+
+type beatEvent struct{ beat flotilla.Beat }
+
+func (beatEvent) HelmEvent() {}
+
+// fleetEvent tells the other plug-ins what the fleet has decided.
+type fleetEvent struct{ action flotilla.Action }
+
+func (fleetEvent) HelmEvent() {}
+
+// thawedEvent tells that this process stood still for a while.
+type thawedEvent struct{}
+
+func (thawedEvent) HelmEvent() {}
+
+func newFleet(h *helm.Helm) helm.Plugin {
+	s := h.Settings
+	self := flotilla.Member{
+		Name: s.Name, Domain: s.Domain, Address: s.Peers, Incarnation: h.Incarnation,
+		Dispatcher: s.Has(manifest.Dispatch), Registry: s.Has(manifest.Registry),
+	}
+	f := &fleet{h: h, ended: make(chan struct{})}
+	f.fleet = flotilla.NewFleet(self, s.Domains, seedPeers(s), h.Clock.Now())
+	h.Fleet = f
+	return f
+}
+
+// seedPeers returns where the seeds take beats; every process uses the same port for peers.
+func seedPeers(s manifest.Settings) []netip.AddrPort {
+	var out []netip.AddrPort
+	for _, a := range s.Seeds {
+		out = append(out, netip.AddrPortFrom(a.Addr(), s.Peers.Port()))
+	}
+	return out
+}
+
+// Start opens the socket and begins the beats.
+func (f *fleet) Start() error {
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(beatAddress(f.h.Settings.Peers)))
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	f.conn = conn
+	go f.listen()
+	now := f.h.Clock.Now()
+	f.steady = now
+	f.h.Timers.Every(now, flotilla.BeatInterval, f.tick)
+	f.h.Timers.Every(now, roomInterval, f.tellRoom)
+	return nil
+}
+
+func beatAddress(peers netip.AddrPort) netip.AddrPort {
+	return netip.AddrPortFrom(peers.Addr(), peers.Port()+1)
+}
+
+// Stop closes the socket.
+func (f *fleet) Stop() {
+	_ = f.conn.Close() // nothing is sent any more
+	<-f.ended
+}
+
+// Handle takes beats and changed settings.
+func (f *fleet) Handle(now time.Time, ev helm.Event) {
+	switch e := ev.(type) {
+	case beatEvent:
+		f.step(now, flotilla.Heard{Beat: e.beat})
+	case helm.Reloaded:
+		f.fleet.SetContacts(seedPeers(e.Settings))
+	case helm.StopNoticed:
+		f.Describe(func(m *flotilla.Member) { m.Leaving = true })
+	}
+}
+
+// Peers returns every peer known, by name.
+func (f *fleet) Peers() []flotilla.Peer { return f.fleet.Peers() }
+
+// Peer returns what is known of a process.
+func (f *fleet) Peer(name string) (flotilla.Peer, bool) { return f.fleet.Peer(name) }
+
+// Self returns this process as it describes itself.
+func (f *fleet) Self() flotilla.Member { return f.fleet.Self() }
+
+// Planners returns the live processes that plan a domain.
+func (f *fleet) Planners() []flotilla.Member { return f.fleet.Planners() }
+
+// Describe changes what this process tells of itself, and tells it at once.
+func (f *fleet) Describe(change func(m *flotilla.Member)) {
+	f.fleet.Describe(change)
+	f.dirty = true
+}
+
+// Outbid asks for a higher token for a domain that this process plans.
+func (f *fleet) Outbid(domain string) { f.step(f.h.Clock.Now(), flotilla.Outbid{Domain: domain}) }
+
+func (f *fleet) tick(now time.Time) {
+	f.watchClock(now)
+	f.step(now, flotilla.Tick{})
+	f.told = now
+	f.dirty = false
+}
+
+// watchClock compares the time of day with the steady clock, which does not count a freeze.
+func (f *fleet) watchClock(now time.Time) {
+	steady := now.Sub(f.steady)
+	day := now.Round(0).Sub(f.steady.Round(0))
+	f.steady = now
+	if off := day - steady; off > freezeLimit || off < -freezeLimit {
+		f.h.Log.Write(logbook.ClockJumped, logbook.F("by", off.String()))
+		f.h.Publish(now, thawedEvent{})
+	}
+}
+
+// tellRoom sends beats out of turn when this process has something new to tell.
+func (f *fleet) tellRoom(now time.Time) {
+	if !f.dirty || now.Sub(f.told) < roomInterval {
+		return
+	}
+	f.dirty = false
+	f.told = now
+	data, ok := f.seal()
+	if !ok {
+		return
+	}
+	for _, p := range f.fleet.Peers() {
+		if p.Alive {
+			f.send(p.Member.Address, data)
+		}
+	}
+}
+
+func (f *fleet) step(now time.Time, ev flotilla.Event) {
+	actions := f.fleet.Step(now, ev)
+	var data []byte
+	for _, a := range actions {
+		switch a := a.(type) {
+		case flotilla.Send:
+			if data == nil {
+				var ok bool
+				if data, ok = f.seal(); !ok {
+					return
+				}
+			}
+			f.send(a.To, data)
+		default:
+			f.log(a)
+			f.h.Publish(now, fleetEvent{action: a})
+		}
+	}
+}
+
+func (f *fleet) log(a flotilla.Action) {
+	switch a := a.(type) {
+	case flotilla.Joined:
+		f.h.Log.Write(logbook.PeerHeard, logbook.F("peer", a.Peer.Member.Name), logbook.F("domain", a.Peer.Member.Domain),
+			logbook.F("incarnation", a.Peer.Member.Incarnation))
+	case flotilla.Lost:
+		f.h.Log.Write(logbook.PeerLost, logbook.F("peer", a.Peer.Member.Name), logbook.F("reason", a.Reason))
+	case flotilla.Claimed:
+		f.dirty = true
+		f.h.Log.Write(logbook.DomainClaimed, logbook.F("domain", a.Domain), logbook.F("token", a.Token),
+			logbook.F("gentle", a.Gentle), logbook.F("from", a.From))
+	case flotilla.Yielded:
+		f.dirty = true
+		f.h.Log.Write(logbook.DomainYielded, logbook.F("domain", a.Domain), logbook.F("to", a.To))
+	}
+}
+
+// seal encodes the beat and proves its sender with the first key.
+func (f *fleet) seal() ([]byte, bool) {
+	b, err := flotilla.EncodeBeat(f.fleet.Beat())
+	if err != nil {
+		f.h.Log.Write(logbook.HandlerPanicked, logbook.F("panic", err.Error()))
+		return nil, false
+	}
+	return append(mac(f.h.Settings.Keys[0], b), b...), true
+}
+
+func mac(key string, b []byte) []byte {
+	m := hmac.New(sha256.New, []byte(key))
+	m.Write(b)
+	return m.Sum(nil)[:macSize]
+}
+
+func (f *fleet) send(to netip.AddrPort, data []byte) {
+	_, _ = f.conn.WriteToUDPAddrPort(data, beatAddress(to)) // a beat may be lost; the next one follows soon
+}
+
+func (f *fleet) listen() {
+	defer close(f.ended)
+	buf := make([]byte, beatLimit)
+	for {
+		n, err := f.conn.Read(buf)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil || n < macSize || !f.genuine(buf[:n]) {
+			continue
+		}
+		b, err := flotilla.DecodeBeat(buf[macSize:n])
+		if err != nil {
+			continue
+		}
+		f.h.Post(f, beatEvent{beat: b})
+	}
+}
+
+func (f *fleet) genuine(data []byte) bool {
+	for _, key := range f.h.Settings.Keys {
+		if hmac.Equal(mac(key, data[macSize:]), data[:macSize]) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/src/wharf/jobs.go
@@ -0,0 +1,315 @@
+package wharf
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"sesamecleat/src/charter"
+	"sesamecleat/src/convoy"
+	"sesamecleat/src/flotilla"
+	"sesamecleat/src/helm"
+	"sesamecleat/src/logbook"
+	"sesamecleat/src/manifest"
+)
+
+func init() {
+	helm.Register("jobs", orderJobs, newJobs, manifest.Dispatch)
+}
+
+// pending is a caller's job that this entry host has not answered.
+type pending struct {
+	job     convoy.Job
+	version uint64
+	callers []chan helm.JobAnswer
+	// planner is who has the job now, empty while none is known; round tells late answers of earlier offers apart.
+	planner string
+	round   int
+	offers  int
+	refused map[string]bool
+}
+
+// jobs takes callers' jobs, offers each to one planner at a time, and answers.
+type jobs struct {
+	h        *helm.Helm
+	config   atomic.Pointer[charter.Config]
+	pending  map[string]*pending
+	inflight atomic.Int64
+	closed   atomic.Bool
+	plan     *plan
+	// spent counts, by planner, the tasks offered to it since it last told of its room.
+	spent   map[string]int
+	waiting atomic.Pointer[map[string]int]
+}
+
+type submitEvent struct {
+	job     convoy.Job
+	version uint64
+	done    chan helm.JobAnswer
+}
+
+type dropEvent struct {
+	id     string
+	done   chan helm.JobAnswer
+	reason string
+}
+
+type answeredEvent struct {
+	id     string
+	round  int
+	answer answer
+}
+
+func (submitEvent) HelmEvent()   {}
+func (dropEvent) HelmEvent()     {}
+func (answeredEvent) HelmEvent() {}
+
+func newJobs(h *helm.Helm) helm.Plugin {
+	j := &jobs{h: h, pending: make(map[string]*pending), spent: make(map[string]int)}
+	h.Jobs = j
+	return j
+}
+
+// Start looks at the jobs without a planner now and then.
+func (j *jobs) Start() error {
+	j.h.Timers.Every(j.h.Clock.Now(), flotilla.BeatInterval/2, j.tick)
+	return nil
+}
+
+// Stop has nothing to release.
+func (j *jobs) Stop() {}
+
+// Busy reports whether callers wait for answers.
+func (j *jobs) Busy() bool { return j.inflight.Load() > 0 }
+
+// Config returns the configuration in force here, or nil before the first.
+func (j *jobs) Config() *charter.Config { return j.config.Load() }
+
+// Admitting reports whether new jobs are taken.
+func (j *jobs) Admitting() bool { return !j.closed.Load() }
+
+// Ready reports whether this process should get callers.
+func (j *jobs) Ready() bool { return !j.h.Leaving() && j.config.Load() != nil }
+
+// Waiting returns how many jobs of a route wait for room, as far as the planners' beats tell.
+func (j *jobs) Waiting(route string) int {
+	if w := j.waiting.Load(); w != nil {
+		return (*w)[route]
+	}
+	return 0
+}
+
+// Submit runs a job and returns what became of it; it gives the job up when ctx ends.
+func (j *jobs) Submit(ctx context.Context, job convoy.Job) helm.JobAnswer {
+	j.inflight.Add(1)
+	defer j.inflight.Add(-1)
+	job.Host = j.h.Settings.Name
+	done := make(chan helm.JobAnswer, 1)
+	version := uint64(0)
+	if cfg := j.config.Load(); cfg != nil {
+		version = cfg.Version
+	}
+	j.h.Post(j, submitEvent{job: job, version: version, done: done})
+	select {
+	case a := <-done:
+		return a
+	case <-ctx.Done():
+		j.h.Post(j, dropEvent{id: job.ID, done: done, reason: context.Cause(ctx).Error()})
+	case <-j.h.Done():
+		return helm.JobAnswer{Outcome: convoy.Lost, Reason: "this process stops"}
+	}
+	select {
+	case a := <-done:
+		return a
+	case <-j.h.Done():
+		return helm.JobAnswer{Outcome: convoy.Lost, Reason: "this process stops"}
+	}
+}
+
+// Handle takes callers' jobs and planners' answers.
+func (j *jobs) Handle(now time.Time, ev helm.Event) {
+	switch e := ev.(type) {
+	case submitEvent:
+		j.submit(now, e)
+	case dropEvent:
+		j.drop(e)
+	case answeredEvent:
+		j.answered(now, e)
+	case configInForceEvent:
+		j.config.Store(e.config)
+	case helm.Leaving:
+		j.closed.Store(true)
+	case fleetEvent:
+		j.heed(now, e.action)
+	}
+}
+
+func (j *jobs) heed(now time.Time, a flotilla.Action) {
+	switch a := a.(type) {
+	case flotilla.Updated:
+		delete(j.spent, a.Peer.Member.Name)
+		j.countWaiting()
+	case flotilla.Lost:
+		j.plannerLost(now, a.Peer.Member.Name)
+	}
+}
+
+func (j *jobs) countWaiting() {
+	sum := make(map[string]int)
+	for _, m := range j.h.Fleet.Planners() {
+		for route, n := range m.Waiting {
+			sum[route] += n
+		}
+	}
+	j.waiting.Store(&sum)
+}
+
+func (j *jobs) submit(now time.Time, e submitEvent) {
+	if p, ok := j.pending[e.job.ID]; ok {
+		p.callers = append(p.callers, e.done)
+		return
+	}
+	p := &pending{job: e.job, version: e.version, callers: []chan helm.JobAnswer{e.done}, refused: make(map[string]bool)}
+	j.pending[e.job.ID] = p
+	j.offer(now, p)
+}
+
+// offer gives a job to the planner that can serve it best, or lets it wait a little while none is known.
+func (j *jobs) offer(now time.Time, p *pending) {
+	m, ok := choosePlanner(j.h.Fleet.Planners(), j.spent, p, j.h.Settings.Domain)
+	if !ok {
+		if p.offers > 0 || now.Sub(p.job.Arrived) > plannerPause {
+			j.finish(p, answer{outcome: convoy.Refused, reason: "no planner is in reach or has room", retry: time.Second})
+		}
+		p.planner = ""
+		return
+	}
+	p.planner = m.Name
+	p.offers++
+	p.round++
+	j.spent[m.Name] += p.job.Tasks()
+	round := p.round
+	done := make(chan answer, 2)
+	if m.Name == j.h.Settings.Name {
+		go func() { j.h.Post(j, answeredEvent{id: p.job.ID, round: round, answer: <-done}) }()
+		j.h.Publish(now, offeredEvent{offer: offer{job: p.job, version: p.version}, done: done})
+		return
+	}
+	body, err := encodeOffer(now, offer{job: p.job, version: p.version})
+	if err != nil {
+		j.finish(p, answer{outcome: convoy.Refused, reason: err.Error()})
+		return
+	}
+	left := p.job.Deadline.Sub(now) + callTimeout
+	go j.send(m, p.job.ID, round, body, left)
+}
+
+// send carries an offer to another host and waits for what becomes of the job.
+func (j *jobs) send(m flotilla.Member, id string, round int, body []byte, left time.Duration) {
+	ctx, cancel := context.WithTimeout(context.Background(), left)
+	defer cancel()
+	out, err := j.h.Radio.Call(ctx, m.Address, kindJob, body)
+	a := answer{outcome: convoy.Lost, reason: "the planner did not answer"}
+	if err == nil {
+		a, err = decodeAnswer(out)
+	}
+	if err != nil {
+		a.reason = err.Error()
+		a.outcome = lostOutcome(err)
+	}
+	j.h.Post(j, answeredEvent{id: id, round: round, answer: a})
+}
+
+func (j *jobs) answered(now time.Time, e answeredEvent) {
+	p, ok := j.pending[e.id]
+	if !ok || p.round != e.round {
+		return
+	}
+	if e.answer.outcome == convoy.Elsewhere {
+		p.refused[p.planner] = true
+		j.h.Log.Write(logbook.JobMoved, logbook.F("id", e.id), logbook.F("from", p.planner), logbook.F("why", e.answer.reason))
+		if p.offers >= offerLimit {
+			j.finish(p, answer{outcome: convoy.Refused, reason: "no planner has room", retry: time.Second})
+			return
+		}
+		j.offer(now, p)
+		return
+	}
+	j.finish(p, e.answer)
+}
+
+func (j *jobs) finish(p *pending, a answer) {
+	delete(j.pending, p.job.ID)
+	for _, done := range p.callers {
+		done <- helm.JobAnswer{Outcome: a.outcome, Reason: a.reason, Retry: a.retry}
+	}
+	took := j.h.Clock.Now().Sub(p.job.Arrived)
+	event := logbook.JobAnswered
+	if a.outcome == convoy.Refused {
+		event = logbook.JobRefused
+	}
+	j.h.Log.Write(event, logbook.F("id", p.job.ID), logbook.F("route", p.job.Route), logbook.F("outcome", a.outcome.String()),
+		logbook.F("planner", p.planner), logbook.F("offers", p.offers), logbook.F("ms", took.Milliseconds()),
+		logbook.F("why", a.reason))
+}
+
+// drop gives up on a job for one caller, and at its planner once nobody waits any more.
+func (j *jobs) drop(e dropEvent) {
+	p, ok := j.pending[e.id]
+	if !ok {
+		return
+	}
+	for i, done := range p.callers {
+		if done == e.done {
+			p.callers = append(p.callers[:i], p.callers[i+1:]...)
+			done <- helm.JobAnswer{Outcome: convoy.Lost, Reason: e.reason}
+			break
+		}
+	}
+	if len(p.callers) > 0 {
+		return
+	}
+	d := convoy.Dropped{ID: p.job.ID, Host: p.job.Host, Reason: e.reason}
+	j.tellDropped(p.planner, d)
+	j.finish(p, answer{outcome: convoy.Lost, reason: e.reason})
+}
+
+func (j *jobs) tellDropped(planner string, d convoy.Dropped) {
+	if planner == j.h.Settings.Name {
+		j.h.Publish(j.h.Clock.Now(), plannerEvent{ev: d})
+		return
+	}
+	peer, ok := j.h.Fleet.Peer(planner)
+	if !ok {
+		return
+	}
+	body, err := encodeDrop(d)
+	if err != nil {
+		j.h.Log.Write(logbook.HandlerPanicked, logbook.F("panic", err.Error()))
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+		defer cancel()
+		// If this is lost, the planner gives the job up at its deadline.
+		_, _ = j.h.Radio.Call(ctx, peer.Member.Address, kindDrop, body)
+	}()
+}
+
+// plannerLost answers for the jobs that a planner took with it: its workers' leases run out before a caller that asks
+// again can be back.
+func (j *jobs) plannerLost(_ time.Time, name string) {
+	for _, p := range j.pending {
+		if p.planner == name {
+			j.finish(p, answer{outcome: convoy.Lost, reason: "the planner is lost"})
+		}
+	}
+}
+
+func (j *jobs) tick(now time.Time) {
+	for _, p := range j.pending {
+		if p.planner == "" {
+			j.offer(now, p)
+		}
+	}
+}
--- /dev/null
+++ b/src/wharf/kinds.go
@@ -0,0 +1,65 @@
+package wharf
+
+import (
+	"time"
+
+	"github.com/zeebo/errs"
+
+	"sesamecleat/src/radio"
+)
+
+// Error is the class of this package's errors.
+var Error = errs.Class("wharf")
+
+// The kinds of calls between processes.
+const (
+	kindPilot radio.Kind = iota + 64
+	kindPropose
+	kindNewest
+	kindConfig
+	kindTargets
+	kindJob
+	kindDrop
+	kindFreed
+)
+
+// The orders in which plug-ins start; the fleet is last, as what it tells needs all others.
+const (
+	orderCouncil = iota + 1
+	orderTargets
+	orderConfig
+	orderPlan
+	orderJobs
+	orderFleet
+)
+
+const (
+	// councilTick and planTick drive the log of configurations and the planner when nothing else does.
+	councilTick = 50 * time.Millisecond
+	planTick    = 20 * time.Millisecond
+	// memberTick is how often the membership of the registry hosts is looked at.
+	memberTick = 250 * time.Millisecond
+	// callTimeout bounds short calls between processes; ten times their usual time on a busy host.
+	callTimeout = 400 * time.Millisecond
+	// orderTimeout bounds what an operator waits for; operators move on after a second.
+	orderTimeout = 900 * time.Millisecond
+	// leaderPause is the pause before the leader is looked for again.
+	leaderPause = 40 * time.Millisecond
+	// pilotQueue bounds the messages that wait for one registry host.
+	pilotQueue = 256
+	// compactAfter is the log's length, in entries, at which it is replaced by a snapshot.
+	compactAfter = 64
+	// silentBeats is how many announcements a target may miss before it is told of as silent.
+	silentBeats = 4
+	// refreshAfter is how often a target that has not changed is told of again, so that a register whose news is older
+	// does not win.
+	refreshAfter = 3 * time.Second
+	// plannerPause is how long a job waits for a planner to be known, before it is refused.
+	plannerPause = time.Second
+	// offerLimit bounds how many planners a job is offered to.
+	offerLimit = 4
+	// roomInterval bounds how often a change of room is told.
+	roomInterval = 25 * time.Millisecond
+	// freezeLimit is the difference between the time of day and the steady clock that tells of a freeze.
+	freezeLimit = 300 * time.Millisecond
+)
--- /dev/null
+++ b/src/wharf/plan.go
@@ -0,0 +1,331 @@
+package wharf
+
+import (
+	"context"
+	"encoding/binary"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/alitto/pond/v2"
+
+	"sesamecleat/src/charter"
+	"sesamecleat/src/convoy"
+	"sesamecleat/src/flotilla"
+	"sesamecleat/src/helm"
+	"sesamecleat/src/logbook"
+	"sesamecleat/src/manifest"
+)
+
+func init() {
+	helm.Register("plan", orderPlan, newPlan, manifest.Dispatch)
+}
+
+// orderLimit bounds the orders to workers that are under way at once.
+const orderLimit = 4096
+
+// waiter is who waits for a job: an entry host by its name.
+type waiter struct{ job, host string }
+
+// plan carries out what the planner of this process decides.
+type plan struct {
+	h       *helm.Helm
+	planner *convoy.Planner
+	orders  pond.Pool
+	waiters map[waiter]chan answer
+	config  *charter.Config
+	// marks holds, by registry host and incarnation, how much of its register is known here.
+	marks    map[string]uint64
+	fetching map[string]bool
+	room     int
+	waiting  map[string]int
+	// inHand counts the jobs that a planned stop waits for.
+	inHand atomic.Int64
+}
+
+type plannerEvent struct{ ev convoy.Event }
+
+// offeredEvent brings a job of this or another host; the answer goes to done.
+type offeredEvent struct {
+	offer offer
+	done  chan answer
+}
+
+type targetsEvent struct {
+	key     string
+	mark    uint64
+	entries []entry
+	err     error
+}
+
+func (plannerEvent) HelmEvent() {}
+func (offeredEvent) HelmEvent() {}
+func (targetsEvent) HelmEvent() {}
+
+func newPlan(h *helm.Helm) helm.Plugin {
+	return &plan{
+		h: h, planner: convoy.NewPlanner(convoy.Tuning{MaxLease: h.Settings.Lease}),
+		orders: pond.NewPool(orderLimit), waiters: make(map[waiter]chan answer),
+		marks: make(map[string]uint64), fetching: make(map[string]bool),
+	}
+}
+
+// Start serves jobs of other entry hosts.
+func (p *plan) Start() error {
+	p.h.Radio.Handle(kindJob, p.onJob)
+	p.h.Radio.Handle(kindDrop, p.onDrop)
+	p.h.Radio.Handle(kindFreed, p.onFreed)
+	p.h.Timers.Every(p.h.Clock.Now(), planTick, func(now time.Time) {
+		p.step(now, convoy.RoomElsewhere{Tasks: p.roomElsewhere()})
+		p.step(now, convoy.Tick{})
+	})
+	return nil
+}
+
+// Stop has nothing to release; orders under way end by themselves.
+func (p *plan) Stop() {}
+
+// Handle takes what the fleet, the workers and the entry hosts bring.
+func (p *plan) Handle(now time.Time, ev helm.Event) {
+	switch e := ev.(type) {
+	case plannerEvent:
+		p.step(now, e.ev)
+	case offeredEvent:
+		p.offered(now, e)
+	case targetsEvent:
+		p.learnTargets(now, e)
+	case configInForceEvent:
+		p.config = e.config
+	case thawedEvent:
+		p.step(now, convoy.Thawed{})
+	case helm.StopNoticed:
+		p.step(now, convoy.Stopping{})
+	case fleetEvent:
+		p.heed(now, e.action)
+	}
+}
+
+func (p *plan) heed(now time.Time, a flotilla.Action) {
+	switch a := a.(type) {
+	case flotilla.Claimed:
+		p.step(now, convoy.Claimed{Domain: a.Domain, Token: a.Token, Gentle: a.Gentle})
+	case flotilla.Yielded:
+		p.step(now, convoy.Yielded{Domain: a.Domain})
+	case flotilla.Lost:
+		p.step(now, convoy.HostLost{Host: a.Peer.Member.Name})
+	case flotilla.Updated:
+		p.followTargets(a.Peer.Member)
+	}
+}
+
+// roomElsewhere returns the room of the other planner that has most of it.
+func (p *plan) roomElsewhere() int {
+	best := 0
+	self := p.h.Settings.Name
+	for _, m := range p.h.Fleet.Planners() {
+		if m.Name != self && !m.Leaving {
+			best = max(best, m.Room)
+		}
+	}
+	return best
+}
+
+func (p *plan) step(now time.Time, ev convoy.Event) {
+	for _, a := range p.planner.Step(now, ev) {
+		p.act(now, a)
+	}
+	p.tell()
+}
+
+// tell lets the entry hosts know how much room there is.
+func (p *plan) tell() {
+	p.inHand.Store(int64(p.planner.Jobs()))
+	room := p.planner.Room()
+	if room == p.room {
+		return
+	}
+	p.room = room
+	p.waiting = p.planner.WaitingJobs()
+	p.h.Fleet.Describe(func(m *flotilla.Member) { m.Room, m.Waiting = room, p.waiting })
+}
+
+func (p *plan) act(now time.Time, a convoy.Action) {
+	switch a := a.(type) {
+	case convoy.Hold:
+		sent := now
+		p.order(func() convoy.Event {
+			report, verdict := p.h.Workers.Hold(a)
+			return convoy.Held{ID: a.Target.ID, Sent: sent, Verdict: verdict, Report: report}
+		})
+	case convoy.Start:
+		p.order(func() convoy.Event {
+			return convoy.Started{ID: a.Target.ID, Key: a.Key, Verdict: p.h.Workers.Start(a)}
+		})
+	case convoy.Stop:
+		p.order(func() convoy.Event {
+			return convoy.Stopped{ID: a.Target.ID, Key: a.Key, Verdict: p.h.Workers.Stop(a)}
+		})
+	case convoy.Answer:
+		p.answer(a)
+	case convoy.Release:
+		p.release(a)
+	case convoy.Forget:
+		p.h.Workers.Forget(a.ID)
+	case convoy.Outbid:
+		p.h.Fleet.Outbid(a.Domain)
+	case convoy.Note:
+		p.note(a)
+	}
+}
+
+func (p *plan) order(f func() convoy.Event) {
+	p.orders.Submit(func() { p.h.Post(p, plannerEvent{ev: f()}) })
+}
+
+func (p *plan) note(n convoy.Note) {
+	event, known := noteEvents[n.Kind]
+	if !known {
+		return
+	}
+	var fields []logbook.Field
+	for _, f := range []logbook.Field{logbook.F("id", n.Job), logbook.F("target", n.Target), logbook.F("why", n.Detail)} {
+		if f.Value != "" {
+			fields = append(fields, f)
+		}
+	}
+	p.h.Log.Write(event, fields...)
+}
+
+var noteEvents = map[convoy.NoteKind]logbook.Event{
+	convoy.NoteQueued:       logbook.JobQueued,
+	convoy.NotePlaced:       logbook.TaskPlaced,
+	convoy.NoteRestarted:    logbook.TaskRestarted,
+	convoy.NoteWorkerReady:  logbook.WorkerReady,
+	convoy.NoteWorkerSlow:   logbook.WorkerSlow,
+	convoy.NoteWorkerLost:   logbook.WorkerLost,
+	convoy.NoteWorkerFenced: logbook.WorkerFenced,
+	convoy.NoteGivenUp:      logbook.JobGivenUp,
+}
+
+// offered gives a job to the planner, unless a newer configuration here no longer has its route.
+func (p *plan) offered(now time.Time, e offeredEvent) {
+	if p.config != nil && p.config.Version > e.offer.version && !p.routed(e.offer.job) {
+		e.done <- answer{outcome: convoy.Refused, reason: "the route is no longer there", retry: time.Second}
+		return
+	}
+	key := waiter{job: e.offer.job.ID, host: e.offer.job.Host}
+	if old, waits := p.waiters[key]; waits {
+		old <- answer{outcome: convoy.Lost, reason: "asked for again by the same host"}
+	}
+	p.waiters[key] = e.done
+	p.step(now, convoy.Submitted{Job: e.offer.job})
+}
+
+func (p *plan) routed(j convoy.Job) bool {
+	for _, r := range p.config.Routes {
+		if r.Name == j.Route && r.Pool == j.Pool {
+			return true
+		}
+	}
+	return false
+}
+
+func (p *plan) answer(a convoy.Answer) {
+	key := waiter{job: a.ID, host: a.Host}
+	done, ok := p.waiters[key]
+	if !ok {
+		return
+	}
+	delete(p.waiters, key)
+	done <- answer{outcome: a.Outcome, reason: a.Reason, retry: a.Retry}
+}
+
+// release tells the planner that follows that a worker is free for it.
+func (p *plan) release(a convoy.Release) {
+	best := flotilla.Member{}
+	token := int64(0)
+	for _, m := range p.h.Fleet.Planners() {
+		for _, c := range m.Claims {
+			if c.Domain == a.Domain && c.Token > token && m.Name != p.h.Settings.Name {
+				best, token = m, c.Token
+			}
+		}
+	}
+	if best.Name == "" {
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+		defer cancel()
+		// If this is lost, the next planner takes the worker over when this process is gone.
+		_, _ = p.h.Radio.Call(ctx, best.Address, kindFreed, []byte(a.Target.ID))
+	}()
+}
+
+func (p *plan) onFreed(_ context.Context, _ netip.AddrPort, body []byte) ([]byte, error) {
+	p.h.Post(p, plannerEvent{ev: convoy.Freed{ID: string(body)}})
+	return nil, nil
+}
+
+func (p *plan) onJob(ctx context.Context, _ netip.AddrPort, body []byte) ([]byte, error) {
+	o, err := decodeOffer(p.h.Clock.Now(), body)
+	if err != nil {
+		return nil, err
+	}
+	done := make(chan answer, 2)
+	p.h.Post(p, offeredEvent{offer: o, done: done})
+	select {
+	case a := <-done:
+		return encodeAnswer(a)
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+func (p *plan) onDrop(_ context.Context, _ netip.AddrPort, body []byte) ([]byte, error) {
+	d, err := decodeDrop(body)
+	if err != nil {
+		return nil, err
+	}
+	p.h.Post(p, plannerEvent{ev: d})
+	return nil, nil
+}
+
+// followTargets asks a registry host for what has changed in its register.
+func (p *plan) followTargets(m flotilla.Member) {
+	key := m.Name + "@" + time.UnixMilli(int64(m.Incarnation)).UTC().Format(time.RFC3339Nano)
+	if !m.Registry || p.fetching[key] || m.Targets <= p.marks[key] {
+		return
+	}
+	p.fetching[key] = true
+	since := p.marks[key]
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+		defer cancel()
+		ev := targetsEvent{key: key}
+		out, err := p.h.Radio.Probe(ctx, m.Address, kindTargets, binary.BigEndian.AppendUint64(nil, since))
+		if err == nil {
+			ev.mark, ev.entries, err = decodeTargets(out)
+		}
+		ev.err = err
+		p.h.Post(p, ev)
+	}()
+}
+
+func (p *plan) learnTargets(now time.Time, e targetsEvent) {
+	delete(p.fetching, e.key)
+	if e.err != nil {
+		return
+	}
+	p.marks[e.key] = max(p.marks[e.key], e.mark)
+	for _, entry := range e.entries {
+		if entry.left {
+			p.step(now, convoy.Unlisted{ID: entry.target.ID})
+			continue
+		}
+		p.step(now, convoy.Listed{Target: entry.target})
+	}
+}
+
+// Busy reports whether jobs of callers, here or at other hosts, are at work.
+func (p *plan) Busy() bool { return p.inHand.Load() > 0 }
