Close four ways in which a task could run twice, found by reading; tests for every new package

Ruled out: leaving it to the callers' pause before they ask again; one-way cuts last longer than that.

--- /dev/null
+++ b/src/archive/journal_test.go
@@ -0,0 +1,132 @@
+package archive
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"sesamecleat/src/pilot"
+)
+
+func logEntries(from, to, term uint64) []pilot.Entry {
+	var out []pilot.Entry
+	for i := from; i <= to; i++ {
+		out = append(out, pilot.Entry{Index: i, Term: term, Kind: pilot.Normal, Data: []byte{byte(i)}})
+	}
+	return out
+}
+
+func TestJournalResumes(t *testing.T) {
+	snap := pilot.Snapshot{Index: 3, Term: 1, Data: []byte("state")}
+	tests := map[string]struct {
+		saves []pilot.Save
+		want  pilot.Disk
+	}{
+		"entries": {
+			saves: []pilot.Save{{Hard: pilot.HardState{Term: 1}, Entries: logEntries(1, 3, 1)}},
+			want:  pilot.Disk{Hard: pilot.HardState{Term: 1}, Entries: logEntries(1, 3, 1)},
+		},
+		"entries replaced by a later leader's": {
+			saves: []pilot.Save{{Entries: logEntries(1, 5, 1)}, {Hard: pilot.HardState{Term: 2, Vote: "b"}, Entries: logEntries(3, 4, 2)}},
+			want:  pilot.Disk{Hard: pilot.HardState{Term: 2, Vote: "b"}, Entries: append(logEntries(1, 2, 1), logEntries(3, 4, 2)...)},
+		},
+		"a snapshot that fits": {
+			saves: []pilot.Save{{Entries: logEntries(1, 5, 1)}, {Snapshot: &snap}},
+			want:  pilot.Disk{Snapshot: snap, Entries: logEntries(4, 5, 1)},
+		},
+		"a snapshot of another history": {
+			saves: []pilot.Save{{Entries: logEntries(1, 5, 9)}, {Snapshot: &snap}},
+			want:  pilot.Disk{Snapshot: snap},
+		},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			folder := t.TempDir()
+			fresh := Identity{Disk: "a", Founders: []string{"a", "b"}}
+			j, err := OpenJournal(folder, fresh)
+			require.NoError(t, err)
+			for _, s := range tt.saves {
+				require.NoError(t, j.Save([]pilot.Save{s}))
+			}
+			require.NoError(t, j.Close())
+			j, err = OpenJournal(folder, Identity{Disk: "other"})
+			require.NoError(t, err)
+			defer j.Close()
+			require.Equal(t, fresh, j.Identity())
+			require.Equal(t, tt.want.Hard, j.Disk().Hard)
+			require.Equal(t, tt.want.Snapshot.Index, j.Disk().Snapshot.Index)
+			require.Len(t, j.Disk().Entries, len(tt.want.Entries))
+			for i, e := range j.Disk().Entries {
+				require.Equal(t, tt.want.Entries[i].Term, e.Term)
+				require.Equal(t, tt.want.Entries[i].Data, e.Data)
+			}
+		})
+	}
+}
+
+// A power loss may tear the last record at any byte, or leave something else there; what was synced before stays.
+func TestJournalCutsOffATornTail(t *testing.T) {
+	folder := t.TempDir()
+	j, err := OpenJournal(folder, Identity{Disk: "a"})
+	require.NoError(t, err)
+	require.NoError(t, j.Save([]pilot.Save{{Entries: logEntries(1, 3, 1)}}))
+	synced := j.size
+	require.NoError(t, j.Save([]pilot.Save{{Entries: logEntries(4, 4, 1)}}))
+	require.NoError(t, j.Close())
+	path := j.path(j.generation)
+	whole, err := os.ReadFile(path)
+	require.NoError(t, err)
+	for cut := synced; cut < int64(len(whole)); cut++ {
+		for _, torn := range []bool{false, true} {
+			b := append([]byte(nil), whole[:cut]...)
+			if torn {
+				b = append(b, make([]byte, int64(len(whole))-cut)...)
+				b[len(b)-1] ^= 0xff
+			}
+			other := t.TempDir()
+			require.NoError(t, os.WriteFile(filepath.Join(other, filepath.Base(path)), b, 0o600))
+			j, err := OpenJournal(other, Identity{Disk: "other"})
+			require.NoError(t, err)
+			require.Equal(t, "a", j.Identity().Disk)
+			require.Len(t, j.Disk().Entries, 3)
+			require.NoError(t, j.Save([]pilot.Save{{Entries: logEntries(4, 5, 2)}}))
+			require.NoError(t, j.Close())
+			j, err = OpenJournal(other, Identity{Disk: "other"})
+			require.NoError(t, err)
+			require.Len(t, j.Disk().Entries, 5)
+			require.NoError(t, j.Close())
+		}
+	}
+}
+
+// A new file counts only once it is whole; before that the older one does.
+func TestJournalFallsBackToTheOlderFile(t *testing.T) {
+	folder := t.TempDir()
+	j, err := OpenJournal(folder, Identity{Disk: "a"})
+	require.NoError(t, err)
+	require.NoError(t, j.Save([]pilot.Save{{Entries: logEntries(1, 3, 1)}}))
+	require.NoError(t, j.Close())
+	require.NoError(t, os.WriteFile(j.path(j.generation+1), []byte{0, 0, 0, 9, 1, 2}, 0o600))
+	j, err = OpenJournal(folder, Identity{Disk: "other"})
+	require.NoError(t, err)
+	require.Equal(t, "a", j.Identity().Disk)
+	require.Len(t, j.Disk().Entries, 3)
+	require.NoError(t, j.Close())
+}
+
+// After a write that failed, the journal begins a new file that holds everything, the failed batch too.
+func TestJournalWritesAnewAfterAFailure(t *testing.T) {
+	folder := t.TempDir()
+	j, err := OpenJournal(folder, Identity{Disk: "a"})
+	require.NoError(t, err)
+	require.NoError(t, j.file.Close())
+	require.Error(t, j.Save([]pilot.Save{{Entries: logEntries(1, 2, 1)}}))
+	require.NoError(t, j.Save(nil))
+	require.NoError(t, j.Close())
+	j, err = OpenJournal(folder, Identity{Disk: "other"})
+	require.NoError(t, err)
+	require.Len(t, j.Disk().Entries, 2)
+	require.NoError(t, j.Close())
+}
--- /dev/null
+++ b/src/charter/config_test.go
@@ -0,0 +1,88 @@
+package charter
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func config(version uint64, routes ...Route) *Config {
+	c := &Config{Version: version, Routes: routes, Pools: []Pool{{Name: "boats"}}, Source: []byte("as sent")}
+	c.Index()
+	return c
+}
+
+func route(name, host, prefix string) Route {
+	return Route{Name: name, Host: host, Prefix: prefix, Pool: "boats", Timeout: time.Second}
+}
+
+func TestMatch(t *testing.T) {
+	c := config(1, route("short", "a.example", "/x/"), route("long", "a.example", "/x/y/"), route("other", "b.example", "/x/"))
+	tests := map[string]struct {
+		host, path, want, rest string
+		none                   bool
+	}{
+		"the longest prefix": {host: "a.example", path: "/x/y/1", want: "long", rest: "1"},
+		"a shorter one":      {host: "a.example", path: "/x/1", want: "short", rest: "1"},
+		"by host":            {host: "b.example", path: "/x/y/1", want: "other", rest: "y/1"},
+		"no such host":       {host: "c.example", path: "/x/1", none: true},
+		"no such prefix":     {host: "b.example", path: "/z/1", none: true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			r, rest, ok := c.Match(tt.host, tt.path)
+			require.Equal(t, !tt.none, ok)
+			require.Equal(t, tt.want, r.Name)
+			require.Equal(t, tt.rest, rest)
+		})
+	}
+}
+
+func TestCheck(t *testing.T) {
+	late := route("a", "h", "/x/")
+	late.Timeout = 0
+	stray := route("a", "h", "/x/")
+	stray.Pool = "nobody"
+	tests := map[string]struct {
+		config *Config
+		want   []string
+	}{
+		"valid":            {config: config(1, route("a", "h", "/x/"), route("b", "h", "/y/"))},
+		"no timeout":       {config: config(1, late), want: []string{"route a has no timeout"}},
+		"unknown pool":     {config: config(1, stray), want: []string{"route a names the unknown pool nobody"}},
+		"one place twice":  {config: config(1, route("a", "h", "/x/"), route("b", "h", "/x/")), want: []string{"routes a and b share one host and prefix"}},
+		"no host":          {config: config(1, route("a", "", "/x/")), want: []string{"route a has no host or no prefix"}},
+		"pools stand once": {config: &Config{Pools: []Pool{{Name: "a"}, {Name: "a"}}}, want: []string{"pool a stands twice"}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) { require.Equal(t, tt.want, tt.config.Check()) })
+	}
+}
+
+// Only a higher version changes the register: an older one that arrives again, or other content under the version
+// held, changes nothing.
+func TestRegisterOnlyRises(t *testing.T) {
+	var g Register
+	apply := func(c *Config) bool {
+		data, err := Encode(c)
+		require.NoError(t, err)
+		changed, err := g.Apply(data)
+		require.NoError(t, err)
+		return changed
+	}
+	require.Nil(t, g.Current())
+	require.True(t, apply(config(5, route("a", "h", "/x/"))))
+	require.False(t, apply(config(4, route("b", "h", "/y/"))))
+	require.False(t, apply(config(5, route("c", "h", "/z/"))))
+	require.Equal(t, "a", g.Current().Routes[0].Name)
+	require.True(t, apply(config(9)))
+	var restored Register
+	require.NoError(t, restored.Restore(g.Snapshot()))
+	require.Equal(t, uint64(9), restored.Current().Version)
+	require.Equal(t, []byte("as sent"), restored.Current().Source)
+	require.NoError(t, restored.Restore(nil))
+	require.Nil(t, restored.Current())
+	_, err := g.Apply([]byte("broken"))
+	require.Error(t, err)
+}
--- a/src/convoy/hold.go
+++ b/src/convoy/hold.go
@@ -6,11 +6,12 @@
 	"time"
 )
 
-// hold asks a worker for its lists; the lease is renewed unless runs of others are left there.
+// hold asks a worker for its lists; the lease is renewed unless runs of others are left there, or the last hold was not
+// answered: what runs on a silent worker must come to an end that can be reckoned.
 func (p *Planner) hold(now time.Time, w *worker) {
 	w.holding = true
 	h := Hold{Target: w.target, Token: w.token, Acked: w.acked}
-	if w.phase != phaseNew && len(w.strays) == 0 && len(w.runs) > 0 {
+	if w.phase == phaseReady && len(w.strays) == 0 && len(w.runs) > 0 {
 		h.Lease = w.grant(now, p.tuning.MaxLease)
 	}
 	if w.phase == phaseReady {
@@ -42,11 +43,11 @@
 
 // report takes a worker's lists: ends first, so that what is at work is compared with what is left.
 func (p *Planner) report(now time.Time, w *worker, e Held) {
-	if e.Report.Born != 0 && w.target.Born != 0 && e.Report.Born != w.target.Born {
-		p.reborn(now, w, e.Report.Born)
-	}
-	if e.Report.Born != 0 {
-		w.target.Born = e.Report.Born
+	if born := e.Report.Born; born != 0 {
+		if w.target.Born != 0 && born != w.target.Born {
+			p.reborn(now, w)
+		}
+		w.target.Born = born
 	}
 	w.clock, w.clockAt = e.Report.Clock, now
 	w.failures = 0
@@ -134,20 +135,17 @@
 	}
 }
 
-// reborn drops what was believed of a worker's former life; nothing of that runs.
-func (p *Planner) reborn(now time.Time, w *worker, born int64) {
-	for _, r := range sortedRuns(w) {
-		p.dead(now, w, r)
-	}
+// reborn begins anew with a worker that has started again: its counts start over, and nothing that began before runs.
+// What may have begun since is settled by the lists, as an order may have reached the new life already.
+func (p *Planner) reborn(now time.Time, w *worker) {
 	for key := range w.strays {
 		delete(w.strays, key)
 		p.cleared(key)
 	}
-	w.target.Born = born
 	w.acked = 0
-	w.lease = 0
 	w.speed, w.measured = 1, time.Time{}
 	w.failed, w.passUntil = 0, time.Time{}
+	w.nextHold = now
 }
 
 // gone takes a worker out whose life has ended; nothing runs there.
@@ -207,7 +205,7 @@
 		return
 	}
 	if t.Born != 0 && w.target.Born != 0 && t.Born > w.target.Born {
-		p.reborn(now, w, t.Born)
+		p.reborn(now, w)
 	}
 	if t.Born >= w.target.Born {
 		w.target = t
--- a/src/convoy/run.go
+++ b/src/convoy/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"time"
 )
 
@@ -238,25 +239,30 @@
 	if atWork < slowAfter || atWork < r.expected {
 		return
 	}
-	left := slowFactor * float64(r.expected)
+	left := math.Inf(1)
 	if percent >= 1 {
 		left = float64(atWork) * (100 - percent) / percent
 	}
 	step := r.task.job.Steps[r.task.step]
 	fresh := p.kind(r.task.job.Route).usual(step.Estimate)
-	if left < slowFactor*float64(fresh) || !p.betterThan(now, w, step) {
+	if left < slowFactor*float64(fresh) || !p.roomBeside(now, w, step) {
 		return
 	}
 	p.note(NoteWorkerSlow, r.task.job.ID, w.target.ID,
 		fmt.Sprintf("%.0f%% after %s, %s expected; the task is moved", percent, atWork, r.expected))
-	w.learn(now, fresh, time.Duration(float64(atWork)+left))
+	if math.IsInf(left, 1) {
+		w.failed = max(w.failed, shunAfter)
+		w.passUntil = now.Add(shunFirst)
+	} else {
+		w.learn(now, fresh, time.Duration(float64(atWork)+left))
+	}
 	p.orderStop(now, w, r)
 }
 
-// betterThan reports whether another worker with room is clearly faster.
-func (p *Planner) betterThan(now time.Time, slow *worker, s Step) bool {
+// roomBeside reports whether another worker of fair speed has room for a task.
+func (p *Planner) roomBeside(now time.Time, slow *worker, s Step) bool {
 	for _, w := range p.workers {
-		if w != slow && w.open(now) && s.Need.Fits(w.free()) && w.pace(now) > 2*slow.pace(now)*0.9 {
+		if w != slow && w.open(now) && s.Need.Fits(w.free()) && w.pace(now) > fairPace {
 			return true
 		}
 	}
--- a/src/convoy/tuning.go
+++ b/src/convoy/tuning.go
@@ -37,6 +37,8 @@
 	speedMemory = 15 * time.Second
 	// slowFactor is how many times longer than expected a run may take before it is moved.
 	slowFactor = 2.5
+	// fairPace is the least speed, against the usual, of a worker that a slow task is moved to.
+	fairPace = 0.5
 	// slowAfter is the shortest time at work after which a run can be found slow; progress is rough before.
 	slowAfter = 150 * time.Millisecond
 	// overhead is what a task takes besides its work: the order, the answer and the end's way back.
--- a/src/flotilla/codec.go
+++ b/src/flotilla/codec.go
@@ -32,6 +32,7 @@
 	Room        int
 	Waiting     map[string]int
 	Contacts    []string
+	Hears       []uint32
 }
 
 // EncodeBeat returns the bytes of a beat.
@@ -41,6 +42,7 @@
 		Name: m.Name, Domain: m.Domain, Address: m.Address.String(), Incarnation: m.Incarnation,
 		Dispatcher: m.Dispatcher, Registry: m.Registry, Disk: m.Disk, Leaving: m.Leaving, Config: m.Config,
 		Targets: m.Targets, Room: m.Room, Waiting: m.Waiting,
+		Hears: b.Hears,
 	}
 	for _, c := range m.Claims {
 		w.Claims = append(w.Claims, wireClaim{Domain: c.Domain, Token: c.Token})
@@ -62,7 +64,7 @@
 	if err != nil || w.Name == "" {
 		return Beat{}, Error.New("a beat without a name or an address")
 	}
-	b := Beat{From: Member{
+	b := Beat{Hears: w.Hears, From: Member{
 		Name: w.Name, Domain: w.Domain, Address: address, Incarnation: w.Incarnation,
 		Dispatcher: w.Dispatcher, Registry: w.Registry, Disk: w.Disk, Leaving: w.Leaving, Config: w.Config,
 		Targets: w.Targets, Room: w.Room, Waiting: w.Waiting,
--- a/src/flotilla/fleet.go
+++ b/src/flotilla/fleet.go
@@ -40,6 +40,9 @@
 	Reason string
 }
 
+// Deafened tells of a peer that is heard but does not hear this process any more.
+type Deafened struct{ Peer Peer }
+
 // Updated tells that a peer described itself anew.
 type Updated struct{ Peer Peer }
 
@@ -57,12 +60,13 @@
 	To     string
 }
 
-func (Send) action()    {}
-func (Joined) action()  {}
-func (Lost) action()    {}
-func (Updated) action() {}
-func (Claimed) action() {}
-func (Yielded) action() {}
+func (Send) action()     {}
+func (Joined) action()   {}
+func (Lost) action()     {}
+func (Deafened) action() {}
+func (Updated) action()  {}
+func (Claimed) action()  {}
+func (Yielded) action()  {}
 
 // claim is a domain that this process plans.
 type claim struct {
@@ -148,6 +152,9 @@
 func (f *Fleet) Beat() Beat {
 	b := Beat{From: f.self}
 	alive := f.alive()
+	for _, p := range alive {
+		b.Hears = append(b.Hears, Mark(p.Member.Name))
+	}
 	f.turn++
 	for i := range min(contactLimit, len(alive)) {
 		b.Contacts = append(b.Contacts, alive[(f.turn*contactLimit+i)%len(alive)].Member.Address)
@@ -185,6 +192,7 @@
 		p.Since = now
 	}
 	p.Member, p.Heard, p.Alive = m, now, true
+	f.noteDeaf(now, p, slices.Contains(b.Hears, Mark(f.self.Name)))
 	if joined {
 		f.act(Joined{Peer: *p})
 		f.act(Send{To: m.Address})
@@ -192,6 +200,18 @@
 	f.act(Updated{Peer: *p})
 }
 
+// noteDeaf notes a peer that has stopped hearing this process: what it waits for from here will not arrive.
+func (f *Fleet) noteDeaf(now time.Time, p *Peer, hears bool) {
+	if hears || now.Sub(p.Since) < LostAfter {
+		p.Deaf = false
+		return
+	}
+	if !p.Deaf {
+		p.Deaf = true
+		f.act(Deafened{Peer: *p})
+	}
+}
+
 // contact remembers an address to send beats to, until its process is known by name.
 func (f *Fleet) contact(a netip.AddrPort) {
 	if a == f.self.Address || slices.Contains(f.contacts, a) {
--- /dev/null
+++ b/src/flotilla/fleet_test.go
@@ -0,0 +1,276 @@
+package flotilla
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// sea carries beats between fleets in simulated time.
+type sea struct {
+	now     time.Time
+	names   []string
+	fleets  map[string]*Fleet
+	address map[netip.AddrPort]string
+	down    map[string]bool
+	// cut reports whether beats from one process to another are lost.
+	cut    func(from, to string) bool
+	events map[string][]Action
+}
+
+func newSea() *sea {
+	return &sea{
+		now: time.Unix(1_700_000_000, 0), fleets: make(map[string]*Fleet), address: make(map[netip.AddrPort]string),
+		down: make(map[string]bool), cut: func(string, string) bool { return false }, events: make(map[string][]Action),
+	}
+}
+
+var seaDomains = []string{"north", "south"}
+
+func (s *sea) add(name, domain string, dispatcher bool) {
+	addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(len(s.names) + 1)}), 7000)
+	if _, known := s.fleets[name]; known {
+		addr = s.fleets[name].Self().Address
+	} else {
+		s.names = append(s.names, name)
+	}
+	s.address[addr] = name
+	seed := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, 1}), 7000)
+	s.fleets[name] = NewFleet(Member{
+		Name: name, Domain: domain, Address: addr, Incarnation: uint64(s.now.UnixMilli()),
+		Dispatcher: dispatcher, Registry: !dispatcher,
+	}, seaDomains, []netip.AddrPort{seed}, s.now)
+}
+
+func (s *sea) run(d time.Duration) {
+	for end := s.now.Add(d); s.now.Before(end); {
+		s.now = s.now.Add(BeatInterval)
+		for _, name := range s.names {
+			if !s.down[name] {
+				s.carry(name, s.fleets[name].Step(s.now, Tick{}))
+			}
+		}
+	}
+}
+
+func (s *sea) carry(from string, actions []Action) {
+	for _, a := range actions {
+		send, ok := a.(Send)
+		if !ok {
+			s.events[from] = append(s.events[from], a)
+			continue
+		}
+		to, known := s.address[send.To]
+		if !known || s.down[to] || s.cut(from, to) {
+			continue
+		}
+		data, err := EncodeBeat(s.fleets[from].Beat())
+		if err != nil {
+			panic(err)
+		}
+		beat, err := DecodeBeat(data)
+		if err != nil {
+			panic(err)
+		}
+		s.carry(to, s.fleets[to].Step(s.now, Heard{Beat: beat}))
+	}
+}
+
+func (s *sea) planner(domain string) []string {
+	var out []string
+	for _, name := range s.names {
+		if s.down[name] {
+			continue
+		}
+		for _, c := range s.fleets[name].Self().Claims {
+			if c.Domain == domain {
+				out = append(out, name)
+			}
+		}
+	}
+	return out
+}
+
+func newHarbour() *sea {
+	s := newSea()
+	s.add("registry-n", "north", false)
+	s.add("registry-s", "south", false)
+	s.add("entry-n1", "north", true)
+	s.add("entry-n2", "north", true)
+	s.add("entry-s1", "south", true)
+	s.run(3 * time.Second)
+	return s
+}
+
+func TestWhoPlans(t *testing.T) {
+	tests := map[string]struct {
+		change       func(s *sea)
+		after        time.Duration
+		north, south []string
+	}{
+		"at rest": {change: func(*sea) {}, north: []string{"entry-n1"}, south: []string{"entry-s1"}},
+		"the planner dies": {
+			change: func(s *sea) { s.down["entry-n1"] = true }, after: 2 * time.Second,
+			north: []string{"entry-n2"}, south: []string{"entry-s1"},
+		},
+		"the planner dies and comes back": {
+			change: func(s *sea) {
+				s.down["entry-n1"] = true
+				s.run(3 * time.Second)
+				s.down["entry-n1"] = false
+				s.add("entry-n1", "north", true)
+			},
+			after: 3 * time.Second, north: []string{"entry-n2"}, south: []string{"entry-s1"},
+		},
+		"the planner leaves": {
+			change: func(s *sea) { s.fleets["entry-n1"].Describe(func(m *Member) { m.Leaving = true }) },
+			after:  time.Second, north: []string{"entry-n2"}, south: []string{"entry-s1"},
+		},
+		"a domain has no entry host left": {
+			change: func(s *sea) { s.down["entry-s1"] = true }, after: 4 * time.Second,
+			north: []string{"entry-n1"}, south: []string{"entry-n1"},
+		},
+		"its entry host comes back": {
+			change: func(s *sea) {
+				s.down["entry-s1"] = true
+				s.run(4 * time.Second)
+				s.down["entry-s1"] = false
+				s.add("entry-s1", "south", true)
+			},
+			after: 4 * time.Second, north: []string{"entry-n1"}, south: []string{"entry-s1"},
+		},
+		"a domain that is cut off keeps its planner": {
+			change: func(s *sea) {
+				south := map[string]bool{"registry-s": true, "entry-s1": true}
+				s.cut = func(from, to string) bool { return south[from] != south[to] }
+				s.run(6 * time.Second)
+				s.cut = func(string, string) bool { return false }
+			},
+			after: 2 * time.Second, north: []string{"entry-n1"}, south: []string{"entry-s1"},
+		},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := newHarbour()
+			tt.change(s)
+			s.run(tt.after)
+			require.Equal(t, tt.north, s.planner("north"))
+			require.Equal(t, tt.south, s.planner("south"))
+		})
+	}
+}
+
+// While a domain is cut off, nobody on the other side may take its workers' tokens further.
+func TestCutDomainIsNotClaimed(t *testing.T) {
+	s := newHarbour()
+	south := map[string]bool{"registry-s": true, "entry-s1": true}
+	s.cut = func(from, to string) bool { return south[from] != south[to] }
+	s.run(6 * time.Second)
+	require.Equal(t, []string{"entry-s1"}, s.planner("south"))
+}
+
+// A peer that is heard but does not hear must be told apart: what it waits for from here does not arrive.
+func TestOneWayCutIsNoticed(t *testing.T) {
+	s := newHarbour()
+	s.cut = func(from, to string) bool { return from == "entry-n1" && to == "entry-s1" }
+	s.events = make(map[string][]Action)
+	s.run(3 * time.Second)
+	deaf := false
+	for _, a := range s.events["entry-n1"] {
+		if d, ok := a.(Deafened); ok && d.Peer.Member.Name == "entry-s1" {
+			deaf = true
+		}
+	}
+	require.True(t, deaf)
+	lost := false
+	for _, a := range s.events["entry-s1"] {
+		if l, ok := a.(Lost); ok && l.Peer.Member.Name == "entry-n1" {
+			lost = true
+		}
+	}
+	require.True(t, lost)
+}
+
+func TestRestartIsALoss(t *testing.T) {
+	s := newHarbour()
+	s.events = make(map[string][]Action)
+	s.now = s.now.Add(10 * time.Millisecond)
+	s.add("entry-n1", "north", true)
+	s.run(BeatInterval)
+	reasons := make(map[string]bool)
+	for _, a := range s.events["entry-s1"] {
+		if l, ok := a.(Lost); ok {
+			reasons[l.Reason] = true
+		}
+	}
+	require.Equal(t, map[string]bool{"restarted": true}, reasons)
+}
+
+// Whatever dies, restarts or is cut off, every domain in reach ends with one planner, and tokens only rise.
+func TestSchedules(t *testing.T) {
+	for seed := range uint64(40) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			rng := rand.New(rand.NewPCG(seed, 2))
+			s := newHarbour()
+			s.add("entry-s2", "south", true)
+			highest := make(map[string]int64)
+			for range 20 {
+				name := s.names[rng.IntN(len(s.names))]
+				switch rng.IntN(4) {
+				case 0:
+					s.down[name] = true
+				case 1:
+					if s.down[name] {
+						s.down[name] = false
+						self := s.fleets[name].Self()
+						s.add(name, self.Domain, self.Dispatcher)
+					}
+				case 2:
+					s.cut = func(from, to string) bool { return from == name || to == name }
+				case 3:
+					s.cut = func(string, string) bool { return false }
+				}
+				s.run(time.Duration(rng.IntN(3000)) * time.Millisecond)
+			}
+			s.cut = func(string, string) bool { return false }
+			for _, name := range s.names {
+				if s.down[name] {
+					s.down[name] = false
+					self := s.fleets[name].Self()
+					s.add(name, self.Domain, self.Dispatcher)
+				}
+			}
+			s.run(12 * time.Second)
+			require.Len(t, s.planner("north"), 1)
+			require.Len(t, s.planner("south"), 1)
+			for _, name := range s.names {
+				for _, a := range s.events[name] {
+					if c, ok := a.(Claimed); ok && name == s.planner(c.Domain)[0] {
+						highest[c.Domain] = max(highest[c.Domain], c.Token)
+					}
+				}
+			}
+			for domain, token := range highest {
+				self := s.fleets[s.planner(domain)[0]].Self()
+				for _, c := range self.Claims {
+					if c.Domain == domain {
+						require.Equal(t, token, c.Token)
+					}
+				}
+			}
+		})
+	}
+}
+
+func FuzzDecodeBeat(f *testing.F) {
+	b, err := EncodeBeat(Beat{From: Member{Name: "a", Address: netip.MustParseAddrPort("10.0.0.1:1")}})
+	require.NoError(f, err)
+	f.Add(b)
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		_, _ = DecodeBeat(data)
+	})
+}
--- a/src/flotilla/member.go
+++ b/src/flotilla/member.go
@@ -3,6 +3,8 @@
 import (
 	"net/netip"
 	"time"
+
+	"github.com/zeebo/xxh3"
 )
 
 // Claim says that a process plans the workers of a domain; the claim with the highest token counts.
@@ -38,6 +40,8 @@
 // Beat is what processes send each other.
 type Beat struct {
 	From Member
+	// Hears holds the marks of the processes that the sender hears.
+	Hears []uint32
 	// Contacts are addresses of other processes.
 	Contacts []netip.AddrPort
 }
@@ -49,8 +53,13 @@
 	// Since is when it was first heard after a silence.
 	Since time.Time
 	Alive bool
+	// Deaf says that the peer is heard but does not hear this process.
+	Deaf bool
 }
 
+// Mark returns a short mark of a process's name.
+func Mark(name string) uint32 { return uint32(xxh3.HashString(name)) }
+
 const (
 	// BeatInterval is the pause between beats; five fit into the silence after which a peer is taken for lost.
 	BeatInterval = 200 * time.Millisecond
--- a/src/logbook/event.go
+++ b/src/logbook/event.go
@@ -98,6 +98,7 @@
 	WorkerSlow    = Event{709, Warn, "worker is slow or fails what it starts", "look at the worker"}
 	WorkerLost    = Event{710, Warn, "worker does not answer", "look at the worker and the network"}
 	WorkerFenced  = Event{711, Warn, "worker follows another planner", "none if the domain changed hands"}
+	DropUnheard   = Event{712, Warn, "planner was not told that a job is dropped; it gives the job up by itself", "none"}
 )
 
 // Catalogue returns every event in the order of its number.
@@ -111,6 +112,6 @@
 		PeerHeard, PeerLost, DomainClaimed, DomainYielded, ConfigInForce, ConfigStored, VotersChanged, ClockJumped,
 		TargetListed, TargetDeparted, TargetSilent, ConfigRefused, ConfigUnsure, ListenerEnded,
 		JobTaken, JobQueued, TaskPlaced, TaskRestarted, JobGivenUp, JobAnswered, JobRefused, JobMoved,
-		WorkerReady, WorkerSlow, WorkerLost, WorkerFenced,
+		WorkerReady, WorkerSlow, WorkerLost, WorkerFenced, DropUnheard,
 	}
 }
--- /dev/null
+++ b/src/wharf/choose_test.go
@@ -0,0 +1,56 @@
+package wharf
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"sesamecleat/src/convoy"
+	"sesamecleat/src/flotilla"
+	"sesamecleat/src/radio"
+)
+
+func TestChoosePlanner(t *testing.T) {
+	member := func(name, domain string, room int) flotilla.Member {
+		return flotilla.Member{Name: name, Room: room, Claims: []flotilla.Claim{{Domain: domain}}}
+	}
+	leaving := member("b", "far", 99)
+	leaving.Leaving = true
+	tests := map[string]struct {
+		planners []flotilla.Member
+		spent    map[string]int
+		refused  map[string]bool
+		want     string
+		none     bool
+	}{
+		"the own domain while it has room":     {planners: []flotilla.Member{member("a", "home", 8), member("b", "far", 40)}, want: "a"},
+		"another one with more room":           {planners: []flotilla.Member{member("a", "home", 3), member("b", "far", 40)}, want: "b"},
+		"the own one if others have no more":   {planners: []flotilla.Member{member("a", "home", -2), member("b", "far", 1)}, want: "a"},
+		"offers under way count":               {planners: []flotilla.Member{member("a", "home", 8), member("b", "far", 40)}, spent: map[string]int{"a": 6}, want: "b"},
+		"not one that leaves":                  {planners: []flotilla.Member{member("a", "home", -9), leaving}, want: "a"},
+		"not one that has handed the job back": {planners: []flotilla.Member{member("a", "home", 8), member("b", "far", 0)}, refused: map[string]bool{"a": true}, want: "b"},
+		"nobody":                               {none: true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			p := &pending{job: convoy.Job{Steps: []convoy.Step{{Count: 8}}}, refused: tt.refused}
+			m, ok := choosePlanner(tt.planners, tt.spent, p, "home")
+			require.Equal(t, !tt.none, ok)
+			require.Equal(t, tt.want, m.Name)
+		})
+	}
+}
+
+func TestLostCalls(t *testing.T) {
+	tests := map[string]struct {
+		err  error
+		want convoy.Outcome
+	}{
+		"not sent has started nothing": {err: radio.NotSent.New("x"), want: convoy.Elsewhere},
+		"no answer may have":           {err: radio.Unsure.New("x"), want: convoy.Lost},
+		"refused may have":             {err: radio.Refused.New("x"), want: convoy.Lost},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) { require.Equal(t, tt.want, lostOutcome(tt.err)) })
+	}
+}
--- a/src/wharf/codec.go
+++ b/src/wharf/codec.go
@@ -64,6 +64,7 @@
 	Age      int64
 	Left     int64
 	Version  uint64
+	Attempt  uint64
 }
 
 type wireAnswer struct {
@@ -78,12 +79,22 @@
 	ID     string
 	Host   string
 	Reason string
+	// Attempt is the last offer that the drop is about.
+	Attempt uint64
 }
 
-// offer is a job on its way to a planner, with the version of the configuration it was taken in under.
+// offer is a job on its way to a planner, with the version of the configuration it was taken in under. Attempts rise
+// with every offer of an entry host, so that an offer that arrives after its drop is known.
 type offer struct {
 	job     convoy.Job
 	version uint64
+	attempt uint64
+}
+
+// drop says that an entry host waits no longer for a job that it offered.
+type drop struct {
+	dropped convoy.Dropped
+	attempt uint64
 }
 
 // answer is what a planner made of a job.
@@ -138,7 +149,7 @@
 	w := wireJob{
 		ID: j.ID, Route: j.Route, Pool: j.Pool, Host: j.Host, Spec: j.Spec, Priority: j.Priority, Attempts: j.Attempts,
 		Stretch: j.Stretch, Target: int64(j.Target), Age: int64(now.Sub(j.Arrived)), Left: int64(j.Deadline.Sub(now)),
-		Version: o.version,
+		Version: o.version, Attempt: o.attempt,
 	}
 	for _, s := range j.Steps {
 		w.Steps = append(w.Steps, wireStep{
@@ -166,7 +177,7 @@
 			Label: s.Label, Rack: s.Rack, Spread: s.Spread,
 		})
 	}
-	return offer{job: j, version: w.Version}, nil
+	return offer{job: j, version: w.Version, attempt: w.Attempt}, nil
 }
 
 func encodeAnswer(a answer) ([]byte, error) {
@@ -185,15 +196,17 @@
 	return answer{outcome: convoy.Outcome(w.Outcome), reason: w.Reason, retry: time.Duration(w.Retry)}, nil
 }
 
-func encodeDrop(d convoy.Dropped) ([]byte, error) {
-	b, err := cbor.Marshal(wireDrop{ID: d.ID, Host: d.Host, Reason: d.Reason})
+func encodeDrop(d drop) ([]byte, error) {
+	b, err := cbor.Marshal(wireDrop{
+		ID: d.dropped.ID, Host: d.dropped.Host, Reason: d.dropped.Reason, Attempt: d.attempt,
+	})
 	return b, Error.Wrap(err)
 }
 
-func decodeDrop(b []byte) (convoy.Dropped, error) {
+func decodeDrop(b []byte) (drop, error) {
 	var w wireDrop
 	if err := cbor.Unmarshal(b, &w); err != nil {
-		return convoy.Dropped{}, Error.Wrap(err)
+		return drop{}, Error.Wrap(err)
 	}
-	return convoy.Dropped{ID: w.ID, Host: w.Host, Reason: w.Reason}, nil
+	return drop{dropped: convoy.Dropped{ID: w.ID, Host: w.Host, Reason: w.Reason}, attempt: w.Attempt}, nil
 }
--- a/src/wharf/fleet.go
+++ b/src/wharf/fleet.go
@@ -190,6 +190,8 @@
 			logbook.F("incarnation", a.Peer.Member.Incarnation))
 	case flotilla.Lost:
 		f.h.Log.Write(logbook.PeerLost, logbook.F("peer", a.Peer.Member.Name), logbook.F("reason", a.Reason))
+	case flotilla.Deafened:
+		f.h.Log.Write(logbook.PeerLost, logbook.F("peer", a.Peer.Member.Name), logbook.F("reason", "it does not hear this process"))
 	case flotilla.Claimed:
 		f.dirty = true
 		f.h.Log.Write(logbook.DomainClaimed, logbook.F("domain", a.Domain), logbook.F("token", a.Token),
--- a/src/wharf/jobs.go
+++ b/src/wharf/jobs.go
@@ -25,6 +25,8 @@
 	// planner is who has the job now, empty while none is known; round tells late answers of earlier offers apart.
 	planner string
 	round   int
+	// attempt is the number of the last offer.
+	attempt uint64
 	offers  int
 	refused map[string]bool
 }
@@ -36,7 +38,8 @@
 	pending  map[string]*pending
 	inflight atomic.Int64
 	closed   atomic.Bool
-	plan     *plan
+	// attempts counts the offers of this process.
+	attempts uint64
 	// spent counts, by planner, the tasks offered to it since it last told of its room.
 	spent   map[string]int
 	waiting atomic.Pointer[map[string]int]
@@ -58,6 +61,8 @@
 	id     string
 	round  int
 	answer answer
+	// unsure says that the planner may have the job all the same.
+	unsure bool
 }
 
 func (submitEvent) HelmEvent()   {}
@@ -187,15 +192,18 @@
 	p.planner = m.Name
 	p.offers++
 	p.round++
+	j.attempts++
+	p.attempt = j.attempts
 	j.spent[m.Name] += p.job.Tasks()
 	round := p.round
 	done := make(chan answer, 2)
+	o := offer{job: p.job, version: p.version, attempt: p.attempt}
 	if m.Name == j.h.Settings.Name {
 		go func() { j.h.Post(j, answeredEvent{id: p.job.ID, round: round, answer: <-done}) }()
-		j.h.Publish(now, offeredEvent{offer: offer{job: p.job, version: p.version}, done: done})
+		j.h.Publish(now, offeredEvent{offer: o, done: done})
 		return
 	}
-	body, err := encodeOffer(now, offer{job: p.job, version: p.version})
+	body, err := encodeOffer(now, o)
 	if err != nil {
 		j.finish(p, answer{outcome: convoy.Refused, reason: err.Error()})
 		return
@@ -217,7 +225,7 @@
 		a.reason = err.Error()
 		a.outcome = lostOutcome(err)
 	}
-	j.h.Post(j, answeredEvent{id: id, round: round, answer: a})
+	j.h.Post(j, answeredEvent{id: id, round: round, answer: a, unsure: err != nil && a.outcome == convoy.Lost})
 }
 
 func (j *jobs) answered(now time.Time, e answeredEvent) {
@@ -235,6 +243,9 @@
 		j.offer(now, p)
 		return
 	}
+	if e.unsure {
+		j.tellDropped(p, "the connection to the planner broke")
+	}
 	j.finish(p, e.answer)
 }
 
@@ -269,17 +280,18 @@
 	if len(p.callers) > 0 {
 		return
 	}
-	d := convoy.Dropped{ID: p.job.ID, Host: p.job.Host, Reason: e.reason}
-	j.tellDropped(p.planner, d)
+	j.tellDropped(p, e.reason)
 	j.finish(p, answer{outcome: convoy.Lost, reason: e.reason})
 }
 
-func (j *jobs) tellDropped(planner string, d convoy.Dropped) {
-	if planner == j.h.Settings.Name {
-		j.h.Publish(j.h.Clock.Now(), plannerEvent{ev: d})
+// tellDropped tells a job's planner that nobody waits for it here, until the planner has heard it.
+func (j *jobs) tellDropped(p *pending, reason string) {
+	d := drop{dropped: convoy.Dropped{ID: p.job.ID, Host: p.job.Host, Reason: reason}, attempt: p.attempt}
+	if p.planner == j.h.Settings.Name {
+		j.h.Publish(j.h.Clock.Now(), droppedEvent{drop: d})
 		return
 	}
-	peer, ok := j.h.Fleet.Peer(planner)
+	peer, ok := j.h.Fleet.Peer(p.planner)
 	if !ok {
 		return
 	}
@@ -289,10 +301,16 @@
 		return
 	}
 	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
-		defer cancel()
-		// If this is lost, the planner gives the job up at its deadline.
-		_, _ = j.h.Radio.Call(ctx, peer.Member.Address, kindDrop, body)
+		for range dropTries {
+			ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+			_, err := j.h.Radio.Probe(ctx, peer.Member.Address, kindDrop, body)
+			cancel()
+			if err == nil {
+				return
+			}
+			time.Sleep(dropPause)
+		}
+		j.h.Log.Write(logbook.DropUnheard, logbook.F("id", d.dropped.ID), logbook.F("planner", peer.Member.Name))
 	}()
 }
 
--- a/src/wharf/kinds.go
+++ b/src/wharf/kinds.go
@@ -60,6 +60,12 @@
 	offerLimit = 4
 	// roomInterval bounds how often a change of room is told.
 	roomInterval = 25 * time.Millisecond
+	// offerLife is how long an offer may be on its way; connections between processes are given up before.
+	offerLife = 30 * time.Second
+	// dropTries bounds how often a drop is sent; by then a planner that is out of reach has given the job up by itself.
+	dropTries = 8
+	// dropPause is the pause between two of them, as a peer that cannot be reached is found out at once.
+	dropPause = 100 * time.Millisecond
 	// freezeLimit is the difference between the time of day and the steady clock that tells of a freeze.
 	freezeLimit = 300 * time.Millisecond
 )
--- a/src/wharf/plan.go
+++ b/src/wharf/plan.go
@@ -33,6 +33,8 @@
 	planner *convoy.Planner
 	orders  pond.Pool
 	waiters map[waiter]chan answer
+	// dropped holds the last attempt of a job that its entry host has dropped, until the offer cannot arrive any more.
+	dropped map[waiter]droppedOffer
 	config  *charter.Config
 	// marks holds, by registry host and incarnation, how much of its register is known here.
 	marks    map[string]uint64
@@ -43,6 +45,15 @@
 	inHand atomic.Int64
 }
 
+type droppedOffer struct {
+	attempt uint64
+	at      time.Time
+}
+
+type droppedEvent struct{ drop drop }
+
+func (droppedEvent) HelmEvent() {}
+
 type plannerEvent struct{ ev convoy.Event }
 
 // offeredEvent brings a job of this or another host; the answer goes to done.
@@ -65,7 +76,7 @@
 func newPlan(h *helm.Helm) helm.Plugin {
 	return &plan{
 		h: h, planner: convoy.NewPlanner(convoy.Tuning{MaxLease: h.Settings.Lease}),
-		orders: pond.NewPool(orderLimit), waiters: make(map[waiter]chan answer),
+		orders: pond.NewPool(orderLimit), waiters: make(map[waiter]chan answer), dropped: make(map[waiter]droppedOffer),
 		marks: make(map[string]uint64), fetching: make(map[string]bool),
 	}
 }
@@ -92,6 +103,8 @@
 		p.step(now, e.ev)
 	case offeredEvent:
 		p.offered(now, e)
+	case droppedEvent:
+		p.drop(now, e.drop)
 	case targetsEvent:
 		p.learnTargets(now, e)
 	case configInForceEvent:
@@ -113,6 +126,8 @@
 		p.step(now, convoy.Yielded{Domain: a.Domain})
 	case flotilla.Lost:
 		p.step(now, convoy.HostLost{Host: a.Peer.Member.Name})
+	case flotilla.Deafened:
+		p.step(now, convoy.HostLost{Host: a.Peer.Member.Name})
 	case flotilla.Updated:
 		p.followTargets(a.Peer.Member)
 	}
@@ -214,6 +229,10 @@
 		return
 	}
 	key := waiter{job: e.offer.job.ID, host: e.offer.job.Host}
+	if d, ok := p.dropped[key]; ok && e.offer.attempt <= d.attempt {
+		e.done <- answer{outcome: convoy.Lost, reason: "dropped before it arrived"}
+		return
+	}
 	if old, waits := p.waiters[key]; waits {
 		old <- answer{outcome: convoy.Lost, reason: "asked for again by the same host"}
 	}
@@ -221,6 +240,17 @@
 	p.step(now, convoy.Submitted{Job: e.offer.job})
 }
 
+// drop gives a job up, and its offer too if that is still on its way.
+func (p *plan) drop(now time.Time, d drop) {
+	for key, old := range p.dropped {
+		if now.Sub(old.at) > offerLife {
+			delete(p.dropped, key)
+		}
+	}
+	p.dropped[waiter{job: d.dropped.ID, host: d.dropped.Host}] = droppedOffer{attempt: d.attempt, at: now}
+	p.step(now, d.dropped)
+}
+
 func (p *plan) routed(j convoy.Job) bool {
 	for _, r := range p.config.Routes {
 		if r.Name == j.Route && r.Pool == j.Pool {
@@ -287,7 +317,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p.h.Post(p, plannerEvent{ev: d})
+	p.h.Post(p, droppedEvent{drop: d})
 	return nil, nil
 }
 
