Explain decisions: log lines by request behind a bounded queue, sampled by id; metrics

Cause: a complaint could not be followed from its id: planners logged no placing, waiting or taking in, and the log was written in the caller's way.

--- a/src/convoy/place.go
+++ b/src/convoy/place.go
@@ -1,6 +1,7 @@
 package convoy
 
 import (
+	"fmt"
 	"math"
 	"slices"
 	"time"
@@ -21,9 +22,22 @@
 		p.placeJob(now, j, &smallest)
 	}
 	p.queue = slices.DeleteFunc(p.queue, func(j *job) bool { return j.ended || j.waiting == 0 })
+	p.noteQueued()
 	p.offerElsewhere(now)
 }
 
+// noteQueued tells once of each job that has to wait, and behind how much.
+func (p *Planner) noteQueued() {
+	ahead := 0
+	for _, j := range p.queue {
+		if !j.noted && !j.started {
+			j.noted = true
+			p.note(NoteQueued, j.ID, "", fmt.Sprintf("%d tasks wait before its %d; %d slots", ahead, j.Tasks(), p.Slots()))
+		}
+		ahead += j.waiting
+	}
+}
+
 func (p *Planner) placeJob(now time.Time, j *job, smallest *int64) {
 	for i, s := range j.Steps {
 		if j.left[i] == 0 || !j.due(i) || s.Need.Milli >= *smallest {
--- a/src/convoy/run.go
+++ b/src/convoy/run.go
@@ -19,6 +19,9 @@
 	w.used = w.used.plus(step.Need)
 	t.job.started = true
 	t.job.waiting--
+	p.note(NotePlaced, t.job.ID, w.target.ID, fmt.Sprintf("task %d.%d run %d after %s, expected %s at speed %.2f, %d runs there",
+		t.step, t.index, t.number, now.Sub(t.job.Arrived).Round(time.Millisecond), expected.Round(time.Millisecond),
+		w.pace(now), len(w.runs)-1))
 	p.act(Start{Target: w.target, Token: w.token, Key: r.key, Spec: t.job.Spec, Lease: w.grant(now, p.tuning.MaxLease)})
 }
 
--- a/src/helm/helm.go
+++ b/src/helm/helm.go
@@ -42,9 +42,11 @@
 
 // Helm is the kernel of one process.
 type Helm struct {
-	Settings    manifest.Settings
-	Clock       tide.Clock
-	Log         *logbook.Log
+	Settings manifest.Settings
+	Clock    tide.Clock
+	Log      *logbook.Log
+	// Sample chooses the requests that are logged step by step.
+	Sample      *logbook.Sampler
 	Metrics     *metrics.Set
 	Radio       *radio.Radio
 	Store       *archive.Store
@@ -82,6 +84,7 @@
 	h := &Helm{
 		Settings: s, Clock: o.Clock, Dial: o.Dial,
 		Log:     logbook.NewLog(o.Log, s.Name),
+		Sample:  logbook.NewSampler(logbook.SampleBudget),
 		Metrics: metrics.NewSet(),
 		Timers:  tide.NewService(),
 		queue:   make(chan envelope, queueLength),
--- a/src/logbook/event.go
+++ b/src/logbook/event.go
@@ -40,6 +40,7 @@
 	SettingsRefused  = Event{105, Error, "settings refused", "mend the findings"}
 	HandlerPanicked  = Event{106, Error, "a handler panicked; its request was failed", "report the stack trace"}
 	SettingsReloaded = Event{107, Info, "settings file read again", "none"}
+	LinesDropped     = Event{108, Warn, "log lines were dropped, as the reader is too slow", "look at who reads the log"}
 
 	MemberJoined    = Event{200, Info, "member joined", "none"}
 	MemberSuspected = Event{201, Warn, "member suspected", "look at the host and the network if it lasts"}
@@ -104,7 +105,8 @@
 // Catalogue returns every event in the order of its number.
 func Catalogue() []Event {
 	return []Event{
-		ProcessStarted, ProcessReady, StopRequested, StopFinished, StopCutOff, SettingsRefused, HandlerPanicked, SettingsReloaded,
+		ProcessStarted, ProcessReady, StopRequested, StopFinished, StopCutOff, SettingsRefused, HandlerPanicked,
+		SettingsReloaded, LinesDropped,
 		MemberJoined, MemberSuspected, MemberDied, MemberReturned, MemberRestarted, PeerReplaced, PeerRefused,
 		TargetAnnounced, TargetLeaving, TargetExpired, TargetEjected, TargetRestored, AnswerCrossed,
 		LeaderElected, LeaderLost, EditAccepted, TablesStale, TablesCurrent, DiskFailed, DiskDamaged, SnapshotLoaded,
--- a/src/serve.go
+++ b/src/serve.go
@@ -31,7 +31,9 @@
 		logbook.NewLog(c.stderr, "serve").Write(logbook.SettingsRefused, logbook.F("file", *file))
 		return ExitUsage
 	}
-	h, err := startProcess(c, s)
+	log := logbook.NewQueue(c.stdout, logbook.QueueLimit)
+	defer log.Close()
+	h, err := startProcess(c, s, log)
 	if err != nil {
 		fmt.Fprintf(c.stderr, "sesamecleat: %v\n", err)
 		return ExitFault
@@ -91,8 +93,8 @@
 	}, nil
 }
 
-func startProcess(c *command, s manifest.Settings) (*helm.Helm, error) {
-	h, err := helm.New(s, helm.Options{Clock: tide.System{}, Log: c.stderr, Listen: radio.ListenUDP})
+func startProcess(c *command, s manifest.Settings, log *logbook.Queue) (*helm.Helm, error) {
+	h, err := helm.New(s, helm.Options{Clock: tide.System{}, Log: log, Listen: radio.ListenUDP})
 	if archive.DamageError.Has(err) {
 		logbook.NewLog(c.stderr, s.Name).Write(logbook.DiskDamaged, logbook.F("error", err.Error()))
 	}
--- a/src/wharf/config.go
+++ b/src/wharf/config.go
@@ -46,6 +46,7 @@
 // Start serves the configuration to processes that follow.
 func (c *config) Start() error {
 	c.h.Radio.Handle(kindConfig, c.onConfig)
+	c.h.Metrics.GetOrCreateGauge("sesamecleat_config_version", func() float64 { return float64(c.version()) })
 	return nil
 }
 
--- a/src/wharf/jobs.go
+++ b/src/wharf/jobs.go
@@ -176,6 +176,11 @@
 	}
 	p := &pending{job: e.job, version: e.version, callers: []chan helm.JobAnswer{e.done}, refused: make(map[string]bool)}
 	j.pending[e.job.ID] = p
+	if j.h.Sample.Keep(e.job.ID, now) {
+		j.h.Log.Write(logbook.JobTaken, logbook.F("id", e.job.ID), logbook.F("route", e.job.Route),
+			logbook.F("version", e.version), logbook.F("tasks", e.job.Tasks()), logbook.F("chain", e.job.Chain().String()),
+			logbook.F("left", e.job.Deadline.Sub(now).String()))
+	}
 	j.offer(now, p)
 }
 
@@ -255,10 +260,14 @@
 		done <- helm.JobAnswer{Outcome: a.outcome, Reason: a.reason, Retry: a.retry}
 	}
 	took := j.h.Clock.Now().Sub(p.job.Arrived)
+	countAnswer(j.h.Metrics, p.job.Route, a.outcome, took)
 	event := logbook.JobAnswered
 	if a.outcome == convoy.Refused {
 		event = logbook.JobRefused
 	}
+	if a.outcome == convoy.Completed && !j.h.Sample.Keep(p.job.ID, j.h.Clock.Now()) {
+		return
+	}
 	j.h.Log.Write(event, logbook.F("id", p.job.ID), logbook.F("route", p.job.Route), logbook.F("outcome", a.outcome.String()),
 		logbook.F("planner", p.planner), logbook.F("offers", p.offers), logbook.F("ms", took.Milliseconds()),
 		logbook.F("why", a.reason))
--- a/src/wharf/plan.go
+++ b/src/wharf/plan.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/binary"
 	"net/netip"
-	"sync/atomic"
 	"time"
 
 	"github.com/alitto/pond/v2"
@@ -41,8 +40,7 @@
 	fetching map[string]bool
 	room     int
 	waiting  map[string]int
-	// inHand counts the jobs that a planned stop waits for.
-	inHand atomic.Int64
+	measures *measures
 }
 
 type droppedOffer struct {
@@ -77,7 +75,7 @@
 	return &plan{
 		h: h, planner: convoy.NewPlanner(convoy.Tuning{MaxLease: h.Settings.Lease}),
 		orders: pond.NewPool(orderLimit), waiters: make(map[waiter]chan answer), dropped: make(map[waiter]droppedOffer),
-		marks: make(map[string]uint64), fetching: make(map[string]bool),
+		marks: make(map[string]uint64), fetching: make(map[string]bool), measures: newMeasures(h.Metrics),
 	}
 }
 
@@ -89,6 +87,8 @@
 	p.h.Timers.Every(p.h.Clock.Now(), planTick, func(now time.Time) {
 		p.step(now, convoy.RoomElsewhere{Tasks: p.roomElsewhere()})
 		p.step(now, convoy.Tick{})
+		p.measures.runs.Store(int64(p.planner.Runs()))
+		p.measures.slots.Store(int64(p.planner.Slots()))
 	})
 	return nil
 }
@@ -154,8 +154,11 @@
 
 // tell lets the entry hosts know how much room there is.
 func (p *plan) tell() {
-	p.inHand.Store(int64(p.planner.Jobs()))
 	room := p.planner.Room()
+	m := p.measures
+	m.inHand.Store(int64(p.planner.Jobs()))
+	m.waiting.Store(int64(p.planner.Waiting()))
+	m.room.Store(int64(room))
 	if room == p.room {
 		return
 	}
@@ -170,15 +173,22 @@
 		sent := now
 		p.order(func() convoy.Event {
 			report, verdict := p.h.Workers.Hold(a)
+			p.measures.ordered("hold", verdict, 0)
 			return convoy.Held{ID: a.Target.ID, Sent: sent, Verdict: verdict, Report: report}
 		})
 	case convoy.Start:
 		p.order(func() convoy.Event {
-			return convoy.Started{ID: a.Target.ID, Key: a.Key, Verdict: p.h.Workers.Start(a)}
+			began := p.h.Clock.Now()
+			verdict := p.h.Workers.Start(a)
+			p.measures.ordered("start", verdict, p.h.Clock.Now().Sub(began))
+			return convoy.Started{ID: a.Target.ID, Key: a.Key, Verdict: verdict}
 		})
 	case convoy.Stop:
 		p.order(func() convoy.Event {
-			return convoy.Stopped{ID: a.Target.ID, Key: a.Key, Verdict: p.h.Workers.Stop(a)}
+			began := p.h.Clock.Now()
+			verdict := p.h.Workers.Stop(a)
+			p.measures.ordered("stop", verdict, p.h.Clock.Now().Sub(began))
+			return convoy.Stopped{ID: a.Target.ID, Key: a.Key, Verdict: verdict}
 		})
 	case convoy.Answer:
 		p.answer(a)
@@ -199,7 +209,8 @@
 
 func (p *plan) note(n convoy.Note) {
 	event, known := noteEvents[n.Kind]
-	if !known {
+	p.measures.noted(event.Number)
+	if !known || (event.Level == logbook.Info && n.Job != "" && !p.h.Sample.Keep(n.Job, p.h.Clock.Now())) {
 		return
 	}
 	var fields []logbook.Field
@@ -358,4 +369,4 @@
 }
 
 // Busy reports whether jobs of callers, here or at other hosts, are at work.
-func (p *plan) Busy() bool { return p.inHand.Load() > 0 }
+func (p *plan) Busy() bool { return p.measures.inHand.Load() > 0 }
