--- a/src/archive/journal.go
+++ b/src/archive/journal.go
@@ -39,6 +39,7 @@
 	size       int64
 	identity   Identity
 	disk       pilot.Disk
+	commit     uint64
 }
 
 type wireRecord struct {
@@ -50,6 +51,7 @@
 	Hard     []byte
 	Snapshot []byte
 	Entries  [][]byte
+	Commit   uint64
 }
 
 // OpenJournal opens the newest whole journal of a folder, or begins one under the identity given.
@@ -85,8 +87,13 @@
 	return d
 }
 
-// Save appends a batch and syncs it; after an error the batch may be saved again, which begins a new file.
-func (j *Journal) Save(batch []pilot.Save) error {
+// Commit returns the last index that was known to be agreed on when something was saved.
+func (j *Journal) Commit() uint64 { return j.commit }
+
+// Save appends a batch, with the last index known to be agreed on, and syncs it; after an error everything is written
+// anew by the next call.
+func (j *Journal) Save(batch []pilot.Save, commit uint64) error {
+	j.commit = max(j.commit, commit)
 	for _, s := range batch {
 		j.merge(s)
 	}
@@ -95,7 +102,7 @@
 	}
 	var out []byte
 	for _, s := range batch {
-		record, err := encodeRecord(wireRecord{}, s.Hard, s.Snapshot, s.Entries)
+		record, err := encodeRecord(wireRecord{Commit: j.commit}, s.Hard, s.Snapshot, s.Entries)
 		if err != nil {
 			return err
 		}
@@ -159,7 +166,7 @@
 		j.file = nil
 	}
 	j.generation++
-	record, err := encodeRecord(wireRecord{Whole: true, Disk: j.identity.Disk, Founders: j.identity.Founders},
+	record, err := encodeRecord(wireRecord{Whole: true, Disk: j.identity.Disk, Founders: j.identity.Founders, Commit: j.commit},
 		j.disk.Hard, &j.disk.Snapshot, j.disk.Entries)
 	if err != nil {
 		return err
@@ -244,6 +251,7 @@
 			j.identity = Identity{Disk: w.Disk, Founders: w.Founders}
 			j.disk = pilot.Disk{}
 		}
+		j.commit = w.Commit
 		j.merge(s)
 		b = b[recordHeader+size:]
 	}
--- a/src/archive/journal_test.go
+++ b/src/archive/journal_test.go
@@ -48,7 +48,7 @@
 			j, err := OpenJournal(folder, fresh)
 			require.NoError(t, err)
 			for _, s := range tt.saves {
-				require.NoError(t, j.Save([]pilot.Save{s}))
+				require.NoError(t, j.Save([]pilot.Save{s}, 2))
 			}
 			require.NoError(t, j.Close())
 			j, err = OpenJournal(folder, Identity{Disk: "other"})
@@ -62,6 +62,7 @@
 				require.Equal(t, tt.want.Entries[i].Term, e.Term)
 				require.Equal(t, tt.want.Entries[i].Data, e.Data)
 			}
+			require.Equal(t, uint64(2), j.Commit())
 		})
 	}
 }
@@ -71,9 +72,9 @@
 	folder := t.TempDir()
 	j, err := OpenJournal(folder, Identity{Disk: "a"})
 	require.NoError(t, err)
-	require.NoError(t, j.Save([]pilot.Save{{Entries: logEntries(1, 3, 1)}}))
+	require.NoError(t, j.Save([]pilot.Save{{Entries: logEntries(1, 3, 1)}}, 2))
 	synced := j.size
-	require.NoError(t, j.Save([]pilot.Save{{Entries: logEntries(4, 4, 1)}}))
+	require.NoError(t, j.Save([]pilot.Save{{Entries: logEntries(4, 4, 1)}}, 2))
 	require.NoError(t, j.Close())
 	path := j.path(j.generation)
 	whole, err := os.ReadFile(path)
@@ -91,7 +92,7 @@
 			require.NoError(t, err)
 			require.Equal(t, "a", j.Identity().Disk)
 			require.Len(t, j.Disk().Entries, 3)
-			require.NoError(t, j.Save([]pilot.Save{{Entries: logEntries(4, 5, 2)}}))
+			require.NoError(t, j.Save([]pilot.Save{{Entries: logEntries(4, 5, 2)}}, 2))
 			require.NoError(t, j.Close())
 			j, err = OpenJournal(other, Identity{Disk: "other"})
 			require.NoError(t, err)
@@ -106,7 +107,7 @@
 	folder := t.TempDir()
 	j, err := OpenJournal(folder, Identity{Disk: "a"})
 	require.NoError(t, err)
-	require.NoError(t, j.Save([]pilot.Save{{Entries: logEntries(1, 3, 1)}}))
+	require.NoError(t, j.Save([]pilot.Save{{Entries: logEntries(1, 3, 1)}}, 2))
 	require.NoError(t, j.Close())
 	require.NoError(t, os.WriteFile(j.path(j.generation+1), []byte{0, 0, 0, 9, 1, 2}, 0o600))
 	j, err = OpenJournal(folder, Identity{Disk: "other"})
@@ -122,8 +123,8 @@
 	j, err := OpenJournal(folder, Identity{Disk: "a"})
 	require.NoError(t, err)
 	require.NoError(t, j.file.Close())
-	require.Error(t, j.Save([]pilot.Save{{Entries: logEntries(1, 2, 1)}}))
-	require.NoError(t, j.Save(nil))
+	require.Error(t, j.Save([]pilot.Save{{Entries: logEntries(1, 2, 1)}}, 2))
+	require.NoError(t, j.Save(nil, 2))
 	require.NoError(t, j.Close())
 	j, err = OpenJournal(folder, Identity{Disk: "other"})
 	require.NoError(t, err)
--- a/src/convoy/judge.go
+++ b/src/convoy/judge.go
@@ -27,7 +27,7 @@
 		return refusal{}, true
 	}
 	wait := p.backlog(now, j, slots)
-	if now.Add(wait + chain).After(j.Deadline) {
+	if now.Add(wait + chain).After(p.useful(j)) {
 		return refusal{fmt.Sprintf("%s of waiting and %s of work do not end before the deadline", wait, chain), clampRetry(wait)}, false
 	}
 	return refusal{}, true
@@ -63,7 +63,7 @@
 	for _, j := range p.jobList() {
 		if !j.started {
 			chain := p.kind(j.Route).usual(j.Chain())
-			if now.Add(chain).After(j.Deadline) {
+			if now.Add(chain).After(p.useful(j)) {
 				p.note(NoteGivenUp, j.ID, "", "no room before its deadline")
 				p.end(now, j, Refused, "no room before its deadline", clampRetry(chain))
 			}
--- a/src/convoy/order.go
+++ b/src/convoy/order.go
@@ -69,6 +69,16 @@
 	return j.Arrived.Add(time.Duration(max(1, j.Stretch)*float64(chain)) + j.Target)
 }
 
+// useful returns until when an answer is of use to a job's caller: as long as it waits, but not beyond the multiple of the
+// objective after which the work counts as lost.
+func (p *Planner) useful(j *job) time.Time {
+	limit := j.Arrived.Add(lateFactor * p.objective(j).Sub(j.Arrived))
+	if limit.Before(j.Deadline) {
+		return limit
+	}
+	return j.Deadline
+}
+
 // before orders the queue for the times when not all can be served: jobs that can still be on time go before late ones,
 // then the routes that ask for the least room go first, as serving them whole costs the others least; then the oldest.
 func (p *Planner) before(now time.Time, a, b *job) int {
--- a/src/convoy/place.go
+++ b/src/convoy/place.go
@@ -62,27 +62,42 @@
 	return time.Duration(float64(p.kind(j.Route).usual(s.Estimate)) / w.pace(now))
 }
 
-// pick returns the fastest worker with room for a task; among those about as fast, the one that the task leaves fullest,
-// so that wide room stays for wide tasks.
+// pick returns the worker for a task: the fastest with room, or none while waiting for a faster one still ends the task in
+// time and the ones with room do not. Among workers about as fast it takes the one that the task leaves fullest, so that
+// wide room stays for wide tasks.
 func (p *Planner) pick(now time.Time, j *job, s Step, t *task) *worker {
 	var best *worker
 	bestScore := math.Inf(-1)
+	slack := float64(p.objective(j).Sub(now) - overhead)
+	usual := float64(p.kind(j.Route).usual(s.Estimate))
 	for _, w := range p.workers {
 		if !p.suits(now, w, j, s, t) {
 			continue
 		}
-		score := math.Round(8 * math.Log(w.pace(now)))
+		pace := w.pace(now)
+		score := math.Round(8 * math.Log(pace))
+		if usual*fitMargin/pace <= slack {
+			score += fitBonus
+		}
 		if s.Rack != "" && !w.labelled(s.Rack) {
 			score -= 4
 		}
-		score -= 0.5 * float64(w.free().minus(s.Need).Milli) / float64(max(1, w.target.Room.Milli))
+		score -= 3 * p.unusable(w.free().minus(s.Need).Milli)
 		if score > bestScore || (score == bestScore && w.target.ID < best.target.ID) {
 			best, bestScore = w, score
 		}
 	}
+	if bestScore < fitBonus/2.0 && p.worthWaiting(now, usual, slack) {
+		return nil
+	}
 	return best
 }
 
+// worthWaiting reports whether a task that fits no worker with room would still be in time on a fast one a moment later.
+func (p *Planner) worthWaiting(_ time.Time, usual, slack float64) bool {
+	return usual*fitMargin/p.fast+float64(waitStep) <= slack
+}
+
 func (p *Planner) suits(now time.Time, w *worker, j *job, s Step, t *task) bool {
 	if w.target.Pool != j.Pool || !w.open(now) || !s.Need.Fits(w.free()) || !w.labelled(s.Label) {
 		return false
@@ -112,3 +127,9 @@
 		p.end(now, j, Elsewhere, "another planner has room", 0)
 	}
 }
+
+// unusable returns how much of the room that a task leaves is too small for an ordinary one, in parts of that.
+func (p *Planner) unusable(left int64) float64 {
+	rest := math.Mod(float64(left), p.typical)
+	return rest / p.typical
+}
--- a/src/convoy/planner.go
+++ b/src/convoy/planner.go
@@ -55,14 +55,16 @@
 	swept     time.Time
 	elsewhere int
 	typical   float64
-	stopping  bool
-	out       []Action
+	// fast is the speed that the faster half of the workers has.
+	fast     float64
+	stopping bool
+	out      []Action
 }
 
 // NewPlanner returns a planner without domains.
 func NewPlanner(t Tuning) *Planner {
 	return &Planner{
-		tuning: t, typical: typicalMilli,
+		tuning: t, typical: typicalMilli, fast: 1,
 		claims: make(map[string]int64), gentle: make(map[string]bool), targets: make(map[string]Target), workers: make(map[string]*worker),
 		jobs: make(map[string]*job), kinds: make(map[string]*kind),
 		leftover: make(map[string]int), results: make(map[string]result),
@@ -209,4 +211,20 @@
 	for _, k := range p.kinds {
 		k.roll(now)
 	}
+	p.fast = p.medianPace(now)
+}
+
+// medianPace returns the speed that half of the workers that answer have at least.
+func (p *Planner) medianPace(now time.Time) float64 {
+	var paces []float64
+	for _, w := range p.workers {
+		if w.phase == phaseReady {
+			paces = append(paces, w.pace(now))
+		}
+	}
+	if len(paces) == 0 {
+		return 1
+	}
+	sort.Float64s(paces)
+	return paces[len(paces)/2]
 }
--- a/src/convoy/tuning.go
+++ b/src/convoy/tuning.go
@@ -54,6 +54,14 @@
 	// retryFloor and retryCeiling bound the pause that a refused caller is told.
 	retryFloor   = 200 * time.Millisecond
 	retryCeiling = 5 * time.Second
+	// fitMargin is how much longer than reckoned a task may take on the worker it is thought to fit; estimates are rough.
+	fitMargin = 1.05
+	// fitBonus puts every worker that fits before every one that does not.
+	fitBonus = 100
+	// waitStep is the least slack for which a task waits for a fast worker; some ends of other tasks come in that time.
+	waitStep = 30 * time.Millisecond
+	// lateFactor is the multiple of the objective up to which a late answer is of use, by the users' rules.
+	lateFactor = 3
 	// endsLimit is the most ends that a worker lists at once.
 	endsLimit = 500
 )
--- a/src/convoy/yard_test.go
+++ b/src/convoy/yard_test.go
@@ -26,7 +26,9 @@
 	// lost and late are the shares of orders whose answer is lost, and which besides are carried out seconds later.
 	lost, late float64
 	rejected   int
-	maxRun     time.Duration
+	// durations and needs are those of tasks, by name, where they differ from what their specification says.
+	durations map[string]float64
+	needs     map[string]int64
 }
 
 type fakeRun struct {
@@ -35,6 +37,7 @@
 	takes time.Duration
 	fails bool
 	epoch int
+	need  int64
 }
 
 type fakeWorker struct {
@@ -274,11 +277,15 @@
 	if o.Key.Run <= w.top[o.Key.Task] {
 		return Outdated
 	}
-	used := Need{}
-	for range w.runs {
-		used.Milli += 14000
+	need, ok := y.needs[o.Key.Task]
+	if !ok {
+		need = 14_000
 	}
-	if used.Milli+14000 > w.capacity.Milli {
+	used := need
+	for _, other := range w.runs {
+		used += other.need
+	}
+	if used > w.capacity.Milli {
 		y.rejected++
 		return NoRoom
 	}
@@ -289,11 +296,13 @@
 			require.Failf(y.t, "a task runs twice", "%s on %s and %s at %s", o.Key.Task, id, w.target.ID, y.now)
 		}
 	}
-	var ms int
-	_, err := fmt.Sscanf(o.Spec, "%d", &ms)
-	require.NoError(y.t, err)
-	takes := time.Duration(float64(ms) / w.speed * float64(time.Millisecond))
-	run := &fakeRun{key: o.Key, began: y.now, takes: takes, fails: w.fails, epoch: w.epoch}
+	ms, ok := y.durations[o.Key.Task]
+	if !ok {
+		_, err := fmt.Sscanf(o.Spec, "%g", &ms)
+		require.NoError(y.t, err)
+	}
+	takes := time.Duration(ms / w.speed * float64(time.Millisecond))
+	run := &fakeRun{key: o.Key, began: y.now, takes: takes, fails: w.fails, epoch: w.epoch, need: need}
 	w.runs[o.Key.Task] = run
 	if !w.stuck {
 		y.after(takes, func() {
--- a/src/flotilla/member.go
+++ b/src/flotilla/member.go
@@ -69,7 +69,7 @@
 	// forgetAfter is how long a lost peer is still sent beats.
 	forgetAfter = 60 * time.Second
 	// settleTime is how long a process listens before it claims a domain.
-	settleTime = 800 * time.Millisecond
+	settleTime = 600 * time.Millisecond
 	// foreignAfter is how long a domain may be without an entry host before one of another domain plans there.
 	foreignAfter = 1500 * time.Millisecond
 	// returnAfter is how long an entry host must be heard before it takes its domain back from another one.
--- a/src/pilot/elect.go
+++ b/src/pilot/elect.go
@@ -99,7 +99,7 @@
 	count := 0
 	for _, name := range n.config.Voters {
 		p, ok := n.peers[name]
-		if name == n.name || (ok && now.Sub(p.heard) < 2*ElectionTimeout) {
+		if name == n.name || (ok && now.Sub(p.heard) < 2*n.timing.Election) {
 			count++
 		}
 	}
--- a/src/pilot/node.go
+++ b/src/pilot/node.go
@@ -62,6 +62,14 @@
 	reads    []pendingRead
 	blank    uint64
 	out      []Action
+	timing   Timing
+}
+
+// Timing sets how fast a lost leader is noticed.
+type Timing struct {
+	Heartbeat time.Duration
+	// Election is the least silence of a leader after which another one is elected.
+	Election time.Duration
 }
 
 // Disk is what a host finds on its disk at the start.
@@ -74,6 +82,7 @@
 // NewNode returns a follower that resumes from its disk; an empty disk starts with the config given.
 func NewNode(name string, config Config, disk Disk, seed uint64, now time.Time) *Node {
 	n := &Node{name: name, rng: rand.New(rand.NewPCG(seed, uint64(len(name)))), hard: disk.Hard}
+	n.timing = Timing{Heartbeat: HeartbeatInterval, Election: ElectionTimeout}
 	n.log = journal{snapshot: disk.Snapshot, entries: disk.Entries}
 	if n.log.snapshot.Index == 0 {
 		n.log.snapshot.Config = config
@@ -86,6 +95,15 @@
 	return n
 }
 
+// SetTiming replaces the timing that a node begins with; it must be called before the first Step.
+func (n *Node) SetTiming(now time.Time, t Timing) {
+	n.timing = t
+	n.resetElection(now)
+}
+
+// Hard returns what this host must not forget.
+func (n *Node) Hard() HardState { return n.hard }
+
 // Step takes one event at a time and returns the actions it leads to.
 func (n *Node) Step(now time.Time, ev Event) []Action {
 	n.out = nil
@@ -148,7 +166,7 @@
 	if now.Before(n.beat) {
 		return
 	}
-	n.beat = now.Add(HeartbeatInterval)
+	n.beat = now.Add(n.timing.Heartbeat)
 	n.broadcast(now)
 }
 
@@ -199,7 +217,7 @@
 
 // hasLeader reports whether a leader was heard so lately that no election is due.
 func (n *Node) hasLeader(now time.Time) bool {
-	return n.role == leader || (n.leader != "" && now.Sub(n.contact) < ElectionTimeout)
+	return n.role == leader || (n.leader != "" && now.Sub(n.contact) < n.timing.Election)
 }
 
 func (n *Node) follow(now time.Time, term uint64, name string) {
@@ -221,8 +239,8 @@
 }
 
 func (n *Node) resetElection(now time.Time) {
-	spread := time.Duration(n.rng.Int64N(int64(ElectionTimeout)))
-	n.election = now.Add(ElectionTimeout + spread)
+	spread := time.Duration(n.rng.Int64N(int64(n.timing.Election)))
+	n.election = now.Add(n.timing.Election + spread)
 }
 
 func (n *Node) send(to string, m Message) {
--- a/src/wharf/council.go
+++ b/src/wharf/council.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -41,6 +42,8 @@
 	writes  chan []pilot.Action
 	wg      sync.WaitGroup
 	targets *targets
+	// commit is the last index known to be agreed on, for the writer.
+	commit atomic.Uint64
 }
 
 type waitingOrder struct {
@@ -108,9 +111,17 @@
 			return archive.DamageError.Wrap(err)
 		}
 	}
+	for _, e := range disk.Entries {
+		if e.Index <= c.journal.Commit() && e.Kind == pilot.Normal {
+			if _, err := c.register.Apply(e.Data); err != nil {
+				return archive.DamageError.Wrap(err)
+			}
+		}
+	}
 	now := c.h.Clock.Now()
 	seed := xxh3.HashString(c.disk) ^ c.h.Incarnation
 	c.node = pilot.NewNode(c.disk, pilot.Config{Voters: identity.Founders}, disk, seed, now)
+	c.node.SetTiming(now, pilot.Timing{Heartbeat: councilHeartbeat, Election: councilElection})
 	c.h.Radio.Handle(kindPilot, c.onPilot)
 	c.h.Radio.Handle(kindPropose, c.onPropose)
 	c.h.Radio.Handle(kindNewest, c.onNewest)
@@ -118,6 +129,10 @@
 	c.h.Timers.Every(now.Add(memberTick), memberTick, c.govern)
 	c.h.Fleet.Describe(func(m *flotilla.Member) { m.Disk = c.disk })
 	c.wg.Go(c.write)
+	if cfg := c.register.Current(); cfg != nil {
+		// What was agreed on before this start can be served before a leader is found.
+		c.h.Post(nil, configEvent{config: cfg})
+	}
 	return nil
 }
 
@@ -183,6 +198,10 @@
 			c.setLeader(now, a)
 		}
 	}
+	if commit := c.node.Applied(); commit > c.commit.Load() {
+		c.commit.Store(commit)
+		outside = append(outside, pilot.Save{Hard: c.node.Hard()})
+	}
 	if len(outside) > 0 {
 		select {
 		case c.writes <- outside:
--- a/src/wharf/kinds.go
+++ b/src/wharf/kinds.go
@@ -35,8 +35,12 @@
 
 const (
 	// councilTick and planTick drive the log of configurations and the planner when nothing else does.
-	councilTick = 50 * time.Millisecond
+	councilTick = 25 * time.Millisecond
 	planTick    = 20 * time.Millisecond
+	// councilHeartbeat and councilElection bound how long operators are without a leader; the election waits for several
+	// heartbeats and forty syncs of an ordinary disk.
+	councilHeartbeat = 100 * time.Millisecond
+	councilElection  = 400 * time.Millisecond
 	// memberTick is how often the membership of the registry hosts is looked at.
 	memberTick = 250 * time.Millisecond
 	// callTimeout bounds short calls between processes; ten times their usual time on a busy host.
--- a/src/wharf/writer.go
+++ b/src/wharf/writer.go
@@ -62,7 +62,7 @@
 func (c *council) save(saves []pilot.Save) bool {
 	batch := saves
 	for {
-		err := c.journal.Save(batch)
+		err := c.journal.Save(batch, c.commit.Load())
 		if err == nil {
 			break
 		}
