--- a/Makefile
+++ b/Makefile
@@ -29,6 +29,8 @@
 	go test ./src/ledger -run '^$$' -fuzz FuzzDecode -fuzztime 30s
 	go test ./src/chart -run '^$$' -fuzz FuzzDecodeEdit -fuzztime 30s
 	go test ./src/jetty -run '^$$' -fuzz FuzzParseTarget -fuzztime 30s
+	go test ./src/flotilla -run '^$$' -fuzz FuzzDecodeBeat -fuzztime 30s
+	go test ./src/wharf -run '^$$' -fuzz FuzzDecodeOffer -fuzztime 30s
 	go test ./src/deck -run '^$$' -fuzz FuzzDecode -fuzztime 30s
 
 bench:
--- a/src/convoy/heavy_test.go
+++ b/src/convoy/heavy_test.go
@@ -12,9 +12,9 @@
 
 // trade is one kind of request of a heavy day.
 type trade struct {
-	route          string
-	rate           float64
-	tasks, ms, cpu float64
+	route     string
+	rate      float64
+	tasks, ms float64
 }
 
 // The mix of the users' sheets: quick wide queries, long plans and many confirmations.
--- a/src/convoy/job.go
+++ b/src/convoy/job.go
@@ -61,6 +61,8 @@
 	Stretch float64
 	Target  time.Duration
 	Arrived time.Time
+	// Settled says that the job has been handed back before: it stays with the planner that has it now.
+	Settled bool
 	// Deadline is when the caller stops waiting.
 	Deadline time.Time
 }
--- a/src/convoy/place.go
+++ b/src/convoy/place.go
@@ -120,7 +120,7 @@
 		return
 	}
 	for _, j := range append([]*job(nil), p.queue...) {
-		if j.started || now.Sub(j.Arrived) < handoverAfter || j.Tasks() > p.elsewhere {
+		if j.started || j.Settled || now.Sub(j.Arrived) < handoverAfter || j.Tasks() > p.elsewhere {
 			continue
 		}
 		p.elsewhere -= j.Tasks()
--- a/src/convoy/planner_test.go
+++ b/src/convoy/planner_test.go
@@ -227,3 +227,34 @@
 		y.step(owner, Submitted{Job: j})
 	})
 }
+
+// A job is handed back once at most: else it goes from planner to planner while each thinks that another has room.
+func TestHandingBack(t *testing.T) {
+	tests := map[string]struct {
+		settled bool
+		ms      int
+		want    Outcome
+	}{
+		"a job that waits goes to a planner with room":           {ms: 60, want: Elsewhere},
+		"one that was handed back before waits":                  {ms: 60, settled: true, want: Completed},
+		"one that would be refused goes to a planner with room":  {ms: 1800, want: Elsewhere},
+		"and is refused at once if it was handed back before":    {ms: 1800, settled: true, want: Refused},
+		"work that fits nowhere in time is offered there anyway": {ms: 1900, want: Elsewhere},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			y := newYard(t, 1, 1)
+			y.addWorker("w0", "d", 32_000, 1)
+			y.step(0, Claimed{Domain: "d", Token: 1})
+			y.run(time.Second)
+			y.step(0, Submitted{Job: yardJob(y, "long", "r", 2, 400, 6*time.Second)})
+			y.step(0, RoomElsewhere{Tasks: 8})
+			j := yardJob(y, "a", "q", 2, tt.ms, 2*time.Second)
+			j.Settled = tt.settled
+			j.Stretch, j.Target = 4, 500*time.Millisecond
+			y.step(0, Submitted{Job: j})
+			y.run(2 * time.Second)
+			require.Equal(t, tt.want, y.outcomes()["a"])
+		})
+	}
+}
--- /dev/null
+++ b/src/convoy/rules_test.go
@@ -0,0 +1,159 @@
+package convoy
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestLeavingWorkerGetsNothing(t *testing.T) {
+	y := newYard(t, 1, 1)
+	leaving := y.addWorker("w0", "d", 32_000, 2)
+	y.addWorker("w1", "d", 32_000, 1)
+	y.step(0, Claimed{Domain: "d", Token: 1})
+	y.run(time.Second)
+	next := leaving.target
+	next.Leaving, next.Sequence = true, 2
+	y.step(0, Listed{Target: next})
+	for i := range 4 {
+		y.step(0, Submitted{Job: yardJob(y, fmt.Sprint(i), "r", 2, 60, 2*time.Second)})
+	}
+	y.run(time.Second)
+	require.Empty(t, leaving.top)
+	require.Len(t, y.outcomes(), 4)
+}
+
+// A late report that a worker is ready must not undo that it leaves.
+func TestOlderReportChangesNothing(t *testing.T) {
+	y := newYard(t, 1, 1)
+	w := y.addWorker("w0", "d", 32_000, 1)
+	y.step(0, Claimed{Domain: "d", Token: 1})
+	y.run(time.Second)
+	next := w.target
+	next.Leaving, next.Sequence = true, 5
+	y.step(0, Listed{Target: next})
+	y.step(0, Listed{Target: w.target})
+	y.step(0, Submitted{Job: yardJob(y, "a", "r", 1, 60, time.Second)})
+	y.run(500 * time.Millisecond)
+	require.Empty(t, w.top)
+}
+
+func TestSuits(t *testing.T) {
+	tests := map[string]struct {
+		change func(j *Job)
+		want   map[string]int
+	}{
+		"the pool's workers only": {change: func(j *Job) { j.Pool = "other" }, want: map[string]int{"w2": 1}},
+		"with the label":          {change: func(j *Job) { j.Steps[0].Label = "fast" }, want: map[string]int{"w1": 1}},
+		"at most so many on one": {
+			change: func(j *Job) { j.Steps[0].Spread, j.Steps[0].Count = 1, 2 },
+			want:   map[string]int{"w0": 1, "w1": 1},
+		},
+		"near its data": {change: func(j *Job) { j.Steps[0].Rack = "r1" }, want: map[string]int{"w0": 1}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			y := newYard(t, 1, 1)
+			for i, set := range []func(t *Target){
+				func(t *Target) { t.Labels = []string{"r1"} },
+				func(t *Target) { t.Labels = []string{"fast", "r2"} },
+				func(t *Target) { t.Pool = "other" },
+			} {
+				w := y.addWorker(fmt.Sprintf("w%d", i), "d", 64_000, 1)
+				w.target.Sequence++
+				set(&w.target)
+				y.step(0, Listed{Target: w.target})
+			}
+			y.step(0, Claimed{Domain: "d", Token: 1})
+			y.run(time.Second)
+			j := yardJob(y, "a", "r", 1, 60, time.Second)
+			tt.change(&j)
+			y.step(0, Submitted{Job: j})
+			y.run(500 * time.Millisecond)
+			got := make(map[string]int)
+			for id, w := range y.workers {
+				if len(w.top) > 0 {
+					got[id] = len(w.top)
+				}
+			}
+			require.Equal(t, tt.want, got)
+		})
+	}
+}
+
+// A job is refused only while nothing of it has been ordered to start.
+func TestRefusalsAreTrue(t *testing.T) {
+	y := newYard(t, 3, 1)
+	y.lost = 0.2
+	for i := range 3 {
+		y.addWorker(fmt.Sprintf("w%d", i), "d", 32_000, 1)
+	}
+	y.step(0, Claimed{Domain: "d", Token: 1})
+	y.run(time.Second)
+	n := 0
+	y.every(15*time.Millisecond, func() {
+		n++
+		y.step(0, Submitted{Job: yardJob(y, fmt.Sprintf("%04d", n), "r", 2, 200, time.Second)})
+	})
+	y.run(6 * time.Second)
+	begun := make(map[string]bool)
+	for _, w := range y.workers {
+		for task := range w.top {
+			begun[jobOf(RunKey{Task: task})] = true
+		}
+	}
+	refused := 0
+	for _, a := range y.answers {
+		if a.Outcome == Refused {
+			refused++
+			require.False(t, begun[a.ID], "job %s was refused and ran", a.ID)
+			require.Positive(t, a.Retry)
+		}
+	}
+	require.Positive(t, refused)
+}
+
+// A process that stood still must not start anything on what it believed before.
+func TestThaw(t *testing.T) {
+	y := newYard(t, 1, 1)
+	w := y.addWorker("w0", "d", 32_000, 1)
+	y.step(0, Claimed{Domain: "d", Token: 1})
+	y.run(time.Second)
+	w.token = 9
+	p := y.planners[0]
+	var orders []Action
+	orders = append(orders, p.Step(y.now, Thawed{})...)
+	orders = append(orders, p.Step(y.now, Submitted{Job: yardJob(y, "a", "r", 1, 60, time.Second)})...)
+	for _, a := range orders {
+		_, start := a.(Start)
+		require.False(t, start)
+	}
+}
+
+// The order of the queue when not all can be served: the routes that ask for least go first, and late jobs last.
+func TestOrder(t *testing.T) {
+	now := time.Unix(1000, 0)
+	p := NewPlanner(Tuning{MaxLease: time.Second})
+	p.kind("light").load, p.kind("heavy").load = 10, 90
+	aged := func(route string, age time.Duration) *job {
+		j := newJob(Job{
+			ID: route, Route: route, Stretch: 1.6, Target: 60 * time.Millisecond, Arrived: now.Add(-age),
+			Steps: []Step{{Count: 1, Estimate: 100 * time.Millisecond}},
+		})
+		return j
+	}
+	tests := map[string]struct{ first, second *job }{
+		"the lighter route":           {first: aged("light", 0), second: aged("heavy", 50*time.Millisecond)},
+		"the older of one route":      {first: aged("heavy", 20*time.Millisecond), second: aged("heavy", 0)},
+		"what can still be on time":   {first: aged("heavy", 0), second: aged("light", time.Second)},
+		"the lighter among late ones": {first: aged("light", time.Second), second: aged("heavy", 2*time.Second)},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			require.Negative(t, p.before(now, tt.first, tt.second))
+			require.Positive(t, p.before(now, tt.second, tt.first))
+		})
+	}
+}
--- a/src/convoy/submit.go
+++ b/src/convoy/submit.go
@@ -23,7 +23,13 @@
 	j := newJob(in)
 	p.kind(j.Route).arrived(now, j)
 	p.remember(j)
-	if refusal, ok := p.judge(now, j); !ok {
+	refusal, ok := p.judge(now, j)
+	if !ok && !j.Settled && (p.elsewhere >= j.Tasks() || len(p.workers) == 0) {
+		p.elsewhere -= j.Tasks()
+		p.act(Answer{ID: in.ID, Host: in.Host, Outcome: Elsewhere, Reason: refusal.reason})
+		return
+	}
+	if !ok {
 		p.act(Answer{ID: in.ID, Host: in.Host, Outcome: Refused, Reason: refusal.reason, Retry: refusal.retry})
 		return
 	}
--- a/src/flotilla/codec.go
+++ b/src/flotilla/codec.go
@@ -33,6 +33,7 @@
 	Waiting     map[string]int
 	Contacts    []string
 	Hears       []uint32
+	Slots       int
 }
 
 // EncodeBeat returns the bytes of a beat.
@@ -42,7 +43,7 @@
 		Name: m.Name, Domain: m.Domain, Address: m.Address.String(), Incarnation: m.Incarnation,
 		Dispatcher: m.Dispatcher, Registry: m.Registry, Disk: m.Disk, Leaving: m.Leaving, Config: m.Config,
 		Targets: m.Targets, Room: m.Room, Waiting: m.Waiting,
-		Hears: b.Hears,
+		Hears: b.Hears, Slots: m.Slots,
 	}
 	for _, c := range m.Claims {
 		w.Claims = append(w.Claims, wireClaim{Domain: c.Domain, Token: c.Token})
@@ -67,7 +68,7 @@
 	b := Beat{Hears: w.Hears, From: Member{
 		Name: w.Name, Domain: w.Domain, Address: address, Incarnation: w.Incarnation,
 		Dispatcher: w.Dispatcher, Registry: w.Registry, Disk: w.Disk, Leaving: w.Leaving, Config: w.Config,
-		Targets: w.Targets, Room: w.Room, Waiting: w.Waiting,
+		Targets: w.Targets, Room: w.Room, Waiting: w.Waiting, Slots: w.Slots,
 	}}
 	for _, c := range w.Claims {
 		b.From.Claims = append(b.From.Claims, Claim{Domain: c.Domain, Token: c.Token})
--- a/src/flotilla/govern.go
+++ b/src/flotilla/govern.go
@@ -34,7 +34,7 @@
 		}
 		return
 	}
-	if f.self.Leaving || now.Sub(f.begun) < settleTime {
+	if f.self.Leaving || now.Sub(f.begun) < f.settle() {
 		return
 	}
 	if held && !other.member.Leaving && !f.mayReclaim(now, domain, other) {
@@ -62,9 +62,10 @@
 }
 
 // candidate returns who should plan a domain that has no planner, or whose planner leaves: the first of the domain's
-// entry hosts by name; one of another domain only if the domain is in reach but has no entry host.
+// entry hosts by name, of those that know targets if any do; one of another domain only if the domain is in reach but has
+// no entry host.
 func (f *Fleet) candidate(now time.Time, domain string) string {
-	var own, foreign []string
+	var own, informed, foreign []string
 	reached := domain == f.self.Domain
 	consider := func(m Member) {
 		reached = reached || m.Domain == domain
@@ -72,6 +73,9 @@
 		case !m.Dispatcher || m.Leaving:
 		case m.Domain == domain:
 			own = append(own, m.Name)
+			if m.Targets > 0 && m.Config > 0 {
+				informed = append(informed, m.Name)
+			}
 		default:
 			foreign = append(foreign, m.Name)
 		}
@@ -80,6 +84,9 @@
 	for _, p := range f.alive() {
 		consider(p.Member)
 	}
+	if len(informed) > 0 {
+		return slices.Min(informed)
+	}
 	if len(own) > 0 {
 		return slices.Min(own)
 	}
@@ -151,3 +158,12 @@
 	}
 	return out
 }
+
+// settle returns how long this process listens before it claims a domain: less once others are heard, as their answers
+// name everyone else.
+func (f *Fleet) settle() time.Duration {
+	if len(f.alive()) > 0 {
+		return settleHeard
+	}
+	return settleAlone
+}
--- a/src/flotilla/member.go
+++ b/src/flotilla/member.go
@@ -28,11 +28,13 @@
 	Leaving bool
 	// Config is the version of the configuration it holds; 0 means none.
 	Config uint64
-	// Targets counts the changes of its register of targets.
+	// Targets counts the changes of what it knows of targets; 0 means that it knows none.
 	Targets uint64
 	Claims  []Claim
 	// Room is how many ordinary tasks could start at its workers at once, less those that wait.
 	Room int
+	// Slots is how many ordinary tasks fit on all its workers.
+	Slots int
 	// Waiting counts, by route, its jobs of which no task has started.
 	Waiting map[string]int
 }
@@ -68,8 +70,10 @@
 	LostAfter = 1000 * time.Millisecond
 	// forgetAfter is how long a lost peer is still sent beats.
 	forgetAfter = 60 * time.Second
-	// settleTime is how long a process listens before it claims a domain.
-	settleTime = 600 * time.Millisecond
+	// settleHeard and settleAlone are how long a process listens before it claims a domain, with others in reach and
+	// without; two beats, and four.
+	settleHeard = 400 * time.Millisecond
+	settleAlone = 800 * time.Millisecond
 	// foreignAfter is how long a domain may be without an entry host before one of another domain plans there.
 	foreignAfter = 1500 * time.Millisecond
 	// returnAfter is how long an entry host must be heard before it takes its domain back from another one.
--- a/src/wharf/choose.go
+++ b/src/wharf/choose.go
@@ -1,6 +1,8 @@
 package wharf
 
 import (
+	"math"
+
 	"sesamecleat/src/convoy"
 	"sesamecleat/src/flotilla"
 	"sesamecleat/src/radio"
@@ -17,11 +19,14 @@
 			continue
 		}
 		room := m.Room - spent[m.Name]
+		if m.Slots == 0 {
+			room = noRoom
+		}
 		own := plans(m, domain)
 		if own && room >= p.job.Tasks() {
 			return m, true
 		}
-		if own {
+		if own && m.Slots > 0 {
 			room += homeLead
 		}
 		if !found || room > bestRoom {
@@ -35,6 +40,9 @@
 // send jobs back and forth.
 const homeLead = 4
 
+// noRoom is the room of a planner that knows no workers; jobs wait there only if there is no other.
+const noRoom = math.MinInt32
+
 func plans(m flotilla.Member, domain string) bool {
 	for _, c := range m.Claims {
 		if c.Domain == domain {
--- a/src/wharf/choose_test.go
+++ b/src/wharf/choose_test.go
@@ -12,8 +12,10 @@
 
 func TestChoosePlanner(t *testing.T) {
 	member := func(name, domain string, room int) flotilla.Member {
-		return flotilla.Member{Name: name, Room: room, Claims: []flotilla.Claim{{Domain: domain}}}
+		return flotilla.Member{Name: name, Room: room, Slots: 40, Claims: []flotilla.Claim{{Domain: domain}}}
 	}
+	idle := member("c", "home", 0)
+	idle.Slots = 0
 	leaving := member("b", "far", 99)
 	leaving.Leaving = true
 	tests := map[string]struct {
@@ -29,6 +31,8 @@
 		"offers under way count":               {planners: []flotilla.Member{member("a", "home", 8), member("b", "far", 40)}, spent: map[string]int{"a": 6}, want: "b"},
 		"not one that leaves":                  {planners: []flotilla.Member{member("a", "home", -9), leaving}, want: "a"},
 		"not one that has handed the job back": {planners: []flotilla.Member{member("a", "home", 8), member("b", "far", 0)}, refused: map[string]bool{"a": true}, want: "b"},
+		"not one without workers":              {planners: []flotilla.Member{idle, member("b", "far", -9)}, want: "b"},
+		"but rather that than none":            {planners: []flotilla.Member{idle}, want: "c"},
 		"nobody":                               {none: true},
 	}
 	for name, tt := range tests {
--- a/src/wharf/codec.go
+++ b/src/wharf/codec.go
@@ -65,6 +65,7 @@
 	Left     int64
 	Version  uint64
 	Attempt  uint64
+	Settled  bool
 }
 
 type wireAnswer struct {
@@ -149,7 +150,7 @@
 	w := wireJob{
 		ID: j.ID, Route: j.Route, Pool: j.Pool, Host: j.Host, Spec: j.Spec, Priority: j.Priority, Attempts: j.Attempts,
 		Stretch: j.Stretch, Target: int64(j.Target), Age: int64(now.Sub(j.Arrived)), Left: int64(j.Deadline.Sub(now)),
-		Version: o.version, Attempt: o.attempt,
+		Version: o.version, Attempt: o.attempt, Settled: j.Settled,
 	}
 	for _, s := range j.Steps {
 		w.Steps = append(w.Steps, wireStep{
@@ -168,7 +169,7 @@
 	}
 	j := convoy.Job{
 		ID: w.ID, Route: w.Route, Pool: w.Pool, Host: w.Host, Spec: w.Spec, Priority: w.Priority, Attempts: w.Attempts,
-		Stretch: w.Stretch, Target: time.Duration(w.Target),
+		Stretch: w.Stretch, Target: time.Duration(w.Target), Settled: w.Settled,
 		Arrived: now.Add(-time.Duration(w.Age)), Deadline: now.Add(time.Duration(w.Left)),
 	}
 	for _, s := range w.Steps {
--- a/src/wharf/jobs.go
+++ b/src/wharf/jobs.go
@@ -187,8 +187,13 @@
 // offer gives a job to the planner that can serve it best, or lets it wait a little while none is known.
 func (j *jobs) offer(now time.Time, p *pending) {
 	m, ok := choosePlanner(j.h.Fleet.Planners(), j.spent, p, j.h.Settings.Domain)
+	if !ok && len(p.refused) > 0 {
+		// Whoever handed it back for want of room lets it wait now.
+		clear(p.refused)
+		m, ok = choosePlanner(j.h.Fleet.Planners(), j.spent, p, j.h.Settings.Domain)
+	}
 	if !ok {
-		if p.offers > 0 || now.Sub(p.job.Arrived) > plannerPause {
+		if now.Sub(p.job.Arrived) > plannerPause {
 			j.finish(p, answer{outcome: convoy.Refused, reason: "no planner is in reach or has room", retry: time.Second})
 		}
 		p.planner = ""
@@ -240,6 +245,7 @@
 	}
 	if e.answer.outcome == convoy.Elsewhere {
 		p.refused[p.planner] = true
+		p.job.Settled = true
 		j.h.Log.Write(logbook.JobMoved, logbook.F("id", e.id), logbook.F("from", p.planner), logbook.F("why", e.answer.reason))
 		if p.offers >= offerLimit {
 			j.finish(p, answer{outcome: convoy.Refused, reason: "no planner has room", retry: time.Second})
--- a/src/wharf/plan.go
+++ b/src/wharf/plan.go
@@ -39,8 +39,11 @@
 	marks    map[string]uint64
 	fetching map[string]bool
 	room     int
+	slots    int
 	waiting  map[string]int
 	measures *measures
+	// register holds what has been learned of targets, for processes that start while no registry host is there.
+	register *targets
 }
 
 type droppedOffer struct {
@@ -76,6 +79,7 @@
 		h: h, planner: convoy.NewPlanner(convoy.Tuning{MaxLease: h.Settings.Lease}),
 		orders: pond.NewPool(orderLimit), waiters: make(map[waiter]chan answer), dropped: make(map[waiter]droppedOffer),
 		marks: make(map[string]uint64), fetching: make(map[string]bool), measures: newMeasures(h.Metrics),
+		register: newTargets(h),
 	}
 }
 
@@ -84,11 +88,11 @@
 	p.h.Radio.Handle(kindJob, p.onJob)
 	p.h.Radio.Handle(kindDrop, p.onDrop)
 	p.h.Radio.Handle(kindFreed, p.onFreed)
+	p.h.Radio.Handle(kindTargets, p.register.onTargets)
 	p.h.Timers.Every(p.h.Clock.Now(), planTick, func(now time.Time) {
 		p.step(now, convoy.RoomElsewhere{Tasks: p.roomElsewhere()})
 		p.step(now, convoy.Tick{})
 		p.measures.runs.Store(int64(p.planner.Runs()))
-		p.measures.slots.Store(int64(p.planner.Slots()))
 	})
 	return nil
 }
@@ -113,6 +117,8 @@
 		p.step(now, convoy.Thawed{})
 	case helm.StopNoticed:
 		p.step(now, convoy.Stopping{})
+	case targetsChangedEvent:
+		p.register.Handle(now, ev)
 	case fleetEvent:
 		p.heed(now, e.action)
 	}
@@ -154,17 +160,18 @@
 
 // tell lets the entry hosts know how much room there is.
 func (p *plan) tell() {
-	room := p.planner.Room()
+	room, slots := p.planner.Room(), p.planner.Slots()
 	m := p.measures
 	m.inHand.Store(int64(p.planner.Jobs()))
 	m.waiting.Store(int64(p.planner.Waiting()))
 	m.room.Store(int64(room))
-	if room == p.room {
+	m.slots.Store(int64(slots))
+	if room == p.room && slots == p.slots {
 		return
 	}
-	p.room = room
+	p.room, p.slots = room, slots
 	p.waiting = p.planner.WaitingJobs()
-	p.h.Fleet.Describe(func(m *flotilla.Member) { m.Room, m.Waiting = room, p.waiting })
+	p.h.Fleet.Describe(func(m *flotilla.Member) { m.Room, m.Slots, m.Waiting = room, slots, p.waiting })
 }
 
 func (p *plan) act(now time.Time, a convoy.Action) {
@@ -295,16 +302,29 @@
 	if best.Name == "" {
 		return
 	}
+	body, err := encodeTargets(0, []entry{{target: a.Target}})
+	if err != nil {
+		p.h.Log.Write(logbook.HandlerPanicked, logbook.F("panic", err.Error()))
+		return
+	}
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 		defer cancel()
 		// If this is lost, the next planner takes the worker over when this process is gone.
-		_, _ = p.h.Radio.Call(ctx, best.Address, kindFreed, []byte(a.Target.ID))
+		_, _ = p.h.Radio.Call(ctx, best.Address, kindFreed, body)
 	}()
 }
 
+// onFreed takes a worker that the former planner has let go of; this process may not have heard of it yet.
 func (p *plan) onFreed(_ context.Context, _ netip.AddrPort, body []byte) ([]byte, error) {
-	p.h.Post(p, plannerEvent{ev: convoy.Freed{ID: string(body)}})
+	_, entries, err := decodeTargets(body)
+	if err != nil {
+		return nil, err
+	}
+	for _, e := range entries {
+		p.h.Post(p, plannerEvent{ev: convoy.Listed{Target: e.target}})
+		p.h.Post(p, plannerEvent{ev: convoy.Freed{ID: e.target.ID}})
+	}
 	return nil, nil
 }
 
@@ -332,10 +352,10 @@
 	return nil, nil
 }
 
-// followTargets asks a registry host for what has changed in its register.
+// followTargets asks a registry host for what has changed in its register; while none is there, any dispatch process.
 func (p *plan) followTargets(m flotilla.Member) {
 	key := m.Name + "@" + time.UnixMilli(int64(m.Incarnation)).UTC().Format(time.RFC3339Nano)
-	if !m.Registry || p.fetching[key] || m.Targets <= p.marks[key] {
+	if p.fetching[key] || m.Targets <= p.marks[key] || (!m.Registry && p.registryHeard()) {
 		return
 	}
 	p.fetching[key] = true
@@ -353,6 +373,15 @@
 	}()
 }
 
+func (p *plan) registryHeard() bool {
+	for _, peer := range p.h.Fleet.Peers() {
+		if peer.Alive && peer.Member.Registry {
+			return true
+		}
+	}
+	return false
+}
+
 func (p *plan) learnTargets(now time.Time, e targetsEvent) {
 	delete(p.fetching, e.key)
 	if e.err != nil {
@@ -360,6 +389,7 @@
 	}
 	p.marks[e.key] = max(p.marks[e.key], e.mark)
 	for _, entry := range e.entries {
+		p.register.learn(now, entry)
 		if entry.left {
 			p.step(now, convoy.Unlisted{ID: entry.target.ID})
 			continue
--- /dev/null
+++ b/src/wharf/plan_test.go
@@ -0,0 +1,124 @@
+package wharf
+
+import (
+	"io"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/stretchr/testify/require"
+
+	"sesamecleat/src/charter"
+	"sesamecleat/src/convoy"
+	"sesamecleat/src/flotilla"
+	"sesamecleat/src/helm"
+	"sesamecleat/src/logbook"
+	"sesamecleat/src/tide"
+)
+
+// lone is a fleet of one process.
+type lone struct{ self flotilla.Member }
+
+func (l *lone) Peers() []flotilla.Peer                   { return nil }
+func (l *lone) Peer(string) (flotilla.Peer, bool)        { return flotilla.Peer{}, false }
+func (l *lone) Self() flotilla.Member                    { return l.self }
+func (l *lone) Planners() []flotilla.Member              { return []flotilla.Member{l.self} }
+func (l *lone) Describe(change func(m *flotilla.Member)) { change(&l.self) }
+func (l *lone) Outbid(string)                            {}
+
+func loneHelm(now time.Time) *helm.Helm {
+	h := &helm.Helm{
+		Clock: tide.NewFake(now), Log: logbook.NewLog(io.Discard, "a"), Sample: logbook.NewSampler(1),
+		Metrics: metrics.NewSet(), Fleet: &lone{},
+	}
+	h.Settings.Lease = time.Second
+	return h
+}
+
+func anOffer(now time.Time, attempt, version uint64) (offeredEvent, chan answer) {
+	done := make(chan answer, 2)
+	return offeredEvent{done: done, offer: offer{
+		attempt: attempt, version: version,
+		job: convoy.Job{
+			ID: "a", Route: "r", Pool: "boats", Host: "entry", Arrived: now, Deadline: now.Add(time.Second),
+			Steps: []convoy.Step{{Count: 1, Estimate: time.Millisecond}},
+		},
+	}}, done
+}
+
+// An offer that arrives after its drop must not start anything: the caller may be served elsewhere by then.
+func TestDropBeforeOffer(t *testing.T) {
+	now := time.Unix(1000, 0)
+	p := newPlan(loneHelm(now)).(*plan)
+	p.Handle(now, droppedEvent{drop: drop{dropped: convoy.Dropped{ID: "a", Host: "entry"}, attempt: 7}})
+	late, done := anOffer(now, 7, 1)
+	p.Handle(now, late)
+	require.Equal(t, convoy.Lost, (<-done).outcome)
+	next, done := anOffer(now, 8, 1)
+	p.Handle(now, next)
+	require.Equal(t, convoy.Elsewhere, (<-done).outcome, "a later offer is looked at; this planner has no domain")
+}
+
+func TestOfferUnderAnOlderConfiguration(t *testing.T) {
+	tests := map[string]struct {
+		version uint64
+		want    convoy.Outcome
+	}{
+		"its route is gone here":                {version: 4, want: convoy.Refused},
+		"the entry host's version is newer":     {version: 6, want: convoy.Elsewhere},
+		"the same version was asked by a route": {version: 5, want: convoy.Elsewhere},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			now := time.Unix(1000, 0)
+			p := newPlan(loneHelm(now)).(*plan)
+			p.Handle(now, configInForceEvent{config: &charter.Config{Version: 5}})
+			o, done := anOffer(now, 1, tt.version)
+			p.Handle(now, o)
+			require.Equal(t, tt.want, (<-done).outcome)
+		})
+	}
+}
+
+// Whatever arrives in whatever order, the configuration served by one process only goes forward.
+func TestConfigOnlyRises(t *testing.T) {
+	now := time.Unix(1000, 0)
+	h := loneHelm(now)
+	c := newConfig(h).(*config)
+	for _, step := range []struct{ version, want uint64 }{{3, 3}, {2, 3}, {7, 7}, {7, 7}, {5, 7}, {8, 8}} {
+		c.install(now, &charter.Config{Version: step.version}, "test")
+		require.Equal(t, step.want, c.version())
+		require.Equal(t, step.want, h.Fleet.Self().Config)
+	}
+}
+
+func TestOfferCodec(t *testing.T) {
+	now := time.Unix(1000, 0)
+	o, _ := anOffer(now, 9, 5)
+	o.offer.job.Steps[0].After = []int{}
+	o.offer.job.Settled = true
+	b, err := encodeOffer(now, o.offer)
+	require.NoError(t, err)
+	there := now.Add(time.Hour)
+	got, err := decodeOffer(there, b)
+	require.NoError(t, err)
+	require.Equal(t, there, got.job.Arrived, "times are told as spans")
+	require.Equal(t, there.Add(time.Second), got.job.Deadline)
+	require.Equal(t, uint64(9), got.attempt)
+	require.True(t, got.job.Settled)
+	_, err = decodeOffer(there, b[:5])
+	require.Error(t, err)
+}
+
+func FuzzDecodeOffer(f *testing.F) {
+	o, _ := anOffer(time.Unix(0, 0), 1, 1)
+	b, err := encodeOffer(time.Unix(0, 0), o.offer)
+	require.NoError(f, err)
+	f.Add(b)
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		_, _ = decodeOffer(time.Unix(0, 0), data)
+		_, _, _ = decodeTargets(data)
+		_, _ = decodeAnswer(data)
+		_, _ = decodeDrop(data)
+	})
+}
--- a/src/wharf/targets.go
+++ b/src/wharf/targets.go
@@ -28,7 +28,8 @@
 	left bool
 }
 
-// targets is a registry host's register of the targets that announced themselves to it.
+// targets is a register of targets: at a registry host, those that announced themselves to it; at a dispatch process,
+// what it has learned, for others that start while no registry host is there.
 type targets struct {
 	h       *helm.Helm
 	mu      sync.Mutex
@@ -118,6 +119,29 @@
 	t.changed(now, e)
 }
 
+// learn takes what another process's register says.
+func (t *targets) learn(now time.Time, news entry) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e, known := t.entries[news.target.ID]
+	if known {
+		old := e.target
+		if news.target.Born < old.Born || (news.target.Born == old.Born && news.target.Sequence < old.Sequence) {
+			return
+		}
+		e.heard = now
+		e.target.Sequence = news.target.Sequence
+		if same(old, news.target) && e.left == news.left && !news.target.Silent {
+			return
+		}
+	} else {
+		e = &entry{}
+		t.entries[news.target.ID] = e
+	}
+	*e = entry{target: news.target, heard: now, left: news.left}
+	t.changed(now, e)
+}
+
 // changed marks an entry as new for those who follow the register.
 func (t *targets) changed(now time.Time, e *entry) {
 	t.marks++
