Let workers go only once the next planner is there to take them

Conclusion: TestHandover asks for the workers half a second after the claim; TestHandoverEndsWithThePredecessor.

--- a/src/convoy/claim.go
+++ b/src/convoy/claim.go
@@ -111,11 +111,9 @@
 	p.act(Forget{ID: w.target.ID})
 }
 
+// stop hands back what has not started; the workers are let go of when the next planner has claimed them.
 func (p *Planner) stop(now time.Time) {
 	p.stopping = true
-	for _, domain := range slices.Sorted(maps.Keys(p.claims)) {
-		p.yield(now, domain)
-	}
 	p.passOn(now)
 }
 
--- a/src/convoy/planner_test.go
+++ b/src/convoy/planner_test.go
@@ -124,17 +124,21 @@
 	tests := map[string]struct {
 		change func(y *yard)
 		want   Outcome
+		// soon is how many slots the next planner has half a second later.
+		soon int
 	}{
 		"a planner that leaves ends what it has begun": {
 			change: func(y *yard) {
 				y.step(0, Stopping{})
+				y.run(200 * time.Millisecond)
 				y.step(1, Claimed{Domain: "d", Token: 2, Gentle: true})
+				y.step(0, Yielded{Domain: "d"})
 			},
-			want: Completed,
+			want: Completed, soon: 8,
 		},
 		"a planner that is taken over by force gives its jobs up": {
 			change: func(y *yard) { y.step(1, Claimed{Domain: "d", Token: 2}) },
-			want:   Lost,
+			want:   Lost, soon: 8,
 		},
 	}
 	for name, tt := range tests {
@@ -148,7 +152,9 @@
 			y.step(0, Submitted{Job: yardJob(y, "a", "r", 8, 300, 4*time.Second)})
 			y.run(50 * time.Millisecond)
 			tt.change(y)
-			y.run(2 * time.Second)
+			y.run(500 * time.Millisecond)
+			require.GreaterOrEqual(t, y.planners[1].Slots(), tt.soon)
+			y.run(1500 * time.Millisecond)
 			require.Equal(t, tt.want, y.outcomes()["a"])
 			y.step(1, Submitted{Job: yardJob(y, "b", "r", 8, 300, 4*time.Second)})
 			y.run(2 * time.Second)
--- a/src/flotilla/fleet.go
+++ b/src/flotilla/fleet.go
@@ -71,8 +71,9 @@
 // claim is a domain that this process plans.
 type claim struct {
 	token int64
-	// from names the predecessor that still hands over, until the time given.
+	// from names the predecessor that still hands over in one life, until the time given.
 	from  string
+	life  uint64
 	until time.Time
 }
 
--- a/src/flotilla/fleet_test.go
+++ b/src/flotilla/fleet_test.go
@@ -266,6 +266,26 @@
 	}
 }
 
+// A predecessor that has restarted hands nothing over any more; what it had is taken at once.
+func TestHandoverEndsWithThePredecessor(t *testing.T) {
+	s := newHarbour()
+	s.fleets["entry-n1"].Describe(func(m *Member) { m.Leaving = true })
+	s.run(time.Second)
+	s.events = make(map[string][]Action)
+	s.down["entry-n1"] = true
+	s.run(400 * time.Millisecond)
+	s.down["entry-n1"] = false
+	s.add("entry-n1", "north", true)
+	s.run(600 * time.Millisecond)
+	whole := false
+	for _, a := range s.events["entry-n2"] {
+		if c, ok := a.(Claimed); ok && !c.Gentle {
+			whole = true
+		}
+	}
+	require.True(t, whole)
+}
+
 func FuzzDecodeBeat(f *testing.F) {
 	b, err := EncodeBeat(Beat{From: Member{Name: "a", Address: netip.MustParseAddrPort("10.0.0.1:1")}})
 	require.NoError(f, err)
--- a/src/flotilla/govern.go
+++ b/src/flotilla/govern.go
@@ -50,7 +50,7 @@
 	delete(f.vacant, domain)
 	c := &claim{token: f.token(now, domain)}
 	if held {
-		c.from, c.until = other.member.Name, now.Add(handoverLimit)
+		c.from, c.life, c.until = other.member.Name, other.member.Incarnation, now.Add(handoverLimit)
 	}
 	f.claims[domain] = c
 	f.act(Claimed{Domain: domain, Token: c.token, Gentle: held, From: c.from})
@@ -118,7 +118,7 @@
 		return
 	}
 	p, known := f.peers[c.from]
-	if known && p.Alive && now.Before(c.until) {
+	if known && p.Alive && p.Member.Incarnation == c.life && now.Before(c.until) {
 		return
 	}
 	c.from = ""
