Notice orders without an answer sooner

Ruled out: two holds at a time (twice the looks); taking a list without the run for proof that it will not begin. Conclusion: a start is given 100 ms, a hold is open until the next end is due and 100 ms more; a start without an answer is stopped at once and its task starts elsewhere when the stop is acknowledged and the time that a stop takes has passed.

--- a/src/convoy/hold.go
+++ b/src/convoy/hold.go
@@ -15,7 +15,7 @@
 		h.Lease = w.grant(now, p.tuning.MaxLease)
 	}
 	if w.phase == phaseReady {
-		h.Wait = holdWait
+		h.Wait = w.patience(now)
 	}
 	if w.phase == phaseReady && len(w.strays) > 0 {
 		h.Wait = stopRetry
--- a/src/convoy/planner.go
+++ b/src/convoy/planner.go
@@ -186,6 +186,7 @@
 func (p *Planner) tick(now time.Time) {
 	for _, w := range p.sorted() {
 		p.lapse(now, w)
+		p.clearBarred(now, w)
 		p.retryStops(now, w)
 		p.outbid(now, w)
 		if !w.holding && !now.Before(w.nextHold) && w.phase != phaseFenced {
--- a/src/convoy/rules_test.go
+++ b/src/convoy/rules_test.go
@@ -135,7 +135,7 @@
 // The order of the queue when not all can be served: the routes that ask for least go first, and late jobs last.
 func TestOrder(t *testing.T) {
 	now := time.Unix(1000, 0)
-	p := NewPlanner(Tuning{MaxLease: time.Second})
+	p := NewPlanner(Tuning{MaxLease: time.Second, StopTime: 50 * time.Millisecond})
 	p.kind("light").load, p.kind("heavy").load = 10, 90
 	aged := func(route string, age time.Duration) *job {
 		j := newJob(Job{
--- a/src/convoy/run.go
+++ b/src/convoy/run.go
@@ -46,6 +46,7 @@
 	case Unanswered:
 		r.state = runDoubtful
 		r.began = now
+		p.orderStop(now, w, r)
 		return
 	case Outdated:
 		if r.task != nil {
@@ -126,7 +127,7 @@
 
 func (p *Planner) retryStops(now time.Time, w *worker) {
 	for _, r := range sortedRuns(w) {
-		if !r.stopped.IsZero() && now.Sub(r.stopped) >= stopRetry {
+		if !r.stopped.IsZero() && r.barred.IsZero() && now.Sub(r.stopped) >= stopRetry {
 			p.orderStop(now, w, r)
 		}
 	}
@@ -137,15 +138,15 @@
 	}
 }
 
-// stopped takes the answer to a stop: a run that was not there yet can never begin.
+// stopped takes the answer to a stop: a run that was not there yet can never begin, and one that was ends soon.
 func (p *Planner) stopped(now time.Time, e Stopped) {
 	w, ok := p.workers[e.ID]
 	if !ok {
 		return
 	}
 	r, ok := w.runs[e.Key]
-	if ok && e.Verdict == Accepted && r.state == runDoubtful && !r.listed {
-		p.removeRun(now, w, r, true)
+	if ok && e.Verdict == Accepted && r.state == runDoubtful && r.barred.IsZero() {
+		r.barred = now
 		return
 	}
 	if e.Verdict == Fenced || e.Verdict == Moved {
@@ -153,6 +154,16 @@
 	}
 }
 
+// clearBarred takes out the runs that were stopped before it was known whether they had begun, once they must have ended.
+func (p *Planner) clearBarred(now time.Time, w *worker) {
+	over := time.Duration(leaseDrift*float64(p.tuning.StopTime)) + leaseMargin
+	for _, r := range sortedRuns(w) {
+		if r.state == runDoubtful && !r.barred.IsZero() && now.Sub(r.barred) > over {
+			p.removeRun(now, w, r, true)
+		}
+	}
+}
+
 // ended takes note of an end that a worker lists.
 func (p *Planner) ended(now time.Time, w *worker, end EndRow) {
 	r, known := w.runs[end.Key]
@@ -227,9 +238,8 @@
 // progress learns from how far a run has come, and moves it if it stands still or crawls while there is room elsewhere.
 func (p *Planner) progress(now time.Time, w *worker, r *run, percent float64) {
 	r.listed = true
-	if r.state == runStarting || r.state == runDoubtful {
+	if r.state == runStarting || (r.state == runDoubtful && r.stopped.IsZero()) {
 		r.state = runWorking
-		r.stopped = time.Time{}
 	}
 	if r.task == nil || r.task.job.ended {
 		p.orderStop(now, w, r)
--- a/src/convoy/tuning.go
+++ b/src/convoy/tuning.go
@@ -6,12 +6,18 @@
 type Tuning struct {
 	// MaxLease is the longest lease that a worker grants.
 	MaxLease time.Duration
+	// StopTime is the longest that a worker takes to stop a run.
+	StopTime time.Duration
 }
 
 const (
-	// holdWait is how long a worker may keep a hold open for an end; a third of the shortest usual lease, so that one
-	// lost hold does not cost the lease.
+	// holdWait is the longest that a worker may keep a hold open for an end; a third of the shortest usual lease, so that
+	// one lost hold does not cost the lease.
 	holdWait = 300 * time.Millisecond
+	// holdLeast and holdMargin bound how much longer a hold stays open than the next end is expected to take: a hold that
+	// is not answered is noticed soon after, and few are sent for nothing.
+	holdLeast  = 60 * time.Millisecond
+	holdMargin = 1.5
 	// leaseDrift covers workers whose clock runs slow; the platform allows 2%.
 	leaseDrift = 1.03
 	// leaseMargin covers the way of an order to the worker and back.
--- a/src/convoy/worker.go
+++ b/src/convoy/worker.go
@@ -39,8 +39,9 @@
 	expected time.Duration
 	// listed says that the worker has named the run.
 	listed bool
-	// stopped is when the last stop was ordered.
+	// stopped is when the last stop was ordered, barred when one was acknowledged: the run cannot begin after that.
 	stopped time.Time
+	barred  time.Time
 	need    Need
 }
 
@@ -89,6 +90,16 @@
 	return w.clock + int64(float64(now.Sub(w.clockAt).Milliseconds())/leaseDrift)
 }
 
+// patience returns how long a hold should stay open: until the next end should have come.
+func (w *worker) patience(now time.Time) time.Duration {
+	wait := holdWait
+	for _, r := range w.runs {
+		left := r.began.Add(r.expected).Sub(now)
+		wait = min(wait, max(holdLeast, time.Duration(holdMargin*float64(left))))
+	}
+	return wait.Round(time.Millisecond)
+}
+
 // grant returns the end of a lease that begins now, and remembers it.
 func (w *worker) grant(now time.Time, length time.Duration) int64 {
 	end := w.clock + now.Sub(w.clockAt).Milliseconds() + length.Milliseconds()
--- a/src/convoy/yard_test.go
+++ b/src/convoy/yard_test.go
@@ -94,7 +94,7 @@
 		workers: make(map[string]*fakeWorker), answered: make(map[string]time.Time),
 	}
 	for i := range planners {
-		p := NewPlanner(Tuning{MaxLease: time.Second})
+		p := NewPlanner(Tuning{MaxLease: time.Second, StopTime: 50 * time.Millisecond})
 		y.planners = append(y.planners, p)
 		y.every(yardTick, func() { y.step(i, Tick{}) })
 	}
@@ -156,15 +156,15 @@
 	switch a := a.(type) {
 	case Hold:
 		sent := y.now
-		y.order(i, a.Target, a.Wait+250*time.Millisecond, func(w *fakeWorker, done func(Event)) {
+		y.order(i, a.Target, a.Wait+100*time.Millisecond, func(w *fakeWorker, done func(Event)) {
 			y.hold(w, a, func(v Verdict, r Report) { done(Held{ID: a.Target.ID, Sent: sent, Verdict: v, Report: r}) })
 		}, Held{ID: a.Target.ID, Sent: sent, Verdict: Unanswered})
 	case Start:
-		y.order(i, a.Target, 300*time.Millisecond, func(w *fakeWorker, done func(Event)) {
+		y.order(i, a.Target, 100*time.Millisecond, func(w *fakeWorker, done func(Event)) {
 			done(Started{ID: a.Target.ID, Key: a.Key, Verdict: y.start(w, a)})
 		}, Started{ID: a.Target.ID, Key: a.Key, Verdict: Unanswered})
 	case Stop:
-		y.order(i, a.Target, 300*time.Millisecond, func(w *fakeWorker, done func(Event)) {
+		y.order(i, a.Target, 100*time.Millisecond, func(w *fakeWorker, done func(Event)) {
 			done(Stopped{ID: a.Target.ID, Key: a.Key, Verdict: y.stop(w, a)})
 		}, Stopped{ID: a.Target.ID, Key: a.Key, Verdict: Unanswered})
 	case Answer:
--- a/src/manifest/settings.go
+++ b/src/manifest/settings.go
@@ -65,6 +65,8 @@
 	Survive int
 	// Lease is the longest lease that a worker grants.
 	Lease time.Duration
+	// Stop is the longest that a worker takes to stop a run.
+	Stop time.Duration
 	// Beat is the pause between a target's announcements.
 	Beat time.Duration
 	// Metrics is where metrics are served, unless callers' address does.
@@ -102,6 +104,7 @@
 	DefaultDrain       = 30 * time.Second
 	DefaultExpiry      = 6 * time.Second
 	DefaultLease       = time.Second
+	DefaultStop        = 50 * time.Millisecond
 	DefaultBeat        = 2 * time.Second
 	maxSurvive         = 3
 	MaxWeight          = 1000
@@ -118,6 +121,7 @@
 		Roles:   []Role{Entry},
 		Survive: 1,
 		Lease:   DefaultLease,
+		Stop:    DefaultStop,
 		Beat:    DefaultBeat,
 		Limits: Limits{
 			Body: DefaultBody, Connections: DefaultConnections, Inflight: DefaultInflight,
@@ -210,6 +214,7 @@
 		"founding": r.Bool(&s.Founding),
 		"survive":  r.Int(&s.Survive, 0, maxSurvive),
 		"lease":    r.Duration(&s.Lease, 100*time.Millisecond, time.Minute),
+		"stop":     r.Duration(&s.Stop, time.Millisecond, time.Minute),
 		"beat":     r.Duration(&s.Beat, 100*time.Millisecond, time.Minute),
 	}
 }
--- a/src/wharf/plan.go
+++ b/src/wharf/plan.go
@@ -76,7 +76,7 @@
 
 func newPlan(h *helm.Helm) helm.Plugin {
 	return &plan{
-		h: h, planner: convoy.NewPlanner(convoy.Tuning{MaxLease: h.Settings.Lease}),
+		h: h, planner: convoy.NewPlanner(convoy.Tuning{MaxLease: h.Settings.Lease, StopTime: h.Settings.Stop}),
 		orders: pond.NewPool(orderLimit), waiters: make(map[waiter]chan answer), dropped: make(map[waiter]droppedOffer),
 		marks: make(map[string]uint64), fetching: make(map[string]bool), measures: newMeasures(h.Metrics),
 		register: newTargets(h),
