--- a/src/main.go
+++ b/src/main.go
@@ -39,6 +39,8 @@
 		return runCapacity(newCommand(name, "capacity [-out FOLDER]", stdin, stdout, stderr), rest)
 	case "burn":
 		return runBurn(newCommand(name, "burn [-api ADDRESS] [-json] [-plot FILE]", stdin, stdout, stderr), rest)
+	case "trace":
+		return runTrace(newCommand(name, "trace ID [FILE...]", stdin, stdout, stderr), rest)
 	case "status":
 		return runStatus(newCommand(name, "status [-api ADDRESS]", stdin, stdout, stderr), rest)
 	case "help", "-help", "--help", "-h":
--- a/src/options.go
+++ b/src/options.go
@@ -23,6 +23,7 @@
   burn      report how fast the service-level budgets burn
   state     show, verify, back up, restore the data folder of a stopped process
   capacity  measure how state and processor time grow with size
+  trace     print one request's way through the logs of several processes
   status    print what a process tells of itself
 
 Each command explains itself with -help. Exit codes: 0 all went well, 1 a fault or
