--- a/src/convoy/judge.go
+++ b/src/convoy/judge.go
@@ -28,7 +28,8 @@
 	}
 	wait := p.backlog(now, j, slots)
 	if now.Add(wait + chain).After(p.useful(j)) {
-		return refusal{fmt.Sprintf("%s of waiting and %s of work do not end before the deadline", wait, chain), clampRetry(wait)}, false
+		return refusal{fmt.Sprintf("%s of waiting for %d slots and %s of work do not end in time",
+			wait.Round(time.Millisecond), slots, chain.Round(time.Millisecond)), clampRetry(wait)}, false
 	}
 	return refusal{}, true
 }
@@ -64,8 +65,10 @@
 		if !j.started {
 			chain := p.kind(j.Route).usual(j.Chain())
 			if now.Add(chain).After(p.useful(j)) {
-				p.note(NoteGivenUp, j.ID, "", "no room before its deadline")
-				p.end(now, j, Refused, "no room before its deadline", clampRetry(chain))
+				reason := fmt.Sprintf("no room for %s; %d tasks wait for %d slots, and %s of work no longer ends in time",
+					now.Sub(j.Arrived).Round(time.Millisecond), p.Waiting(), p.Slots(), chain.Round(time.Millisecond))
+				p.note(NoteGivenUp, j.ID, "", reason)
+				p.end(now, j, Refused, reason, clampRetry(chain))
 			}
 			continue
 		}
--- a/src/convoy/planner.go
+++ b/src/convoy/planner.go
@@ -14,7 +14,7 @@
 	run    *run
 	number int64
 	failed int
-	// avoid names the workers that failed it.
+	// avoid names the workers that failed it or were too slow for it.
 	avoid []string
 }
 
--- a/src/convoy/rules_test.go
+++ b/src/convoy/rules_test.go
@@ -132,6 +132,35 @@
 	}
 }
 
+// A task that is moved from a slow worker must not start again on the same one, even if that has the only room.
+func TestMovedTaskGoesElsewhere(t *testing.T) {
+	y := newYard(t, 1, 1)
+	slow := y.addWorker("w0", "d", 16_000, 0.1)
+	other := y.addWorker("w1", "d", 16_000, 1)
+	y.step(0, Claimed{Domain: "d", Token: 1})
+	y.run(time.Second)
+	y.step(0, Submitted{Job: yardJob(y, "a", "r", 2, 400, 9*time.Second)})
+	y.run(200 * time.Millisecond)
+	require.Len(t, slow.runs, 1, "one task crawls")
+	var moved string
+	for moved = range slow.runs {
+	}
+	// The other worker's room is taken in the moment in which the task is stopped.
+	p := y.planners[0]
+	for range 200 {
+		y.run(5 * time.Millisecond)
+		if r := p.workers["w0"].runs; len(r) == 0 || sortedRuns(p.workers["w0"])[0].state == runStopping {
+			p.workers["w1"].passUntil = y.now.Add(300 * time.Millisecond)
+			break
+		}
+	}
+	y.run(200 * time.Millisecond)
+	require.Empty(t, slow.runs)
+	y.run(2 * time.Second)
+	require.Positive(t, other.top[moved])
+	require.Equal(t, Completed, y.outcomes()["a"])
+}
+
 // The order of the queue when not all can be served: the routes that ask for least go first, and late jobs last.
 func TestOrder(t *testing.T) {
 	now := time.Unix(1000, 0)
--- a/src/convoy/run.go
+++ b/src/convoy/run.go
@@ -269,6 +269,7 @@
 	} else {
 		w.learn(now, fresh, time.Duration(float64(atWork)+left))
 	}
+	r.task.avoid = append(r.task.avoid, w.target.ID)
 	p.orderStop(now, w, r)
 }
 
--- a/src/manifest/settings_test.go
+++ b/src/manifest/settings_test.go
@@ -47,7 +47,7 @@
 
 // TestEverySettingIsDocumented holds the operators' page to the keys that are read.
 func TestEverySettingIsDocumented(t *testing.T) {
-	page, err := os.ReadFile("../../docs/OPERATING.md")
+	page, err := os.ReadFile("../../docs/OPERATIONS.md")
 	require.NoError(t, err)
 	known := regexp.MustCompile(`known are ([a-z, ]+)`)
 	for text, prefix := range map[string]string{`{"?": 1}`: "`", `{"limits": {"?": 1}}`: "."} {
--- a/src/serve.go
+++ b/src/serve.go
@@ -38,6 +38,7 @@
 		fmt.Fprintf(c.stderr, "sesamecleat: %v\n", err)
 		return ExitFault
 	}
+	h.Metrics.NewGauge("sesamecleat_log_lines_dropped_total", func() float64 { return float64(log.Dropped()) })
 	endProfile, err := startProfile(*profile)
 	if err != nil {
 		fmt.Fprintf(c.stderr, "sesamecleat: %v\n", err)
--- a/src/wharf/jobs.go
+++ b/src/wharf/jobs.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync/atomic"
 	"time"
 
@@ -119,7 +120,7 @@
 	case a := <-done:
 		return a
 	case <-ctx.Done():
-		j.h.Post(j, dropEvent{id: job.ID, done: done, reason: context.Cause(ctx).Error()})
+		j.h.Post(j, dropEvent{id: job.ID, done: done, reason: whyLeft(ctx)})
 	case <-j.h.Done():
 		return helm.JobAnswer{Outcome: convoy.Lost, Reason: "this process stops"}
 	}
@@ -131,6 +132,15 @@
 	}
 }
 
+// whyLeft says why nobody waits for a job any more.
+func whyLeft(ctx context.Context) string {
+	cause := context.Cause(ctx)
+	if errors.Is(cause, context.DeadlineExceeded) {
+		return "the caller's time is over"
+	}
+	return cause.Error()
+}
+
 // Handle takes callers' jobs and planners' answers.
 func (j *jobs) Handle(now time.Time, ev helm.Event) {
 	switch e := ev.(type) {
