--- a/src/wharf/fleet.go
+++ b/src/wharf/fleet.go
@@ -134,17 +134,27 @@
 	f.dirty = false
 }
 
-// watchClock compares the time of day with the steady clock, which does not count a freeze.
+// watchClock finds out that this process stood still: its timer is far behind, or, where the steady clock does not count
+// a freeze, the time of day has moved further.
 func (f *fleet) watchClock(now time.Time) {
 	steady := now.Sub(f.steady)
 	day := now.Round(0).Sub(f.steady.Round(0))
 	f.steady = now
-	if off := day - steady; off > freezeLimit || off < -freezeLimit {
-		f.h.Log.Write(logbook.ClockJumped, logbook.F("by", off.String()))
+	if f.observe(steady, day) {
 		f.h.Publish(now, thawedEvent{})
 	}
 }
 
+// observe judges how far both clocks have moved between two beats.
+func (f *fleet) observe(steady, day time.Duration) bool {
+	off := day - steady
+	if off <= freezeLimit && off >= -freezeLimit && steady <= stallLimit {
+		return false
+	}
+	f.h.Log.Write(logbook.ClockJumped, logbook.F("by", off.String()), logbook.F("late", (steady-flotilla.BeatInterval).String()))
+	return true
+}
+
 // tellRoom sends beats out of turn when this process has something new to tell.
 func (f *fleet) tellRoom(now time.Time) {
 	if !f.dirty || now.Sub(f.told) < roomInterval {
--- a/src/wharf/kinds.go
+++ b/src/wharf/kinds.go
@@ -72,4 +72,6 @@
 	dropPause = 100 * time.Millisecond
 	// freezeLimit is the difference between the time of day and the steady clock that tells of a freeze.
 	freezeLimit = 300 * time.Millisecond
+	// stallLimit is the pause between two beats that tells the same; most of the shortest lease of a worker.
+	stallLimit = 800 * time.Millisecond
 )
--- a/src/wharf/membership_test.go
+++ b/src/wharf/membership_test.go
@@ -32,7 +32,8 @@
 			config: three, wanted: 3,
 			stations: []station{
 				at("a", "x", 1, 0), at("b", "y", 2, 0),
-				{disk: "c", host: host(3), heard: now.Add(-time.Second)}, at("c2", "z", 3, 0),
+				{disk: "c", host: host(3), heard: now.Add(-time.Second)},
+				at("c2", "z", 3, 0),
 			},
 			want: pilot.Config{Voters: []string{"a", "b"}}, changes: true,
 		},
