--- a/src/convoy/claim.go
+++ b/src/convoy/claim.go
@@ -6,13 +6,13 @@
 	"time"
 )
 
-// claim takes the workers of a domain over; each is asked what runs there before it gets anything.
+// claim takes the workers of a part over; each is asked what runs there before it gets anything.
 func (p *Planner) claim(now time.Time, e Claimed) {
-	p.claims[e.Domain] = e.Token
-	p.gentle[e.Domain] = e.Gentle
+	p.claims[e.Part] = e.Token
+	p.gentle[e.Part] = e.Gentle
 	for _, id := range slices.Sorted(maps.Keys(p.targets)) {
 		t := p.targets[id]
-		if t.Domain != e.Domain || (e.Gentle && p.workers[id] == nil) {
+		if t.Part != e.Part || (e.Gentle && p.workers[id] == nil) {
 			continue
 		}
 		if w, ok := p.workers[id]; ok {
@@ -36,7 +36,7 @@
 // freed takes over a worker that the former planner has let go of.
 func (p *Planner) freed(now time.Time, id string) {
 	t, known := p.targets[id]
-	if _, claimed := p.claims[t.Domain]; !known || !claimed || p.workers[id] != nil {
+	if _, claimed := p.claims[t.Part]; !known || !claimed || p.workers[id] != nil {
 		return
 	}
 	p.adopt(now, t)
@@ -46,16 +46,16 @@
 	if t.Silent {
 		return
 	}
-	w := newWorker(t, p.claims[t.Domain])
+	w := newWorker(t, p.claims[t.Part])
 	p.workers[t.ID] = w
 	p.hold(now, w)
 }
 
-// yield stops giving new jobs to a domain's workers and lets go of each once nothing runs there.
-func (p *Planner) yield(now time.Time, domain string) {
-	delete(p.claims, domain)
+// yield stops giving new jobs to a part's workers and lets go of each once nothing runs there.
+func (p *Planner) yield(now time.Time, part string) {
+	delete(p.claims, part)
 	for _, w := range p.sorted() {
-		if w.target.Domain == domain {
+		if w.target.Part == part {
 			w.yielding = true
 		}
 	}
@@ -107,7 +107,7 @@
 		}
 	}
 	delete(p.workers, w.target.ID)
-	p.act(Release{Target: w.target, Domain: w.target.Domain})
+	p.act(Release{Target: w.target})
 	p.act(Forget{ID: w.target.ID})
 }
 
@@ -126,9 +126,9 @@
 	}
 }
 
-// outbid asks for a higher token when a worker of an own domain keeps refusing the one in use.
+// outbid asks for a higher token when a worker of an own part keeps refusing the one in use.
 func (p *Planner) outbid(now time.Time, w *worker) {
-	token, claimed := p.claims[w.target.Domain]
+	token, claimed := p.claims[w.target.Part]
 	if w.phase != phaseFenced || !claimed || now.Sub(w.fencedAt) < outbidAfter {
 		return
 	}
@@ -137,5 +137,5 @@
 		p.renewToken(now, w, token)
 		return
 	}
-	p.act(Outbid{Domain: w.target.Domain})
+	p.act(Outbid{Part: w.target.Part})
 }
--- a/src/convoy/event.go
+++ b/src/convoy/event.go
@@ -7,9 +7,11 @@
 
 // Target is a worker as it announced itself.
 type Target struct {
-	ID      string
-	Pool    string
-	Domain  string
+	ID     string
+	Pool   string
+	Domain string
+	// Part is the part of the domain's workers that it belongs to; one planner has all of it.
+	Part    string
 	Address netip.AddrPort
 	// Born is when this life of the worker began, in milliseconds since 1970 on its own clock.
 	Born     int64
@@ -99,10 +101,10 @@
 // Event is an input of a Planner; it is one of the types below.
 type Event interface{ event() }
 
-// Claimed gives the planner the workers of a domain under a fencing token.
+// Claimed gives the planner the workers of a part under a fencing token.
 type Claimed struct {
-	Domain string
-	Token  int64
+	Part  string
+	Token int64
 	// Gentle says that the former planner still hands its workers over one by one.
 	Gentle bool
 }
@@ -110,8 +112,8 @@
 // Freed says that the former planner has let go of a worker.
 type Freed struct{ ID string }
 
-// Yielded asks the planner to hand a domain's workers over as they become free.
-type Yielded struct{ Domain string }
+// Yielded asks the planner to hand a part's workers over as they become free.
+type Yielded struct{ Part string }
 
 // Listed brings what is known of a worker.
 type Listed struct{ Target Target }
@@ -223,10 +225,7 @@
 }
 
 // Release says that this planner has let go of a worker, so that the next one need not wait.
-type Release struct {
-	Target Target
-	Domain string
-}
+type Release struct{ Target Target }
 
 // Forget says that nothing more is done with a worker, so that its connections can be closed.
 type Forget struct{ ID string }
@@ -262,7 +261,7 @@
 func (Forget) action()  {}
 func (Note) action()    {}
 
-// Outbid asks for a higher token for a domain, as a worker there has seen a higher one than the domain's.
-type Outbid struct{ Domain string }
+// Outbid asks for a higher token for a part, as a worker there has seen a higher one than the part's.
+type Outbid struct{ Part string }
 
 func (Outbid) action() {}
--- a/src/convoy/hold.go
+++ b/src/convoy/hold.go
@@ -199,7 +199,7 @@
 	p.replaceAt(now, t)
 	w, held := p.workers[t.ID]
 	if !held {
-		if _, claimed := p.claims[t.Domain]; claimed && (!known || !p.gentle[t.Domain]) {
+		if _, claimed := p.claims[t.Part]; claimed && (!known || !p.gentle[t.Part]) {
 			p.adopt(now, t)
 		}
 		return
--- a/src/convoy/planner.go
+++ b/src/convoy/planner.go
@@ -38,11 +38,11 @@
 	at      time.Time
 }
 
-// Planner owns the workers of the domains it has claimed and plans jobs on them; it belongs to one goroutine.
+// Planner owns the workers of the parts it has claimed and plans jobs on them; it belongs to one goroutine.
 type Planner struct {
 	tuning Tuning
 	claims map[string]int64
-	// gentle marks the claimed domains whose former planner still hands workers over.
+	// gentle marks the claimed parts whose former planner still hands workers over.
 	gentle  map[string]bool
 	targets map[string]Target
 	workers map[string]*worker
@@ -61,7 +61,7 @@
 	out      []Action
 }
 
-// NewPlanner returns a planner without domains.
+// NewPlanner returns a planner without workers.
 func NewPlanner(t Tuning) *Planner {
 	return &Planner{
 		tuning: t, typical: typicalMilli, fast: 1,
@@ -78,7 +78,7 @@
 	case Claimed:
 		p.claim(now, e)
 	case Yielded:
-		p.yield(now, e.Domain)
+		p.yield(now, e.Part)
 	case Freed:
 		p.freed(now, e.ID)
 	case Listed:
--- a/src/convoy/planner_test.go
+++ b/src/convoy/planner_test.go
@@ -69,7 +69,7 @@
 			for i := range 4 {
 				y.addWorker(fmt.Sprintf("w%d", i), "d", 32_000, 1)
 			}
-			y.step(0, Claimed{Domain: "d", Token: 1})
+			y.step(0, Claimed{Part: "d", Token: 1})
 			if tt.prepare != nil {
 				tt.prepare(y)
 			}
@@ -94,7 +94,7 @@
 func TestRetriedHoldRenewsNoLease(t *testing.T) {
 	y := newYard(t, 1, 1)
 	y.addWorker("w0", "d", 32_000, 1)
-	y.step(0, Claimed{Domain: "d", Token: 1})
+	y.step(0, Claimed{Part: "d", Token: 1})
 	y.run(time.Second)
 	y.step(0, Submitted{Job: yardJob(y, "a", "r", 1, 900, 8*time.Second)})
 	y.run(100 * time.Millisecond)
@@ -109,7 +109,7 @@
 	y := newYard(t, 1, 1)
 	w := y.addWorker("w0", "d", 32_000, 1)
 	y.addWorker("w1", "d", 32_000, 1)
-	y.step(0, Claimed{Domain: "d", Token: 1})
+	y.step(0, Claimed{Part: "d", Token: 1})
 	y.run(time.Second)
 	w.target.Born = 77
 	w.number, w.ends = 0, nil
@@ -131,13 +131,13 @@
 			change: func(y *yard) {
 				y.step(0, Stopping{})
 				y.run(200 * time.Millisecond)
-				y.step(1, Claimed{Domain: "d", Token: 2, Gentle: true})
-				y.step(0, Yielded{Domain: "d"})
+				y.step(1, Claimed{Part: "d", Token: 2, Gentle: true})
+				y.step(0, Yielded{Part: "d"})
 			},
 			want: Completed, soon: 8,
 		},
 		"a planner that is taken over by force gives its jobs up": {
-			change: func(y *yard) { y.step(1, Claimed{Domain: "d", Token: 2}) },
+			change: func(y *yard) { y.step(1, Claimed{Part: "d", Token: 2}) },
 			want:   Lost, soon: 8,
 		},
 	}
@@ -147,7 +147,7 @@
 			for i := range 4 {
 				y.addWorker(fmt.Sprintf("w%d", i), "d", 32_000, 1)
 			}
-			y.step(0, Claimed{Domain: "d", Token: 1})
+			y.step(0, Claimed{Part: "d", Token: 1})
 			y.run(time.Second)
 			y.step(0, Submitted{Job: yardJob(y, "a", "r", 8, 300, 4*time.Second)})
 			y.run(50 * time.Millisecond)
@@ -176,7 +176,7 @@
 	for i := range 8 {
 		y.addWorker(fmt.Sprintf("w%d", i), "d", 32_000, 0.6+0.2*float64(i%4))
 	}
-	y.step(0, Claimed{Domain: "d", Token: 1})
+	y.step(0, Claimed{Part: "d", Token: 1})
 	token := int64(1)
 	owner := 0
 	y.every(1700*time.Millisecond, func() {
@@ -191,8 +191,8 @@
 		case 3:
 			token++
 			owner = 1 - owner
-			y.step(1-owner, Yielded{Domain: "d"})
-			y.step(owner, Claimed{Domain: "d", Token: token, Gentle: y.rng.IntN(2) == 0})
+			y.step(1-owner, Yielded{Part: "d"})
+			y.step(owner, Claimed{Part: "d", Token: token, Gentle: y.rng.IntN(2) == 0})
 		}
 	})
 	sent := 0
@@ -251,7 +251,7 @@
 		t.Run(name, func(t *testing.T) {
 			y := newYard(t, 1, 1)
 			y.addWorker("w0", "d", 32_000, 1)
-			y.step(0, Claimed{Domain: "d", Token: 1})
+			y.step(0, Claimed{Part: "d", Token: 1})
 			y.run(time.Second)
 			y.step(0, Submitted{Job: yardJob(y, "long", "r", 2, 400, 6*time.Second)})
 			y.step(0, RoomElsewhere{Tasks: 8})
--- a/src/convoy/rules_test.go
+++ b/src/convoy/rules_test.go
@@ -12,7 +12,7 @@
 	y := newYard(t, 1, 1)
 	leaving := y.addWorker("w0", "d", 32_000, 2)
 	y.addWorker("w1", "d", 32_000, 1)
-	y.step(0, Claimed{Domain: "d", Token: 1})
+	y.step(0, Claimed{Part: "d", Token: 1})
 	y.run(time.Second)
 	next := leaving.target
 	next.Leaving, next.Sequence = true, 2
@@ -29,7 +29,7 @@
 func TestOlderReportChangesNothing(t *testing.T) {
 	y := newYard(t, 1, 1)
 	w := y.addWorker("w0", "d", 32_000, 1)
-	y.step(0, Claimed{Domain: "d", Token: 1})
+	y.step(0, Claimed{Part: "d", Token: 1})
 	y.run(time.Second)
 	next := w.target
 	next.Leaving, next.Sequence = true, 5
@@ -66,7 +66,7 @@
 				set(&w.target)
 				y.step(0, Listed{Target: w.target})
 			}
-			y.step(0, Claimed{Domain: "d", Token: 1})
+			y.step(0, Claimed{Part: "d", Token: 1})
 			y.run(time.Second)
 			j := yardJob(y, "a", "r", 1, 60, time.Second)
 			tt.change(&j)
@@ -90,7 +90,7 @@
 	for i := range 3 {
 		y.addWorker(fmt.Sprintf("w%d", i), "d", 32_000, 1)
 	}
-	y.step(0, Claimed{Domain: "d", Token: 1})
+	y.step(0, Claimed{Part: "d", Token: 1})
 	y.run(time.Second)
 	n := 0
 	y.every(15*time.Millisecond, func() {
@@ -119,7 +119,7 @@
 func TestThaw(t *testing.T) {
 	y := newYard(t, 1, 1)
 	w := y.addWorker("w0", "d", 32_000, 1)
-	y.step(0, Claimed{Domain: "d", Token: 1})
+	y.step(0, Claimed{Part: "d", Token: 1})
 	y.run(time.Second)
 	w.token = 9
 	p := y.planners[0]
@@ -137,7 +137,7 @@
 	y := newYard(t, 1, 1)
 	slow := y.addWorker("w0", "d", 16_000, 0.1)
 	other := y.addWorker("w1", "d", 16_000, 1)
-	y.step(0, Claimed{Domain: "d", Token: 1})
+	y.step(0, Claimed{Part: "d", Token: 1})
 	y.run(time.Second)
 	y.step(0, Submitted{Job: yardJob(y, "a", "r", 2, 400, 9*time.Second)})
 	y.run(200 * time.Millisecond)
--- a/src/convoy/yard_test.go
+++ b/src/convoy/yard_test.go
@@ -127,7 +127,7 @@
 	n := len(y.workers) + 1
 	w := &fakeWorker{
 		target: Target{
-			ID: id, Pool: "pool", Domain: domain, Born: int64(n), Sequence: 1,
+			ID: id, Pool: "pool", Domain: domain, Part: domain, Born: int64(n), Sequence: 1,
 			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(n)}), 80),
 			Room:    Need{Milli: milli, Memory: 1 << 17},
 		},
--- a/src/flotilla/codec.go
+++ b/src/flotilla/codec.go
@@ -11,9 +11,9 @@
 var Error = errs.Class("flotilla")
 
 type wireClaim struct {
-	_      struct{} `cbor:",toarray"`
-	Domain string
-	Token  int64
+	_     struct{} `cbor:",toarray"`
+	Part  string
+	Token int64
 }
 
 type wireBeat struct {
@@ -46,7 +46,7 @@
 		Hears: b.Hears, Slots: m.Slots,
 	}
 	for _, c := range m.Claims {
-		w.Claims = append(w.Claims, wireClaim{Domain: c.Domain, Token: c.Token})
+		w.Claims = append(w.Claims, wireClaim{Part: c.Part, Token: c.Token})
 	}
 	for _, a := range b.Contacts {
 		w.Contacts = append(w.Contacts, a.String())
@@ -71,7 +71,7 @@
 		Targets: w.Targets, Room: w.Room, Waiting: w.Waiting, Slots: w.Slots,
 	}}
 	for _, c := range w.Claims {
-		b.From.Claims = append(b.From.Claims, Claim{Domain: c.Domain, Token: c.Token})
+		b.From.Claims = append(b.From.Claims, Claim{Part: c.Part, Token: c.Token})
 	}
 	for _, c := range w.Contacts {
 		a, err := netip.ParseAddrPort(c)
--- a/src/flotilla/fleet.go
+++ b/src/flotilla/fleet.go
@@ -18,8 +18,8 @@
 // Heard brings a beat.
 type Heard struct{ Beat Beat }
 
-// Outbid asks for a higher token for a domain that this process plans.
-type Outbid struct{ Domain string }
+// Outbid asks for a higher token for a part that this process plans.
+type Outbid struct{ Part string }
 
 func (Tick) event()   {}
 func (Heard) event()  {}
@@ -46,18 +46,18 @@
 // Updated tells that a peer described itself anew.
 type Updated struct{ Peer Peer }
 
-// Claimed tells that this process plans a domain from now on; Gentle while a predecessor hands over.
+// Claimed tells that this process plans a part of a domain from now on; Gentle while a predecessor hands over.
 type Claimed struct {
-	Domain string
+	Part   string
 	Token  int64
 	Gentle bool
 	From   string
 }
 
-// Yielded tells that another process plans a domain from now on.
+// Yielded tells that another process plans a part of a domain from now on.
 type Yielded struct {
-	Domain string
-	To     string
+	Part string
+	To   string
 }
 
 func (Send) action()     {}
@@ -68,7 +68,7 @@
 func (Claimed) action()  {}
 func (Yielded) action()  {}
 
-// claim is a domain that this process plans.
+// claim is a part that this process plans.
 type claim struct {
 	token int64
 	// from names the predecessor that still hands over in one life, until the time given.
@@ -80,13 +80,15 @@
 // Fleet decides who is there and who plans what; it belongs to one goroutine.
 type Fleet struct {
 	self     Member
-	domains  []string
+	parts    []string
 	contacts []netip.AddrPort
 	peers    map[string]*Peer
 	claims   map[string]*claim
-	// tokens holds the highest token ever heard of, by domain.
+	// workers counts the workers known, by domain.
+	workers map[string]int
+	// tokens holds the highest token ever heard of, by part.
 	tokens map[string]int64
-	// vacant is since when a domain has had no planner.
+	// vacant is since when a part has had no planner.
 	vacant map[string]time.Time
 	begun  time.Time
 	turn   int
@@ -96,9 +98,10 @@
 // NewFleet returns a fleet that knows nothing but itself and the addresses to contact first.
 func NewFleet(self Member, domains []string, contacts []netip.AddrPort, now time.Time) *Fleet {
 	return &Fleet{
-		self: self, domains: domains, contacts: contacts, begun: now,
+		self: self, parts: parts(domains), contacts: contacts, begun: now,
 		peers: make(map[string]*Peer), claims: make(map[string]*claim),
-		tokens: make(map[string]int64), vacant: make(map[string]time.Time),
+		workers: make(map[string]int),
+		tokens:  make(map[string]int64), vacant: make(map[string]time.Time),
 	}
 }
 
@@ -113,7 +116,7 @@
 	case Heard:
 		f.learn(now, e.Beat)
 	case Outbid:
-		f.outbid(now, e.Domain)
+		f.outbid(now, e.Part)
 	}
 	return f.out
 }
@@ -121,6 +124,9 @@
 // SetContacts replaces the addresses to contact first.
 func (f *Fleet) SetContacts(contacts []netip.AddrPort) { f.contacts = contacts }
 
+// SetWorkers tells how many workers of each domain are known.
+func (f *Fleet) SetWorkers(workers map[string]int) { f.workers = workers }
+
 // Describe changes what this process tells of itself; its claims are the fleet's own.
 func (f *Fleet) Describe(change func(m *Member)) {
 	claims := f.self.Claims
@@ -178,7 +184,7 @@
 		return
 	}
 	for _, c := range m.Claims {
-		f.tokens[c.Domain] = max(f.tokens[c.Domain], c.Token)
+		f.tokens[c.Part] = max(f.tokens[c.Part], c.Token)
 	}
 	if known && p.Alive && m.Incarnation > p.Member.Incarnation {
 		p.Alive = false
@@ -272,11 +278,11 @@
 	return slices.DeleteFunc(f.sorted(), func(p *Peer) bool { return !p.Alive })
 }
 
-// token returns a token higher than any heard of for the domain, which no other process makes.
-func (f *Fleet) token(now time.Time, domain string) int64 {
+// token returns a token higher than any heard of for the part, which no other process makes.
+func (f *Fleet) token(now time.Time, part string) int64 {
 	mark := int64(xxh3.HashString(f.self.Name) & (1<<tokenShift - 1))
-	least := f.tokens[domain]>>tokenShift + 1
+	least := f.tokens[part]>>tokenShift + 1
 	token := max(now.UnixMilli(), least)<<tokenShift | mark
-	f.tokens[domain] = token
+	f.tokens[part] = token
 	return token
 }
--- a/src/flotilla/fleet_test.go
+++ b/src/flotilla/fleet_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
+	"strings"
 	"testing"
 	"time"
 
@@ -80,20 +81,8 @@
 	}
 }
 
-func (s *sea) planner(domain string) []string {
-	var out []string
-	for _, name := range s.names {
-		if s.down[name] {
-			continue
-		}
-		for _, c := range s.fleets[name].Self().Claims {
-			if c.Domain == domain {
-				out = append(out, name)
-			}
-		}
-	}
-	return out
-}
+// planner returns who plans the first part of a domain.
+func (s *sea) planner(domain string) []string { return s.holders(part(domain, 0)) }
 
 func newHarbour() *sea {
 	s := newSea()
@@ -249,15 +238,19 @@
 			require.Len(t, s.planner("south"), 1)
 			for _, name := range s.names {
 				for _, a := range s.events[name] {
-					if c, ok := a.(Claimed); ok && name == s.planner(c.Domain)[0] {
-						highest[c.Domain] = max(highest[c.Domain], c.Token)
+					c, ok := a.(Claimed)
+					if !ok || !strings.HasSuffix(c.Part, "#0") {
+						continue
+					}
+					if domain, _ := DomainOf(c.Part); name == s.planner(domain)[0] {
+						highest[domain] = max(highest[domain], c.Token)
 					}
 				}
 			}
 			for domain, token := range highest {
 				self := s.fleets[s.planner(domain)[0]].Self()
 				for _, c := range self.Claims {
-					if c.Domain == domain {
+					if c.Part == part(domain, 0) {
 						require.Equal(t, token, c.Token)
 					}
 				}
@@ -294,3 +287,51 @@
 		_, _ = DecodeBeat(data)
 	})
 }
+
+// A domain's workers are shared by as many hosts as they need, and by one if one is enough.
+func TestPartsAreShared(t *testing.T) {
+	tests := map[string]struct {
+		workers int
+		// most is how many parts one host has at the most, planners how many hosts have any.
+		most, planners int
+	}{
+		"few workers":                  {workers: 16, most: 16, planners: 1},
+		"more than one host should do": {workers: 60, most: 8, planners: 2},
+		"more than all hosts should":   {workers: 1000, most: 4, planners: 4},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := newHarbour()
+			s.add("entry-n3", "north", true)
+			s.add("entry-n4", "north", true)
+			s.run(time.Second)
+			for _, f := range s.fleets {
+				f.SetWorkers(map[string]int{"north": tt.workers})
+				f.Describe(func(m *Member) { m.Targets, m.Config = 1, 1 })
+			}
+			s.run(4 * time.Second)
+			perHost := make(map[string]int)
+			for i := range PartsPerDomain {
+				holders := s.holders(part("north", i))
+				require.Len(t, holders, 1)
+				perHost[holders[0]]++
+			}
+			require.Len(t, perHost, tt.planners)
+			for _, n := range perHost {
+				require.LessOrEqual(t, n, tt.most)
+			}
+		})
+	}
+}
+
+func (s *sea) holders(part string) []string {
+	var out []string
+	for _, name := range s.names {
+		for _, c := range s.fleets[name].Self().Claims {
+			if c.Part == part && !s.down[name] {
+				out = append(out, name)
+			}
+		}
+	}
+	return out
+}
--- a/src/flotilla/govern.go
+++ b/src/flotilla/govern.go
@@ -6,78 +6,110 @@
 	"time"
 )
 
-// holder is a process that plans a domain.
+// holder is a process that plans a part.
 type holder struct {
 	member Member
 	token  int64
 }
 
-// govern decides, for every domain, whether this process begins or ends to plan there.
+// govern decides, for every part, whether this process begins or ends to plan there.
 func (f *Fleet) govern(now time.Time) {
 	if !f.self.Dispatcher {
 		return
 	}
-	for _, domain := range f.domains {
-		f.finishHandover(now, domain)
-		f.governDomain(now, domain)
+	for _, part := range f.parts {
+		f.finishHandover(now, part)
+		f.governPart(now, part)
 	}
 	f.publish()
 }
 
-func (f *Fleet) governDomain(now time.Time, domain string) {
-	other, held := f.strongest(domain)
-	own := f.claims[domain]
+func (f *Fleet) governPart(now time.Time, part string) {
+	other, held := f.strongest(part)
+	own := f.claims[part]
 	if own != nil {
 		if held && other.token > own.token {
-			delete(f.claims, domain)
-			f.act(Yielded{Domain: domain, To: other.member.Name})
+			delete(f.claims, part)
+			f.act(Yielded{Part: part, To: other.member.Name})
 		}
 		return
 	}
 	if f.self.Leaving || now.Sub(f.begun) < f.settle() {
 		return
 	}
-	if held && !other.member.Leaving && !f.mayReclaim(now, domain, other) {
-		delete(f.vacant, domain)
+	if held && !other.member.Leaving && !f.mayReclaim(now, part, other) && !f.overburdened(part, other) {
+		delete(f.vacant, part)
 		return
 	}
-	if !held && f.vacant[domain].IsZero() {
-		f.vacant[domain] = now
+	if !held && f.vacant[part].IsZero() {
+		f.vacant[part] = now
 	}
-	if f.candidate(now, domain) != f.self.Name {
+	if f.candidate(now, part) != f.self.Name {
 		return
 	}
-	delete(f.vacant, domain)
-	c := &claim{token: f.token(now, domain)}
+	delete(f.vacant, part)
+	c := &claim{token: f.token(now, part)}
 	if held {
 		c.from, c.life, c.until = other.member.Name, other.member.Incarnation, now.Add(handoverLimit)
 	}
-	f.claims[domain] = c
-	f.act(Claimed{Domain: domain, Token: c.token, Gentle: held, From: c.from})
+	f.claims[part] = c
+	f.act(Claimed{Part: part, Token: c.token, Gentle: held, From: c.from})
 }
 
-// mayReclaim reports whether this process takes its own domain back from one of another domain.
-func (f *Fleet) mayReclaim(now time.Time, domain string, other holder) bool {
+// mayReclaim reports whether this process takes a part of its own domain back from a host of another one.
+func (f *Fleet) mayReclaim(now time.Time, part string, other holder) bool {
+	domain, _ := DomainOf(part)
 	return domain == f.self.Domain && other.member.Domain != domain && now.Sub(f.begun) > returnAfter
 }
 
-// candidate returns who should plan a domain that has no planner, or whose planner leaves: the first of the domain's
-// entry hosts by name, of those that know targets if any do; one of another domain only if the domain is in reach but has
-// no entry host.
-func (f *Fleet) candidate(now time.Time, domain string) string {
-	var own, informed, foreign []string
-	reached := domain == f.self.Domain
+// overburdened reports whether a host of this domain has more parts of it than its share, and this process has room.
+func (f *Fleet) overburdened(part string, other holder) bool {
+	domain, _ := DomainOf(part)
+	if domain != f.self.Domain || other.member.Domain != domain {
+		return false
+	}
+	most := share(planners(f.workers[domain], len(f.hosts(domain))))
+	return claims(other.member, domain) > most && f.burden(f.self.Name, domain) < most
+}
+
+// burden returns how many parts of a domain a host plans.
+func (f *Fleet) burden(name, domain string) int {
+	if name != f.self.Name {
+		return claims(f.peers[name].Member, domain)
+	}
+	n := 0
+	for claimed := range f.claims {
+		if d, _ := DomainOf(claimed); d == domain {
+			n++
+		}
+	}
+	return n
+}
+
+func (f *Fleet) leastBurdened(hosts []string, domain string) string {
+	return slices.MinFunc(hosts, func(a, b string) int { return f.burden(a, domain) - f.burden(b, domain) })
+}
+
+func claims(m Member, domain string) int {
+	n := 0
+	for _, c := range m.Claims {
+		if d, _ := DomainOf(c.Part); d == domain {
+			n++
+		}
+	}
+	return n
+}
+
+// hosts returns the names of a domain's entry hosts that stay, in order; of those that know targets if any do.
+func (f *Fleet) hosts(domain string) []string {
+	var all, informed []string
 	consider := func(m Member) {
-		reached = reached || m.Domain == domain
-		switch {
-		case !m.Dispatcher || m.Leaving:
-		case m.Domain == domain:
-			own = append(own, m.Name)
-			if m.Targets > 0 && m.Config > 0 {
-				informed = append(informed, m.Name)
-			}
-		default:
-			foreign = append(foreign, m.Name)
+		if !m.Dispatcher || m.Leaving || m.Domain != domain {
+			return
+		}
+		all = append(all, m.Name)
+		if m.Targets > 0 && m.Config > 0 {
+			informed = append(informed, m.Name)
 		}
 	}
 	consider(f.self)
@@ -85,25 +117,45 @@
 		consider(p.Member)
 	}
 	if len(informed) > 0 {
-		return slices.Min(informed)
+		all = informed
+	}
+	slices.Sort(all)
+	return all
+}
+
+// candidate returns who should plan a part that has no planner, or whose planner leaves or has too many: of as many of the
+// domain's entry hosts as its workers need, the first by name with the fewest parts; one of another domain only if the
+// domain is in reach but has no entry host.
+func (f *Fleet) candidate(now time.Time, part string) string {
+	domain, _ := DomainOf(part)
+	if own := f.hosts(domain); len(own) > 0 {
+		return f.leastBurdened(own[:planners(f.workers[domain], len(own))], domain)
+	}
+	var foreign []string
+	reached := domain == f.self.Domain
+	if !f.self.Leaving {
+		foreign = append(foreign, f.self.Name)
 	}
-	if len(own) > 0 {
-		return slices.Min(own)
+	for _, p := range f.alive() {
+		reached = reached || p.Member.Domain == domain
+		if p.Member.Dispatcher && !p.Member.Leaving {
+			foreign = append(foreign, p.Member.Name)
+		}
 	}
-	since, vacant := f.vacant[domain]
+	since, vacant := f.vacant[part]
 	if !reached || !vacant || now.Sub(since) < foreignAfter || len(foreign) == 0 {
 		return ""
 	}
 	return slices.Min(foreign)
 }
 
-// strongest returns the other live process with the highest claim on a domain.
-func (f *Fleet) strongest(domain string) (holder, bool) {
+// strongest returns the other live process with the highest claim on a part.
+func (f *Fleet) strongest(part string) (holder, bool) {
 	var best holder
 	found := false
 	for _, p := range f.alive() {
 		for _, c := range p.Member.Claims {
-			if c.Domain == domain && c.Token > best.token {
+			if c.Part == part && c.Token > best.token {
 				best, found = holder{member: p.Member, token: c.Token}, true
 			}
 		}
@@ -112,8 +164,8 @@
 }
 
 // finishHandover takes over whatever a predecessor has not handed over once it is gone or too slow.
-func (f *Fleet) finishHandover(now time.Time, domain string) {
-	c := f.claims[domain]
+func (f *Fleet) finishHandover(now time.Time, part string) {
+	c := f.claims[part]
 	if c == nil || c.from == "" {
 		return
 	}
@@ -122,30 +174,30 @@
 		return
 	}
 	c.from = ""
-	f.act(Claimed{Domain: domain, Token: c.token})
+	f.act(Claimed{Part: part, Token: c.token})
 }
 
 // outbid renews a claim under a higher token.
-func (f *Fleet) outbid(now time.Time, domain string) {
-	c := f.claims[domain]
+func (f *Fleet) outbid(now time.Time, part string) {
+	c := f.claims[part]
 	if c == nil {
 		return
 	}
-	c.token = f.token(now.Add(time.Minute), domain)
+	c.token = f.token(now.Add(time.Minute), part)
 	f.publish()
-	f.act(Claimed{Domain: domain, Token: c.token, From: c.from, Gentle: c.from != ""})
+	f.act(Claimed{Part: part, Token: c.token, From: c.from, Gentle: c.from != ""})
 }
 
 func (f *Fleet) publish() {
 	var claims []Claim
-	for domain, c := range f.claims {
-		claims = append(claims, Claim{Domain: domain, Token: c.token})
+	for part, c := range f.claims {
+		claims = append(claims, Claim{Part: part, Token: c.token})
 	}
-	slices.SortFunc(claims, func(a, b Claim) int { return strings.Compare(a.Domain, b.Domain) })
+	slices.SortFunc(claims, func(a, b Claim) int { return strings.Compare(a.Part, b.Part) })
 	f.self.Claims = claims
 }
 
-// Planners returns the live processes that plan a domain, this one among them if it does, by name.
+// Planners returns the live processes that plan a part, this one among them if it does, by name.
 func (f *Fleet) Planners() []Member {
 	var out []Member
 	if len(f.self.Claims) > 0 {
--- a/src/flotilla/member.go
+++ b/src/flotilla/member.go
@@ -7,10 +7,10 @@
 	"github.com/zeebo/xxh3"
 )
 
-// Claim says that a process plans the workers of a domain; the claim with the highest token counts.
+// Claim says that a process plans the workers of a part of a domain; the claim with the highest token counts.
 type Claim struct {
-	Domain string
-	Token  int64
+	Part  string
+	Token int64
 }
 
 // Member is one process as it describes itself.
--- a/src/helm/services.go
+++ b/src/helm/services.go
@@ -99,8 +99,10 @@
 	Planners() []flotilla.Member
 	// Describe changes what this process tells the others of itself, and tells them at once.
 	Describe(change func(m *flotilla.Member))
-	// Outbid asks for a higher token for a domain that this process plans.
-	Outbid(domain string)
+	// SetWorkers tells how many workers of each domain are known.
+	SetWorkers(workers map[string]int)
+	// Outbid asks for a higher token for a part that this process plans.
+	Outbid(part string)
 }
 
 // Jobs takes callers' jobs; it is safe for concurrent use.
--- a/src/wharf/choose.go
+++ b/src/wharf/choose.go
@@ -3,28 +3,44 @@
 import (
 	"math"
 
+	"github.com/zeebo/xxh3"
+
 	"sesamecleat/src/convoy"
 	"sesamecleat/src/flotilla"
 	"sesamecleat/src/radio"
 )
 
-// choosePlanner returns the planner to offer a job to: the one of the own domain if the whole job could start there at
-// once, else the one with most room. Offers since a planner last told of its room count against it.
-func choosePlanner(planners []flotilla.Member, spent map[string]int, p *pending, domain string) (flotilla.Member, bool) {
+const (
+	// homeLead is how many tasks of room another domain's planner must have more, so that news that are old by then do not
+	// send jobs back and forth.
+	homeLead = 4
+	// noRoom is the room of a planner that knows no workers; jobs wait there only if there is no other.
+	noRoom = math.MinInt32
+	// fewPlanners is how many planners can be compared by their room; with more, all entry hosts would send their jobs to
+	// the same one between two of its beats.
+	fewPlanners = 4
+)
+
+// choosePlanner returns the planner to offer a job to: one of the own domain where the whole job could start at once, else
+// one elsewhere, else the one with most room. Offers since a planner last told of its room count against it. Among several
+// that would do the job's id decides, so that the entry hosts do not all take the same.
+func choosePlanner(all []flotilla.Member, spent map[string]int, p *pending, domain string) (flotilla.Member, bool) {
+	var home, away []flotilla.Member
 	var best flotilla.Member
-	found := false
-	bestRoom := 0
-	for _, m := range planners {
+	bestRoom, found := 0, false
+	tasks := p.job.Tasks()
+	for _, m := range all {
 		if m.Leaving || p.refused[m.Name] {
 			continue
 		}
-		room := m.Room - spent[m.Name]
-		if m.Slots == 0 {
+		room, own := m.Room-spent[m.Name], plans(m, domain)
+		switch {
+		case m.Slots == 0:
 			room = noRoom
-		}
-		own := plans(m, domain)
-		if own && room >= p.job.Tasks() {
-			return m, true
+		case own && room >= tasks:
+			home = append(home, m)
+		case room >= tasks:
+			away = append(away, m)
 		}
 		if own && m.Slots > 0 {
 			room += homeLead
@@ -33,19 +49,24 @@
 			best, bestRoom, found = m, room, true
 		}
 	}
+	switch {
+	case len(home) > 0:
+		return draw(home, p.job.ID), true
+	case len(away) > 0 && len(all) > fewPlanners:
+		return draw(away, p.job.ID), true
+	}
 	return best, found
 }
 
-// homeLead is how many tasks of room another domain's planner must have more, so that news that are old by then do not
-// send jobs back and forth.
-const homeLead = 4
-
-// noRoom is the room of a planner that knows no workers; jobs wait there only if there is no other.
-const noRoom = math.MinInt32
+// draw picks one of several planners by a job's id.
+func draw(members []flotilla.Member, id string) flotilla.Member {
+	return members[xxh3.HashString(id)%uint64(len(members))]
+}
 
+// plans reports whether a process plans a part of a domain.
 func plans(m flotilla.Member, domain string) bool {
 	for _, c := range m.Claims {
-		if c.Domain == domain {
+		if d, _ := flotilla.DomainOf(c.Part); d == domain {
 			return true
 		}
 	}
--- a/src/wharf/choose_test.go
+++ b/src/wharf/choose_test.go
@@ -12,7 +12,7 @@
 
 func TestChoosePlanner(t *testing.T) {
 	member := func(name, domain string, room int) flotilla.Member {
-		return flotilla.Member{Name: name, Room: room, Slots: 40, Claims: []flotilla.Claim{{Domain: domain}}}
+		return flotilla.Member{Name: name, Room: room, Slots: 40, Claims: []flotilla.Claim{{Part: domain + "#0"}}}
 	}
 	idle := member("c", "home", 0)
 	idle.Slots = 0
--- a/src/wharf/fleet.go
+++ b/src/wharf/fleet.go
@@ -115,7 +115,7 @@
 // Self returns this process as it describes itself.
 func (f *fleet) Self() flotilla.Member { return f.fleet.Self() }
 
-// Planners returns the live processes that plan a domain.
+// Planners returns the live processes that plan a part.
 func (f *fleet) Planners() []flotilla.Member { return f.fleet.Planners() }
 
 // Describe changes what this process tells of itself, and tells it at once.
@@ -124,8 +124,11 @@
 	f.dirty = true
 }
 
-// Outbid asks for a higher token for a domain that this process plans.
-func (f *fleet) Outbid(domain string) { f.step(f.h.Clock.Now(), flotilla.Outbid{Domain: domain}) }
+// SetWorkers tells how many workers of each domain are known.
+func (f *fleet) SetWorkers(workers map[string]int) { f.fleet.SetWorkers(workers) }
+
+// Outbid asks for a higher token for a part that this process plans.
+func (f *fleet) Outbid(part string) { f.step(f.h.Clock.Now(), flotilla.Outbid{Part: part}) }
 
 func (f *fleet) tick(now time.Time) {
 	f.watchClock(now)
@@ -157,7 +160,11 @@
 
 // tellRoom sends beats out of turn when this process has something new to tell.
 func (f *fleet) tellRoom(now time.Time) {
-	if !f.dirty || now.Sub(f.told) < roomInterval {
+	if !f.dirty {
+		return
+	}
+	peers := f.fleet.Peers()
+	if now.Sub(f.told) < roomInterval+roomStep*time.Duration(max(0, len(peers)-manyPeers)) {
 		return
 	}
 	f.dirty = false
@@ -166,7 +173,7 @@
 	if !ok {
 		return
 	}
-	for _, p := range f.fleet.Peers() {
+	for _, p := range peers {
 		if p.Alive {
 			f.send(p.Member.Address, data)
 		}
@@ -204,11 +211,11 @@
 		f.h.Log.Write(logbook.PeerLost, logbook.F("peer", a.Peer.Member.Name), logbook.F("reason", "it does not hear this process"))
 	case flotilla.Claimed:
 		f.dirty = true
-		f.h.Log.Write(logbook.DomainClaimed, logbook.F("domain", a.Domain), logbook.F("token", a.Token),
+		f.h.Log.Write(logbook.DomainClaimed, logbook.F("part", a.Part), logbook.F("token", a.Token),
 			logbook.F("gentle", a.Gentle), logbook.F("from", a.From))
 	case flotilla.Yielded:
 		f.dirty = true
-		f.h.Log.Write(logbook.DomainYielded, logbook.F("domain", a.Domain), logbook.F("to", a.To))
+		f.h.Log.Write(logbook.DomainYielded, logbook.F("part", a.Part), logbook.F("to", a.To))
 	}
 }
 
--- a/src/wharf/kinds.go
+++ b/src/wharf/kinds.go
@@ -62,8 +62,13 @@
 	plannerPause = time.Second
 	// offerLimit bounds how many planners a job is offered to.
 	offerLimit = 4
-	// roomInterval bounds how often a change of room is told.
+	// roomInterval bounds how often a change is told out of turn; for each process beyond manyPeers it grows by
+	// roomStep, so that what all of them send and take stays about the same.
 	roomInterval = 25 * time.Millisecond
+	roomStep     = 3 * time.Millisecond
+	manyPeers    = 12
+	// registerPause is the least pause between two looks at one process's register of targets, for the same reason.
+	registerPause = 200 * time.Millisecond
 	// offerLife is how long an offer may be on its way; connections between processes are given up before.
 	offerLife = 30 * time.Second
 	// dropTries bounds how often a drop is sent; by then a planner that is out of reach has given the job up by itself.
--- a/src/wharf/plan.go
+++ b/src/wharf/plan.go
@@ -38,6 +38,7 @@
 	// marks holds, by registry host and incarnation, how much of its register is known here.
 	marks    map[string]uint64
 	fetching map[string]bool
+	looked   map[string]time.Time
 	room     int
 	slots    int
 	waiting  map[string]int
@@ -78,7 +79,8 @@
 	return &plan{
 		h: h, planner: convoy.NewPlanner(convoy.Tuning{MaxLease: h.Settings.Lease, StopTime: h.Settings.Stop}),
 		orders: pond.NewPool(orderLimit), waiters: make(map[waiter]chan answer), dropped: make(map[waiter]droppedOffer),
-		marks: make(map[string]uint64), fetching: make(map[string]bool), measures: newMeasures(h.Metrics),
+		marks: make(map[string]uint64), fetching: make(map[string]bool),
+		looked: make(map[string]time.Time), measures: newMeasures(h.Metrics),
 		register: newTargets(h),
 	}
 }
@@ -127,9 +129,9 @@
 func (p *plan) heed(now time.Time, a flotilla.Action) {
 	switch a := a.(type) {
 	case flotilla.Claimed:
-		p.step(now, convoy.Claimed{Domain: a.Domain, Token: a.Token, Gentle: a.Gentle})
+		p.step(now, convoy.Claimed{Part: a.Part, Token: a.Token, Gentle: a.Gentle})
 	case flotilla.Yielded:
-		p.step(now, convoy.Yielded{Domain: a.Domain})
+		p.step(now, convoy.Yielded{Part: a.Part})
 	case flotilla.Lost:
 		p.step(now, convoy.HostLost{Host: a.Peer.Member.Name})
 	case flotilla.Deafened:
@@ -204,7 +206,7 @@
 	case convoy.Forget:
 		p.h.Workers.Forget(a.ID)
 	case convoy.Outbid:
-		p.h.Fleet.Outbid(a.Domain)
+		p.h.Fleet.Outbid(a.Part)
 	case convoy.Note:
 		p.note(a)
 	}
@@ -294,7 +296,7 @@
 	token := int64(0)
 	for _, m := range p.h.Fleet.Planners() {
 		for _, c := range m.Claims {
-			if c.Domain == a.Domain && c.Token > token && m.Name != p.h.Settings.Name {
+			if c.Part == a.Target.Part && c.Token > token && m.Name != p.h.Settings.Name {
 				best, token = m, c.Token
 			}
 		}
@@ -322,6 +324,7 @@
 		return nil, err
 	}
 	for _, e := range entries {
+		e.target.Part = flotilla.PartOf(e.target.Domain, e.target.ID)
 		p.h.Post(p, plannerEvent{ev: convoy.Listed{Target: e.target}})
 		p.h.Post(p, plannerEvent{ev: convoy.Freed{ID: e.target.ID}})
 	}
@@ -358,6 +361,11 @@
 	if p.fetching[key] || m.Targets <= p.marks[key] || (!m.Registry && p.registryHeard()) {
 		return
 	}
+	now := p.h.Clock.Now()
+	if len(p.h.Fleet.Peers()) > manyPeers && now.Sub(p.looked[key]) < registerPause {
+		return
+	}
+	p.looked[key] = now
 	p.fetching[key] = true
 	since := p.marks[key]
 	go func() {
@@ -389,6 +397,7 @@
 	}
 	p.marks[e.key] = max(p.marks[e.key], e.mark)
 	for _, entry := range e.entries {
+		entry.target.Part = flotilla.PartOf(entry.target.Domain, entry.target.ID)
 		p.register.learn(now, entry)
 		if entry.left {
 			p.step(now, convoy.Unlisted{ID: entry.target.ID})
@@ -396,6 +405,7 @@
 		}
 		p.step(now, convoy.Listed{Target: entry.target})
 	}
+	p.h.Fleet.SetWorkers(p.register.perDomain())
 }
 
 // Busy reports whether jobs of callers, here or at other hosts, are at work.
--- a/src/wharf/plan_test.go
+++ b/src/wharf/plan_test.go
@@ -25,6 +25,7 @@
 func (l *lone) Planners() []flotilla.Member              { return []flotilla.Member{l.self} }
 func (l *lone) Describe(change func(m *flotilla.Member)) { change(&l.self) }
 func (l *lone) Outbid(string)                            {}
+func (l *lone) SetWorkers(map[string]int)                {}
 
 func loneHelm(now time.Time) *helm.Helm {
 	h := &helm.Helm{
--- a/src/wharf/targets.go
+++ b/src/wharf/targets.go
@@ -142,6 +142,19 @@
 	t.changed(now, e)
 }
 
+// perDomain counts the targets that are there, by domain.
+func (t *targets) perDomain() map[string]int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := make(map[string]int)
+	for _, e := range t.entries {
+		if !e.left && !e.target.Silent {
+			out[e.target.Domain]++
+		}
+	}
+	return out
+}
+
 // changed marks an entry as new for those who follow the register.
 func (t *targets) changed(now time.Time, e *entry) {
 	t.marks++
