--- a/src/convoy/judge.go
+++ b/src/convoy/judge.go
@@ -9,27 +9,31 @@
 type refusal struct {
 	reason string
 	retry  time.Duration
+	// misfit says that none of this planner's workers can run the job; another planner's may.
+	misfit bool
 }
 
 // judge decides at once whether a job can be served before its caller stops waiting.
 func (p *Planner) judge(now time.Time, j *job) (refusal, bool) {
 	for _, s := range j.Steps {
 		if len(p.workers) > 0 && !p.everFits(j, s) {
-			return refusal{fmt.Sprintf("no worker of pool %s has the room or the label that a task needs", j.Pool), retryCeiling}, false
+			reason := fmt.Sprintf("no worker of pool %s has the room or the label that a task needs", j.Pool)
+			return refusal{reason: reason, retry: retryCeiling, misfit: true}, false
 		}
 	}
 	slots := p.Slots()
 	chain := p.kind(j.Route).usual(j.Chain())
 	if slots == 0 {
 		if len(p.workers) == 0 {
-			return refusal{"no worker is in reach", retryFloor}, false
+			return refusal{reason: "no worker is in reach", retry: retryFloor, misfit: true}, false
 		}
 		return refusal{}, true
 	}
 	wait := p.backlog(now, j, slots)
 	if now.Add(wait + chain).After(p.useful(j)) {
-		return refusal{fmt.Sprintf("%s of waiting for %d slots and %s of work do not end in time",
-			wait.Round(time.Millisecond), slots, chain.Round(time.Millisecond)), clampRetry(wait)}, false
+		reason := fmt.Sprintf("%s of waiting for %d slots and %s of work do not end in time",
+			wait.Round(time.Millisecond), slots, chain.Round(time.Millisecond))
+		return refusal{reason: reason, retry: clampRetry(wait)}, false
 	}
 	return refusal{}, true
 }
--- a/src/convoy/planner_test.go
+++ b/src/convoy/planner_test.go
@@ -50,12 +50,21 @@
 			job:     func(y *yard) Job { return yardJob(y, "a", "r", 8, 200, 4*time.Second) },
 			want:    Completed, within: 1500 * time.Millisecond,
 		},
-		"a task that fits nowhere is refused at once": {
+		"a task that fits no worker here is handed on at once": {
 			job: func(y *yard) Job {
 				j := yardJob(y, "a", "r", 1, 60, 2*time.Second)
 				j.Steps[0].Need.Milli = 90_000
 				return j
 			},
+			want: Elsewhere, within: time.Millisecond,
+		},
+		"and refused at once by the next": {
+			job: func(y *yard) Job {
+				j := yardJob(y, "a", "r", 1, 60, 2*time.Second)
+				j.Steps[0].Need.Milli = 90_000
+				j.Settled = true
+				return j
+			},
 			want: Refused, within: time.Millisecond,
 		},
 		"work that cannot end in time is refused at once": {
--- a/src/convoy/submit.go
+++ b/src/convoy/submit.go
@@ -24,8 +24,8 @@
 	p.kind(j.Route).arrived(now, j)
 	p.remember(j)
 	refusal, ok := p.judge(now, j)
-	if !ok && !j.Settled && (p.elsewhere >= j.Tasks() || len(p.workers) == 0) {
-		p.elsewhere -= j.Tasks()
+	if !ok && !j.Settled && (p.elsewhere >= j.Tasks() || refusal.misfit) {
+		p.elsewhere = max(0, p.elsewhere-j.Tasks())
 		p.act(Answer{ID: in.ID, Host: in.Host, Outcome: Elsewhere, Reason: refusal.reason})
 		return
 	}
