--- a/src/convoy/order.go
+++ b/src/convoy/order.go
@@ -10,7 +10,7 @@
 type kind struct {
 	// factor is how much longer tasks take than their estimate, on a worker of the usual speed.
 	factor float64
-	// load is the moving mean of the room that the route's jobs ask for: thousandths of a core, all the time.
+	// load is the moving mean of what the route's jobs ask for, in milli-core seconds a second.
 	load float64
 	// arriving is what has been asked for since the last roll, in milli-core seconds.
 	arriving float64
--- a/src/flotilla/fleet.go
+++ b/src/flotilla/fleet.go
@@ -219,7 +219,7 @@
 	}
 }
 
-// contact remembers an address to send beats to, until its process is known by name.
+// contact sends a beat to an address whose process is not known by name yet; the answer names it.
 func (f *Fleet) contact(a netip.AddrPort) {
 	if a == f.self.Address || slices.Contains(f.contacts, a) {
 		return
--- a/src/logbook/event.go
+++ b/src/logbook/event.go
@@ -73,8 +73,8 @@
 
 	PeerHeard      = Event{600, Info, "process heard", "none"}
 	PeerLost       = Event{601, Warn, "process lost", "look at the host and the network if it lasts"}
-	DomainClaimed  = Event{602, Info, "this process plans the domain's workers", "none"}
-	DomainYielded  = Event{603, Info, "another process plans the domain's workers", "none"}
+	DomainClaimed  = Event{602, Info, "this process plans the part's workers", "none"}
+	DomainYielded  = Event{603, Info, "another process plans the part's workers", "none"}
 	ConfigInForce  = Event{604, Info, "configuration in force", "none"}
 	ConfigStored   = Event{605, Info, "configuration stored", "none"}
 	VotersChanged  = Event{606, Info, "membership of the registry hosts changes", "none"}
@@ -98,7 +98,7 @@
 	WorkerReady   = Event{708, Info, "worker answers and is used", "none"}
 	WorkerSlow    = Event{709, Warn, "worker is slow or fails what it starts", "look at the worker"}
 	WorkerLost    = Event{710, Warn, "worker does not answer", "look at the worker and the network"}
-	WorkerFenced  = Event{711, Warn, "worker follows another planner", "none if the domain changed hands"}
+	WorkerFenced  = Event{711, Warn, "worker follows another planner", "none if its part changed hands"}
 	DropUnheard   = Event{712, Warn, "planner was not told that a job is dropped; it gives the job up by itself", "none"}
 )
 
--- /dev/null
+++ b/src/wharf/follow.go
@@ -0,0 +1,63 @@
+package wharf
+
+import (
+	"context"
+	"encoding/binary"
+	"time"
+
+	"sesamecleat/src/convoy"
+	"sesamecleat/src/flotilla"
+)
+
+// followTargets asks a registry host for what has changed in its register; while none is there, any dispatch process.
+func (p *plan) followTargets(m flotilla.Member) {
+	key := m.Name + "@" + time.UnixMilli(int64(m.Incarnation)).UTC().Format(time.RFC3339Nano)
+	if p.fetching[key] || m.Targets <= p.marks[key] || (!m.Registry && p.registryHeard()) {
+		return
+	}
+	now := p.h.Clock.Now()
+	if len(p.h.Fleet.Peers()) > manyPeers && now.Sub(p.looked[key]) < registerPause {
+		return
+	}
+	p.looked[key] = now
+	p.fetching[key] = true
+	since := p.marks[key]
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+		defer cancel()
+		ev := targetsEvent{key: key}
+		out, err := p.h.Radio.Probe(ctx, m.Address, kindTargets, binary.BigEndian.AppendUint64(nil, since))
+		if err == nil {
+			ev.mark, ev.entries, err = decodeTargets(out)
+		}
+		ev.err = err
+		p.h.Post(p, ev)
+	}()
+}
+
+func (p *plan) registryHeard() bool {
+	for _, peer := range p.h.Fleet.Peers() {
+		if peer.Alive && peer.Member.Registry {
+			return true
+		}
+	}
+	return false
+}
+
+func (p *plan) learnTargets(now time.Time, e targetsEvent) {
+	delete(p.fetching, e.key)
+	if e.err != nil {
+		return
+	}
+	p.marks[e.key] = max(p.marks[e.key], e.mark)
+	for _, entry := range e.entries {
+		entry.target.Part = flotilla.PartOf(entry.target.Domain, entry.target.ID)
+		p.register.learn(now, entry)
+		if entry.left {
+			p.step(now, convoy.Unlisted{ID: entry.target.ID})
+			continue
+		}
+		p.step(now, convoy.Listed{Target: entry.target})
+	}
+	p.h.Fleet.SetWorkers(p.register.perDomain())
+}
