Reach lost peers at every second round of beats, counted by rounds

Lost peers got one beat in five, and the count also moved with beats out of turn, so a busy process could pass a restarted one over for seconds. Ruled out: load alone (the log shows the beats missing for 0.9 s while others went out), lost datagrams. Conclusion: two beats now fall into the time for which such a host listens.

--- a/src/flotilla/fleet.go
+++ b/src/flotilla/fleet.go
@@ -91,8 +91,10 @@
 	// vacant is since when a part has had no planner.
 	vacant map[string]time.Time
 	begun  time.Time
-	turn   int
-	out    []Action
+	// turn counts beats, also those out of turn; ticks counts rounds of beats.
+	turn  int
+	ticks int
+	out   []Action
 }
 
 // NewFleet returns a fleet that knows nothing but itself and the addresses to contact first.
@@ -246,10 +248,11 @@
 }
 
 func (f *Fleet) sendBeats(now time.Time) {
+	f.ticks++
 	sent := map[netip.AddrPort]bool{f.self.Address: true}
 	for _, p := range f.sorted() {
-		// A lost peer is tried at every fifth beat, in case only this direction is open again.
-		if !p.Alive && f.turn%5 != 0 {
+		// A lost peer may be back without knowing anyone, or only this direction may be open again.
+		if !p.Alive && f.ticks%lostEvery != 0 {
 			continue
 		}
 		if !sent[p.Member.Address] {
--- a/src/flotilla/fleet_test.go
+++ b/src/flotilla/fleet_test.go
@@ -279,6 +279,36 @@
 	require.True(t, whole)
 }
 
+// A host that starts while its contacts are gone hears the others before it claims its domain, also where they send beats
+// out of turn: it takes over from whoever plans there instead of beside it.
+func TestStartWithoutContacts(t *testing.T) {
+	for outOfTurn := range 6 {
+		t.Run(fmt.Sprint(outOfTurn), func(t *testing.T) {
+			s := newHarbour()
+			s.down["entry-n1"], s.down["entry-n2"] = true, true
+			s.run(4 * time.Second)
+			require.Equal(t, []string{"entry-s1"}, s.planner("north"))
+			s.down["registry-n"], s.down["registry-s"] = true, true
+			s.run(2 * time.Second)
+			s.down["entry-n1"] = false
+			s.add("entry-n1", "north", true)
+			s.events = make(map[string][]Action)
+			for range 15 {
+				for range outOfTurn {
+					s.fleets["entry-s1"].Beat()
+				}
+				s.run(BeatInterval)
+			}
+			require.Equal(t, []string{"entry-n1"}, s.planner("north"))
+			for _, a := range s.events["entry-n1"] {
+				if c, ok := a.(Claimed); ok {
+					require.True(t, c.Gentle, c.Part)
+				}
+			}
+		})
+	}
+}
+
 func FuzzDecodeBeat(f *testing.F) {
 	b, err := EncodeBeat(Beat{From: Member{Name: "a", Address: netip.MustParseAddrPort("10.0.0.1:1")}})
 	require.NoError(f, err)
--- a/src/flotilla/member.go
+++ b/src/flotilla/member.go
@@ -70,6 +70,9 @@
 	LostAfter = 1000 * time.Millisecond
 	// forgetAfter is how long a lost peer is still sent beats.
 	forgetAfter = 60 * time.Second
+	// lostEvery is how many rounds of beats pass between two to a lost peer: two fit into settleAlone, so that a process
+	// that starts while its contacts are gone is named to the others before it claims what another one plans.
+	lostEvery = 2
 	// settleHeard and settleAlone are how long a process listens before it claims a domain, with others in reach and
 	// without; two beats, and four.
 	settleHeard = 400 * time.Millisecond
