Make a call again on a new connection where its connection has just ended

Cause: TestRestartedPeerEndsOldConnections failed once in six race runs: a stateless reset came between the look at a connection and the opening of a stream on it, and the call was told "not sent" although the peer was there. Ruled out: a call that had been sent (no stream was open yet).

--- a/src/radio/link.go
+++ b/src/radio/link.go
@@ -43,9 +43,8 @@
 	if err != nil {
 		return nil, nil, NotSent.Wrap(err)
 	}
-	s, err := conn.OpenStream()
+	conn, s, err := r.stream(ctx, peer, conn)
 	if err != nil {
-		r.drop(peer, conn)
 		return conn, nil, NotSent.Wrap(err)
 	}
 	if deadline, ok := ctx.Deadline(); ok {
@@ -72,6 +71,22 @@
 	return conn, out, nil
 }
 
+// stream opens a stream on a connection, or on a new one if that has just ended; it returns the connection it is on.
+func (r *Radio) stream(ctx context.Context, peer netip.AddrPort, conn *quic.Conn) (*quic.Conn, *quic.Stream, error) {
+	s, err := conn.OpenStream()
+	if err == nil {
+		return conn, s, nil
+	}
+	r.drop(peer, conn)
+	if conn, err = r.connect(ctx, peer); err != nil {
+		return nil, nil, err
+	}
+	if s, err = conn.OpenStream(); err != nil {
+		r.drop(peer, conn)
+	}
+	return conn, s, err
+}
+
 func (r *Radio) link(peer netip.AddrPort) *link {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/src/radio/radio_test.go
+++ b/src/radio/radio_test.go
@@ -164,6 +164,21 @@
 	require.Equal(t, "again", out)
 }
 
+// A call that meets a connection in its last moment, when it looks open but no stream can be opened on it, goes out on a
+// new connection.
+func TestCallOutlivesItsConnection(t *testing.T) {
+	a := newEnd(t, loopback, ListenUDP, testKey)
+	b := newEnd(t, loopback, ListenUDP, testKey)
+	_, err := call(t, a, b.addr(), kindEcho, "", 5*time.Second)
+	require.NoError(t, err)
+	old := a.link(b.addr()).conn
+	require.NoError(t, old.CloseWithError(closeDone, ""))
+	conn, s, err := a.stream(t.Context(), b.addr(), old)
+	require.NoError(t, err)
+	require.NotSame(t, old, conn)
+	s.CancelWrite(0)
+}
+
 func FuzzReadFrame(f *testing.F) {
 	f.Add([]byte{1, 0, 0, 0, 2, 'h', 'i'})
 	f.Add([]byte{1, 255, 255, 255, 255})
