Know the peers by name and address, and look at claims once a round

Conclusion: an index each for names and addresses, claims gathered once a round, addresses as bytes on the wire, registers followed once a second by hosts that plan nothing, targets found by address.

--- a/src/convoy/hold.go
+++ b/src/convoy/hold.go
@@ -212,16 +212,21 @@
 	}
 }
 
-// replaceAt takes out older workers at the address of a new one.
+// replaceAt takes out the older worker at the address of a new one.
 func (p *Planner) replaceAt(now time.Time, t Target) {
-	for id, old := range p.targets {
-		if id == t.ID || old.Address != t.Address || old.Born >= t.Born || t.Born == 0 {
-			continue
-		}
-		delete(p.targets, id)
-		if w, ok := p.workers[id]; ok {
-			p.gone(now, w, "another worker is at its address")
-		}
+	id := p.addresses[t.Address]
+	old, listed := p.targets[id]
+	if id == t.ID || !listed || old.Address != t.Address {
+		p.addresses[t.Address] = t.ID
+		return
+	}
+	if old.Born >= t.Born || t.Born == 0 {
+		return
+	}
+	p.addresses[t.Address] = t.ID
+	delete(p.targets, id)
+	if w, ok := p.workers[id]; ok {
+		p.gone(now, w, "another worker is at its address")
 	}
 }
 
--- a/src/convoy/planner.go
+++ b/src/convoy/planner.go
@@ -1,6 +1,7 @@
 package convoy
 
 import (
+	"net/netip"
 	"sort"
 	"time"
 )
@@ -45,10 +46,12 @@
 	// gentle marks the claimed parts whose former planner still hands workers over.
 	gentle  map[string]bool
 	targets map[string]Target
-	workers map[string]*worker
-	jobs    map[string]*job
-	queue   []*job
-	kinds   map[string]*kind
+	// addresses says which target was last listed at an address.
+	addresses map[netip.AddrPort]string
+	workers   map[string]*worker
+	jobs      map[string]*job
+	queue     []*job
+	kinds     map[string]*kind
 	// leftover counts, by job, the runs of ended jobs and of other planners that may still be at work.
 	leftover  map[string]int
 	results   map[string]result
@@ -65,7 +68,7 @@
 func NewPlanner(t Tuning) *Planner {
 	return &Planner{
 		tuning: t, typical: typicalMilli, fast: 1,
-		claims: make(map[string]int64), gentle: make(map[string]bool), targets: make(map[string]Target), workers: make(map[string]*worker),
+		claims: make(map[string]int64), gentle: make(map[string]bool), targets: make(map[string]Target), addresses: make(map[netip.AddrPort]string), workers: make(map[string]*worker),
 		jobs: make(map[string]*job), kinds: make(map[string]*kind),
 		leftover: make(map[string]int), results: make(map[string]result),
 	}
--- a/src/flotilla/codec.go
+++ b/src/flotilla/codec.go
@@ -16,11 +16,12 @@
 	Token int64
 }
 
+// wireBeat carries addresses as bytes, as every process decodes dozens of beats at every interval.
 type wireBeat struct {
 	_           struct{} `cbor:",toarray"`
 	Name        string
 	Domain      string
-	Address     string
+	Address     []byte
 	Incarnation uint64
 	Dispatcher  bool
 	Registry    bool
@@ -31,7 +32,7 @@
 	Claims      []wireClaim
 	Room        int
 	Waiting     map[string]int
-	Contacts    []string
+	Contacts    []byte
 	Hears       []uint32
 	Slots       int
 }
@@ -39,8 +40,12 @@
 // EncodeBeat returns the bytes of a beat.
 func EncodeBeat(b Beat) ([]byte, error) {
 	m := b.From
+	address, err := m.Address.MarshalBinary()
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
 	w := wireBeat{
-		Name: m.Name, Domain: m.Domain, Address: m.Address.String(), Incarnation: m.Incarnation,
+		Name: m.Name, Domain: m.Domain, Address: address, Incarnation: m.Incarnation,
 		Dispatcher: m.Dispatcher, Registry: m.Registry, Disk: m.Disk, Leaving: m.Leaving, Config: m.Config,
 		Targets: m.Targets, Room: m.Room, Waiting: m.Waiting,
 		Hears: b.Hears, Slots: m.Slots,
@@ -48,8 +53,8 @@
 	for _, c := range m.Claims {
 		w.Claims = append(w.Claims, wireClaim{Part: c.Part, Token: c.Token})
 	}
-	for _, a := range b.Contacts {
-		w.Contacts = append(w.Contacts, a.String())
+	if w.Contacts, err = encodeContacts(b.Contacts); err != nil {
+		return nil, Error.Wrap(err)
 	}
 	out, err := cbor.Marshal(w)
 	return out, Error.Wrap(err)
@@ -61,8 +66,8 @@
 	if err := cbor.Unmarshal(data, &w); err != nil {
 		return Beat{}, Error.Wrap(err)
 	}
-	address, err := netip.ParseAddrPort(w.Address)
-	if err != nil || w.Name == "" {
+	var address netip.AddrPort
+	if err := address.UnmarshalBinary(w.Address); err != nil || w.Name == "" {
 		return Beat{}, Error.New("a beat without a name or an address")
 	}
 	b := Beat{Hears: w.Hears, From: Member{
@@ -73,12 +78,40 @@
 	for _, c := range w.Claims {
 		b.From.Claims = append(b.From.Claims, Claim{Part: c.Part, Token: c.Token})
 	}
-	for _, c := range w.Contacts {
-		a, err := netip.ParseAddrPort(c)
-		if err != nil {
-			return Beat{}, Error.Wrap(err)
-		}
-		b.Contacts = append(b.Contacts, a)
+	var err error
+	if b.Contacts, err = decodeContacts(w.Contacts); err != nil {
+		return Beat{}, Error.Wrap(err)
 	}
 	return b, nil
 }
+
+// encodeContacts returns the addresses one after the other, each behind a byte that says how long it is.
+func encodeContacts(contacts []netip.AddrPort) ([]byte, error) {
+	var out []byte
+	for _, a := range contacts {
+		at := len(out)
+		var err error
+		if out, err = a.AppendBinary(append(out, 0)); err != nil {
+			return nil, err
+		}
+		out[at] = byte(len(out) - at - 1)
+	}
+	return out, nil
+}
+
+func decodeContacts(b []byte) ([]netip.AddrPort, error) {
+	var out []netip.AddrPort
+	for len(b) > 0 {
+		n := int(b[0])
+		if n >= len(b) {
+			return nil, Error.New("a contact of %d bytes is cut off", n)
+		}
+		var a netip.AddrPort
+		if err := a.UnmarshalBinary(b[1 : n+1]); err != nil {
+			return nil, err
+		}
+		out = append(out, a)
+		b = b[n+1:]
+	}
+	return out, nil
+}
--- a/src/flotilla/fleet.go
+++ b/src/flotilla/fleet.go
@@ -83,14 +83,19 @@
 	parts    []string
 	contacts []netip.AddrPort
 	peers    map[string]*Peer
-	claims   map[string]*claim
+	// order holds the peers by name; addresses says whose address one is. Both save a look at every peer a beat.
+	order     []*Peer
+	addresses map[netip.AddrPort]string
+	claims    map[string]*claim
 	// workers counts the workers known, by domain.
 	workers map[string]int
 	// tokens holds the highest token ever heard of, by part.
 	tokens map[string]int64
 	// vacant is since when a part has had no planner.
 	vacant map[string]time.Time
-	begun  time.Time
+	// seen is what the peers said as of the round in hand.
+	seen  round
+	begun time.Time
 	// turn counts beats, also those out of turn; ticks counts rounds of beats.
 	turn  int
 	ticks int
@@ -101,7 +106,7 @@
 func NewFleet(self Member, domains []string, contacts []netip.AddrPort, now time.Time) *Fleet {
 	return &Fleet{
 		self: self, parts: parts(domains), contacts: contacts, begun: now,
-		peers: make(map[string]*Peer), claims: make(map[string]*claim),
+		peers: make(map[string]*Peer), addresses: make(map[netip.AddrPort]string), claims: make(map[string]*claim),
 		workers: make(map[string]int),
 		tokens:  make(map[string]int64), vacant: make(map[string]time.Time),
 	}
@@ -141,13 +146,34 @@
 
 // Peers returns every peer known, by name.
 func (f *Fleet) Peers() []Peer {
-	out := make([]Peer, 0, len(f.peers))
-	for _, p := range f.sorted() {
+	out := make([]Peer, 0, len(f.order))
+	for _, p := range f.order {
 		out = append(out, *p)
 	}
 	return out
 }
 
+// Census returns how many peers are known, and how many of them are registry hosts that are alive.
+func (f *Fleet) Census() (peers, registries int) {
+	for _, p := range f.order {
+		if p.Alive && p.Member.Registry {
+			registries++
+		}
+	}
+	return len(f.order), registries
+}
+
+// Alive returns the addresses of the peers that are alive, by name.
+func (f *Fleet) Alive() []netip.AddrPort {
+	out := make([]netip.AddrPort, 0, len(f.order))
+	for _, p := range f.order {
+		if p.Alive {
+			out = append(out, p.Member.Address)
+		}
+	}
+	return out
+}
+
 // Peer returns what is known of a process.
 func (f *Fleet) Peer(name string) (Peer, bool) {
 	p, ok := f.peers[name]
@@ -195,7 +221,13 @@
 	if !known {
 		p = &Peer{}
 		f.peers[m.Name] = p
+		at, _ := slices.BinarySearchFunc(f.order, m.Name, byName)
+		f.order = slices.Insert(f.order, at, p)
 	}
+	if known && p.Member.Address != m.Address {
+		f.forgetAddress(p)
+	}
+	f.addresses[m.Address] = m.Name
 	joined := !p.Alive
 	if joined {
 		p.Since = now
@@ -209,6 +241,14 @@
 	f.act(Updated{Peer: *p})
 }
 
+func byName(p *Peer, name string) int { return strings.Compare(p.Member.Name, name) }
+
+func (f *Fleet) forgetAddress(p *Peer) {
+	if f.addresses[p.Member.Address] == p.Member.Name {
+		delete(f.addresses, p.Member.Address)
+	}
+}
+
 // noteDeaf notes a peer that has stopped hearing this process: what it waits for from here will not arrive.
 func (f *Fleet) noteDeaf(now time.Time, p *Peer, hears bool) {
 	if hears || now.Sub(p.Since) < LostAfter {
@@ -226,20 +266,22 @@
 	if a == f.self.Address || slices.Contains(f.contacts, a) {
 		return
 	}
-	for _, p := range f.peers {
-		if p.Member.Address == a {
-			return
-		}
+	if _, known := f.addresses[a]; !known {
+		f.act(Send{To: a})
 	}
-	f.act(Send{To: a})
 }
 
 func (f *Fleet) age(now time.Time) {
-	for _, p := range f.sorted() {
-		silent := now.Sub(p.Heard)
-		if silent > forgetAfter {
-			delete(f.peers, p.Member.Name)
+	f.order = slices.DeleteFunc(f.order, func(p *Peer) bool {
+		if now.Sub(p.Heard) <= forgetAfter {
+			return false
 		}
+		delete(f.peers, p.Member.Name)
+		f.forgetAddress(p)
+		return true
+	})
+	for _, p := range f.order {
+		silent := now.Sub(p.Heard)
 		if p.Alive && silent > LostAfter {
 			p.Alive = false
 			f.act(Lost{Peer: *p, Reason: "silent"})
@@ -250,7 +292,7 @@
 func (f *Fleet) sendBeats(now time.Time) {
 	f.ticks++
 	sent := map[netip.AddrPort]bool{f.self.Address: true}
-	for _, p := range f.sorted() {
+	for _, p := range f.order {
 		// A lost peer may be back without knowing anyone, or only this direction may be open again.
 		if !p.Alive && f.ticks%lostEvery != 0 {
 			continue
@@ -268,19 +310,16 @@
 	}
 }
 
-func (f *Fleet) sorted() []*Peer {
-	out := make([]*Peer, 0, len(f.peers))
-	for _, p := range f.peers {
-		out = append(out, p)
+func (f *Fleet) alive() []*Peer {
+	out := make([]*Peer, 0, len(f.order))
+	for _, p := range f.order {
+		if p.Alive {
+			out = append(out, p)
+		}
 	}
-	slices.SortFunc(out, func(a, b *Peer) int { return strings.Compare(a.Member.Name, b.Member.Name) })
 	return out
 }
 
-func (f *Fleet) alive() []*Peer {
-	return slices.DeleteFunc(f.sorted(), func(p *Peer) bool { return !p.Alive })
-}
-
 // token returns a token higher than any heard of for the part, which no other process makes.
 func (f *Fleet) token(now time.Time, part string) int64 {
 	mark := int64(xxh3.HashString(f.self.Name) & (1<<tokenShift - 1))
--- a/src/flotilla/fleet_test.go
+++ b/src/flotilla/fleet_test.go
@@ -309,6 +309,39 @@
 	}
 }
 
+func TestBeatSurvivesItsCodec(t *testing.T) {
+	tests := map[string]Beat{
+		"the least": {From: Member{Name: "a", Address: netip.MustParseAddrPort("10.0.0.1:1")}},
+		"a planner with both kinds of contacts": {
+			From: Member{
+				Name: "b", Domain: "north", Address: netip.MustParseAddrPort("[fd00::1]:7000"), Incarnation: 7,
+				Dispatcher: true, Config: 3, Targets: 9, Claims: []Claim{{Part: "north#3", Token: 1 << 50}},
+				Room: -4, Slots: 12, Waiting: map[string]int{"r": 2},
+			},
+			Hears:    []uint32{1, 2},
+			Contacts: []netip.AddrPort{netip.MustParseAddrPort("10.0.0.2:7000"), netip.MustParseAddrPort("[fd00::2]:7000")},
+		},
+	}
+	for name, want := range tests {
+		t.Run(name, func(t *testing.T) {
+			data, err := EncodeBeat(want)
+			require.NoError(t, err)
+			got, err := DecodeBeat(data)
+			require.NoError(t, err)
+			require.Equal(t, want, got)
+		})
+	}
+}
+
+func TestContactsThatAreCutOff(t *testing.T) {
+	whole, err := encodeContacts([]netip.AddrPort{netip.MustParseAddrPort("10.0.0.2:7000")})
+	require.NoError(t, err)
+	for n := 1; n < len(whole); n++ {
+		_, err := decodeContacts(whole[:n])
+		require.Error(t, err, n)
+	}
+}
+
 func FuzzDecodeBeat(f *testing.F) {
 	b, err := EncodeBeat(Beat{From: Member{Name: "a", Address: netip.MustParseAddrPort("10.0.0.1:1")}})
 	require.NoError(f, err)
--- a/src/flotilla/govern.go
+++ b/src/flotilla/govern.go
@@ -12,11 +12,32 @@
 	token  int64
 }
 
+// round is what the peers say of claims and domains, gathered once for all parts: the peers that are alive, who of them
+// has the highest claim on a part, and the entry hosts of a domain.
+type round struct {
+	alive   []*Peer
+	holders map[string]holder
+	hosts   map[string][]string
+}
+
+func (f *Fleet) look() round {
+	r := round{alive: f.alive(), holders: make(map[string]holder), hosts: make(map[string][]string)}
+	for _, p := range r.alive {
+		for _, c := range p.Member.Claims {
+			if best, held := r.holders[c.Part]; !held || c.Token > best.token {
+				r.holders[c.Part] = holder{member: p.Member, token: c.Token}
+			}
+		}
+	}
+	return r
+}
+
 // govern decides, for every part, whether this process begins or ends to plan there.
 func (f *Fleet) govern(now time.Time) {
 	if !f.self.Dispatcher {
 		return
 	}
+	f.seen = f.look()
 	for _, part := range f.parts {
 		f.finishHandover(now, part)
 		f.governPart(now, part)
@@ -25,7 +46,7 @@
 }
 
 func (f *Fleet) governPart(now time.Time, part string) {
-	other, held := f.strongest(part)
+	other, held := f.seen.holders[part]
 	own := f.claims[part]
 	if own != nil {
 		if held && other.token > own.token {
@@ -102,6 +123,15 @@
 
 // hosts returns the names of a domain's entry hosts that stay, in order; of those that know targets if any do.
 func (f *Fleet) hosts(domain string) []string {
+	if known, ok := f.seen.hosts[domain]; ok {
+		return known
+	}
+	all := f.findHosts(domain)
+	f.seen.hosts[domain] = all
+	return all
+}
+
+func (f *Fleet) findHosts(domain string) []string {
 	var all, informed []string
 	consider := func(m Member) {
 		if !m.Dispatcher || m.Leaving || m.Domain != domain {
@@ -113,7 +143,7 @@
 		}
 	}
 	consider(f.self)
-	for _, p := range f.alive() {
+	for _, p := range f.seen.alive {
 		consider(p.Member)
 	}
 	if len(informed) > 0 {
@@ -136,7 +166,7 @@
 	if !f.self.Leaving {
 		foreign = append(foreign, f.self.Name)
 	}
-	for _, p := range f.alive() {
+	for _, p := range f.seen.alive {
 		reached = reached || p.Member.Domain == domain
 		if p.Member.Dispatcher && !p.Member.Leaving {
 			foreign = append(foreign, p.Member.Name)
@@ -149,20 +179,6 @@
 	return slices.Min(foreign)
 }
 
-// strongest returns the other live process with the highest claim on a part.
-func (f *Fleet) strongest(part string) (holder, bool) {
-	var best holder
-	found := false
-	for _, p := range f.alive() {
-		for _, c := range p.Member.Claims {
-			if c.Part == part && c.Token > best.token {
-				best, found = holder{member: p.Member, token: c.Token}, true
-			}
-		}
-	}
-	return best, found
-}
-
 // finishHandover takes over whatever a predecessor has not handed over once it is gone or too slow.
 func (f *Fleet) finishHandover(now time.Time, part string) {
 	c := f.claims[part]
@@ -203,8 +219,8 @@
 	if len(f.self.Claims) > 0 {
 		out = append(out, f.self)
 	}
-	for _, p := range f.alive() {
-		if len(p.Member.Claims) > 0 {
+	for _, p := range f.order {
+		if p.Alive && len(p.Member.Claims) > 0 {
 			out = append(out, p.Member)
 		}
 	}
@@ -214,7 +230,7 @@
 // settle returns how long this process listens before it claims a domain: less once others are heard, as their answers
 // name everyone else.
 func (f *Fleet) settle() time.Duration {
-	if len(f.alive()) > 0 {
+	if len(f.seen.alive) > 0 {
 		return settleHeard
 	}
 	return settleAlone
--- a/src/helm/services.go
+++ b/src/helm/services.go
@@ -96,6 +96,8 @@
 	Peers() []flotilla.Peer
 	Peer(name string) (flotilla.Peer, bool)
 	Self() flotilla.Member
+	// Census returns how many peers are known, and how many of them are registry hosts that are alive.
+	Census() (peers, registries int)
 	Planners() []flotilla.Member
 	// Describe changes what this process tells the others of itself, and tells them at once.
 	Describe(change func(m *flotilla.Member))
--- a/src/wharf/fleet.go
+++ b/src/wharf/fleet.go
@@ -112,6 +112,9 @@
 // Peer returns what is known of a process.
 func (f *fleet) Peer(name string) (flotilla.Peer, bool) { return f.fleet.Peer(name) }
 
+// Census returns how many peers are known, and how many of them are registry hosts that are alive.
+func (f *fleet) Census() (peers, registries int) { return f.fleet.Census() }
+
 // Self returns this process as it describes itself.
 func (f *fleet) Self() flotilla.Member { return f.fleet.Self() }
 
@@ -163,8 +166,8 @@
 	if !f.dirty {
 		return
 	}
-	peers := f.fleet.Peers()
-	if now.Sub(f.told) < roomInterval+roomStep*time.Duration(max(0, len(peers)-manyPeers)) {
+	peers, _ := f.fleet.Census()
+	if now.Sub(f.told) < roomInterval+roomStep*time.Duration(max(0, peers-manyPeers)) {
 		return
 	}
 	f.dirty = false
@@ -173,10 +176,8 @@
 	if !ok {
 		return
 	}
-	for _, p := range peers {
-		if p.Alive {
-			f.send(p.Member.Address, data)
-		}
+	for _, to := range f.fleet.Alive() {
+		f.send(to, data)
 	}
 }
 
--- a/src/wharf/follow.go
+++ b/src/wharf/follow.go
@@ -11,12 +11,16 @@
 
 // followTargets asks a registry host for what has changed in its register; while none is there, any dispatch process.
 func (p *plan) followTargets(m flotilla.Member) {
-	key := m.Name + "@" + time.UnixMilli(int64(m.Incarnation)).UTC().Format(time.RFC3339Nano)
-	if p.fetching[key] || m.Targets <= p.marks[key] || (!m.Registry && p.registryHeard()) {
+	key := source{name: m.Name, incarnation: m.Incarnation}
+	if p.fetching[key] || m.Targets <= p.marks[key] {
+		return
+	}
+	peers, registries := p.h.Fleet.Census()
+	if !m.Registry && registries > 0 {
 		return
 	}
 	now := p.h.Clock.Now()
-	if len(p.h.Fleet.Peers()) > manyPeers && now.Sub(p.looked[key]) < registerPause {
+	if peers > manyPeers && now.Sub(p.looked[key]) < p.followPause() {
 		return
 	}
 	p.looked[key] = now
@@ -35,13 +39,12 @@
 	}()
 }
 
-func (p *plan) registryHeard() bool {
-	for _, peer := range p.h.Fleet.Peers() {
-		if peer.Alive && peer.Member.Registry {
-			return true
-		}
+// followPause returns the least pause between two looks at one register: planners need its news soon.
+func (p *plan) followPause() time.Duration {
+	if len(p.h.Fleet.Self().Claims) > 0 {
+		return registerPause
 	}
-	return false
+	return idlePause
 }
 
 func (p *plan) learnTargets(now time.Time, e targetsEvent) {
--- a/src/wharf/jobs.go
+++ b/src/wharf/jobs.go
@@ -163,7 +163,6 @@
 	switch a := a.(type) {
 	case flotilla.Updated:
 		delete(j.spent, a.Peer.Member.Name)
-		j.countWaiting()
 	case flotilla.Lost:
 		j.plannerLost(now, a.Peer.Member.Name)
 	}
@@ -350,6 +349,7 @@
 }
 
 func (j *jobs) tick(now time.Time) {
+	j.countWaiting()
 	for _, p := range j.pending {
 		if p.planner == "" {
 			j.offer(now, p)
--- a/src/wharf/kinds.go
+++ b/src/wharf/kinds.go
@@ -69,6 +69,9 @@
 	manyPeers    = 12
 	// registerPause is the least pause between two looks at one process's register of targets, for the same reason.
 	registerPause = 200 * time.Millisecond
+	// idlePause is the same for a process that plans nothing; what it knows when it takes over is older by this much, half
+	// of the shortest time for which a worker that leaves may still be given tasks.
+	idlePause = time.Second
 	// offerLife is how long an offer may be on its way; connections between processes are given up before.
 	offerLife = 30 * time.Second
 	// dropTries bounds how often a drop is sent; by then a planner that is out of reach has given the job up by itself.
--- a/src/wharf/plan.go
+++ b/src/wharf/plan.go
@@ -34,10 +34,10 @@
 	// dropped holds the last attempt of a job that its entry host has dropped, until the offer cannot arrive any more.
 	dropped map[waiter]droppedOffer
 	config  *charter.Config
-	// marks holds, by registry host and incarnation, how much of its register is known here.
-	marks    map[string]uint64
-	fetching map[string]bool
-	looked   map[string]time.Time
+	// marks holds, by the process that keeps it, how much of its register is known here.
+	marks    map[source]uint64
+	fetching map[source]bool
+	looked   map[source]time.Time
 	room     int
 	slots    int
 	waiting  map[string]int
@@ -63,8 +63,14 @@
 	done  chan answer
 }
 
+// source is one life of a process that keeps a register of targets.
+type source struct {
+	name        string
+	incarnation uint64
+}
+
 type targetsEvent struct {
-	key     string
+	key     source
 	mark    uint64
 	entries []entry
 	err     error
@@ -78,8 +84,8 @@
 	return &plan{
 		h: h, planner: convoy.NewPlanner(convoy.Tuning{MaxLease: h.Settings.Lease, StopTime: h.Settings.Stop}),
 		orders: pond.NewPool(orderLimit), waiters: make(map[waiter]chan answer), dropped: make(map[waiter]droppedOffer),
-		marks: make(map[string]uint64), fetching: make(map[string]bool),
-		looked: make(map[string]time.Time), measures: newMeasures(h.Metrics),
+		marks: make(map[source]uint64), fetching: make(map[source]bool),
+		looked: make(map[source]time.Time), measures: newMeasures(h.Metrics),
 		register: newTargets(h),
 	}
 }
--- a/src/wharf/plan_test.go
+++ b/src/wharf/plan_test.go
@@ -19,9 +19,11 @@
 // lone is a fleet of one process.
 type lone struct{ self flotilla.Member }
 
-func (l *lone) Peers() []flotilla.Peer                   { return nil }
-func (l *lone) Peer(string) (flotilla.Peer, bool)        { return flotilla.Peer{}, false }
-func (l *lone) Self() flotilla.Member                    { return l.self }
+func (l *lone) Peers() []flotilla.Peer            { return nil }
+func (l *lone) Peer(string) (flotilla.Peer, bool) { return flotilla.Peer{}, false }
+func (l *lone) Self() flotilla.Member             { return l.self }
+func (l *lone) Census() (int, int)                { return 0, 0 }
+
 func (l *lone) Planners() []flotilla.Member              { return []flotilla.Member{l.self} }
 func (l *lone) Describe(change func(m *flotilla.Member)) { change(&l.self) }
 func (l *lone) Outbid(string)                            {}
