Let a domain's strongest entry hosts plan its workers

Cause: planners were taken by name, and on the grown deployments that gave the work of planning to hosts with 0.144 cores while others of the domain have 0.48; 32 workers each also meant three or four small pools a domain. Weighed: one planner for a domain on its strongest host (88 workers, a third of its processor time, but a whole domain waits when it is lost); as many as their processor time asks for. Built: the second, 160 workers a core, the parts shared by power; a host that is too weak hands its parts over gently when a stronger one has been there for 1.5 s. Small deployments keep one planner a domain. Conclusion: TestPartsAreShared, TestStrongHostComesBack; setting limits.processor, filled in by the template.

--- a/src/flotilla/fleet_test.go
+++ b/src/flotilla/fleet_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -351,16 +353,23 @@
 	})
 }
 
-// A domain's workers are shared by as many hosts as they need, and by one if one is enough.
+// A domain's workers are shared by as many hosts as they need, the strongest first, and by one if one is enough.
 func TestPartsAreShared(t *testing.T) {
 	tests := map[string]struct {
 		workers int
-		// most is how many parts one host has at the most, planners how many hosts have any.
-		most, planners int
+		// power is that of the third and fourth host; the others' is not told.
+		power int
+		// most is how many parts one host has at the most, planners which hosts have any.
+		most     int
+		planners []string
 	}{
-		"few workers":                  {workers: 16, most: 16, planners: 1},
-		"more than one host should do": {workers: 60, most: 8, planners: 2},
-		"more than all hosts should":   {workers: 1000, most: 4, planners: 4},
+		"few workers":                  {workers: 16, most: 16, planners: []string{"entry-n1"}},
+		"more than one host should do": {workers: 60, most: 8, planners: []string{"entry-n1", "entry-n2"}},
+		"more than all hosts should":   {workers: 1000, most: 4, planners: []string{"entry-n1", "entry-n2", "entry-n3", "entry-n4"}},
+		"one strong host is enough":    {workers: 60, power: 480, most: 16, planners: []string{"entry-n3"}},
+		"two strong hosts are enough":  {workers: 88, power: 480, most: 8, planners: []string{"entry-n3", "entry-n4"}},
+		"strong hosts have more":       {workers: 1000, power: 600, most: 6, planners: []string{"entry-n1", "entry-n2", "entry-n3", "entry-n4"}},
+		"weak hosts are left out":      {workers: 60, power: 100, most: 8, planners: []string{"entry-n1", "entry-n2"}},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -372,14 +381,17 @@
 				f.SetWorkers(map[string]int{"north": tt.workers})
 				f.Describe(func(m *Member) { m.Targets, m.Config = 1, 1 })
 			}
-			s.run(4 * time.Second)
+			for _, name := range []string{"entry-n3", "entry-n4"} {
+				s.fleets[name].Describe(func(m *Member) { m.Power = tt.power })
+			}
+			s.run(5 * time.Second)
 			perHost := make(map[string]int)
 			for i := range PartsPerDomain {
 				holders := s.holders(part("north", i))
 				require.Len(t, holders, 1)
 				perHost[holders[0]]++
 			}
-			require.Len(t, perHost, tt.planners)
+			require.ElementsMatch(t, tt.planners, slices.Collect(maps.Keys(perHost)))
 			for _, n := range perHost {
 				require.LessOrEqual(t, n, tt.most)
 			}
@@ -387,6 +399,37 @@
 	}
 }
 
+// A strong host that restarts gets its parts back from the weak ones that took them over, handed over worker by worker.
+func TestStrongHostComesBack(t *testing.T) {
+	s := newHarbour()
+	strong := func() {
+		for _, f := range s.fleets {
+			f.SetWorkers(map[string]int{"north": 60})
+			f.Describe(func(m *Member) { m.Targets, m.Config = 1, 1 })
+		}
+		s.fleets["entry-n1"].Describe(func(m *Member) { m.Power = 480 })
+	}
+	strong()
+	s.run(3 * time.Second)
+	require.Equal(t, []string{"entry-n1"}, s.planner("north"))
+	s.down["entry-n1"] = true
+	s.run(3 * time.Second)
+	require.Equal(t, []string{"entry-n2"}, s.planner("north"))
+	s.down["entry-n1"] = false
+	s.add("entry-n1", "north", true)
+	strong()
+	s.events = make(map[string][]Action)
+	s.run(4 * time.Second)
+	for i := range PartsPerDomain {
+		require.Equal(t, []string{"entry-n1"}, s.holders(part("north", i)))
+	}
+	for _, a := range s.events["entry-n1"] {
+		if c, ok := a.(Claimed); ok {
+			require.True(t, c.Gentle, c.Part)
+		}
+	}
+}
+
 func (s *sea) holders(part string) []string {
 	var out []string
 	for _, name := range s.names {
--- a/src/flotilla/govern.go
+++ b/src/flotilla/govern.go
@@ -1,6 +1,7 @@
 package flotilla
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 	"time"
@@ -17,11 +18,11 @@
 type round struct {
 	alive   []*Peer
 	holders map[string]holder
-	hosts   map[string][]string
+	hosts   map[string][]Member
 }
 
 func (f *Fleet) look() round {
-	r := round{alive: f.alive(), holders: make(map[string]holder), hosts: make(map[string][]string)}
+	r := round{alive: f.alive(), holders: make(map[string]holder), hosts: make(map[string][]Member)}
 	for _, p := range r.alive {
 		for _, c := range p.Member.Claims {
 			if best, held := r.holders[c.Part]; !held || c.Token > best.token {
@@ -58,7 +59,7 @@
 	if f.self.Leaving || now.Sub(f.begun) < f.settle() {
 		return
 	}
-	if held && !other.member.Leaving && !f.mayReclaim(now, part, other) && !f.overburdened(part, other) {
+	if held && !other.member.Leaving && !f.mayReclaim(now, part, other) && !f.overburdened(now, part, other) {
 		delete(f.vacant, part)
 		return
 	}
@@ -83,20 +84,28 @@
 	return domain == f.self.Domain && other.member.Domain != domain && now.Sub(f.begun) > returnAfter
 }
 
-// overburdened reports whether a host of this domain has more parts of it than its share, and this process has room.
-func (f *Fleet) overburdened(part string, other holder) bool {
+// overburdened reports whether a host of this domain has more parts of it than its share, or is too weak to plan while
+// stronger ones are there, and this process has room.
+func (f *Fleet) overburdened(now time.Time, part string, other holder) bool {
 	domain, _ := DomainOf(part)
-	if domain != f.self.Domain || other.member.Domain != domain {
+	if domain != f.self.Domain || other.member.Domain != domain || now.Sub(f.begun) <= returnAfter {
 		return false
 	}
-	most := share(planners(f.workers[domain], len(f.hosts(domain))))
-	return claims(other.member, domain) > most && f.burden(f.self.Name, domain) < most
+	chosen := f.team(domain)
+	most := quota(chosen, other.member)
+	if power(other.member) < power(chosen[len(chosen)-1]) {
+		most = 0
+	}
+	return claims(other.member, domain) > most && f.burden(f.self, domain) < quota(chosen, f.self)
 }
 
+// team returns the entry hosts of a domain that should plan its workers.
+func (f *Fleet) team(domain string) []Member { return team(f.hosts(domain), f.workers[domain]) }
+
 // burden returns how many parts of a domain a host plans.
-func (f *Fleet) burden(name, domain string) int {
-	if name != f.self.Name {
-		return claims(f.peers[name].Member, domain)
+func (f *Fleet) burden(m Member, domain string) int {
+	if m.Name != f.self.Name {
+		return claims(m, domain)
 	}
 	n := 0
 	for claimed := range f.claims {
@@ -107,8 +116,11 @@
 	return n
 }
 
-func (f *Fleet) leastBurdened(hosts []string, domain string) string {
-	return slices.MinFunc(hosts, func(a, b string) int { return f.burden(a, domain) - f.burden(b, domain) })
+// leastBurdened returns the host with the fewest parts for its power.
+func (f *Fleet) leastBurdened(hosts []Member, domain string) string {
+	return slices.MinFunc(hosts, func(a, b Member) int {
+		return f.burden(a, domain)*power(b) - f.burden(b, domain)*power(a)
+	}).Name
 }
 
 func claims(m Member, domain string) int {
@@ -121,8 +133,8 @@
 	return n
 }
 
-// hosts returns the names of a domain's entry hosts that stay, in order; of those that know targets if any do.
-func (f *Fleet) hosts(domain string) []string {
+// hosts returns a domain's entry hosts that stay, the strongest first, then by name; of those that know targets if any do.
+func (f *Fleet) hosts(domain string) []Member {
 	if known, ok := f.seen.hosts[domain]; ok {
 		return known
 	}
@@ -131,15 +143,15 @@
 	return all
 }
 
-func (f *Fleet) findHosts(domain string) []string {
-	var all, informed []string
+func (f *Fleet) findHosts(domain string) []Member {
+	var all, informed []Member
 	consider := func(m Member) {
 		if !m.Dispatcher || m.Leaving || m.Domain != domain {
 			return
 		}
-		all = append(all, m.Name)
+		all = append(all, m)
 		if m.Targets > 0 && m.Config > 0 {
-			informed = append(informed, m.Name)
+			informed = append(informed, m)
 		}
 	}
 	consider(f.self)
@@ -149,17 +161,19 @@
 	if len(informed) > 0 {
 		all = informed
 	}
-	slices.Sort(all)
+	slices.SortFunc(all, func(a, b Member) int {
+		return cmp.Or(power(b)-power(a), strings.Compare(a.Name, b.Name))
+	})
 	return all
 }
 
 // candidate returns who should plan a part that has no planner, or whose planner leaves or has too many: of as many of the
-// domain's entry hosts as its workers need, the first by name with the fewest parts; one of another domain only if the
+// domain's entry hosts as its workers need, the strongest first, the one with the fewest parts for its power; one of another domain only if the
 // domain is in reach but has no entry host.
 func (f *Fleet) candidate(now time.Time, part string) string {
 	domain, _ := DomainOf(part)
-	if own := f.hosts(domain); len(own) > 0 {
-		return f.leastBurdened(own[:planners(f.workers[domain], len(own))], domain)
+	if own := f.team(domain); len(own) > 0 {
+		return f.leastBurdened(own, domain)
 	}
 	var foreign []string
 	reached := domain == f.self.Domain
--- a/src/flotilla/member.go
+++ b/src/flotilla/member.go
@@ -22,6 +22,8 @@
 	// Dispatcher processes take jobs in and may plan; Registry processes hold the configuration and the targets.
 	Dispatcher bool
 	Registry   bool
+	// Power is the processor time it may use, in thousandths of a core; 0 means that it is not told.
+	Power int
 	// Disk names the data folder of a registry host since it was made.
 	Disk string
 	// Leaving says that the process will end.
--- a/src/flotilla/part.go
+++ b/src/flotilla/part.go
@@ -11,10 +11,13 @@
 	// PartsPerDomain is how many parts a domain's workers are divided into; a part belongs to one planner. With 16 parts a
 	// domain's work can be spread over as many hosts.
 	PartsPerDomain = 16
-	// WorkersPerPlanner is how many workers one planner should have, as long as there are hosts enough: some 250 starts
-	// and as many ends a second, a third of the smallest entry hosts' processor time.
-	WorkersPerPlanner = 32
-	partSeparator     = "#"
+	// workersPerCore is how many workers a planner should have for each core of its processor, as long as there are hosts
+	// enough: 32 workers are some 250 starts and as many ends a second, and take a third of 0.144 cores; half of that is
+	// left for bursts.
+	workersPerCore = 160
+	// usualPower is reckoned with for processes that do not say how much processor time they have, in thousandths of a core.
+	usualPower    = 200
+	partSeparator = "#"
 )
 
 // PartOf returns the part of a domain that a worker belongs to, by its id.
@@ -45,10 +48,32 @@
 	return out
 }
 
-// planners returns how many hosts should share a domain's workers.
-func planners(workers, hosts int) int {
-	return max(1, min(hosts, (workers+WorkersPerPlanner-1)/WorkersPerPlanner))
+// power returns a process's processor time, in thousandths of a core.
+func power(m Member) int {
+	if m.Power > 0 {
+		return m.Power
+	}
+	return usualPower
+}
+
+// team returns the first of a domain's hosts, strongest first, that together can plan so many workers; at least one.
+func team(hosts []Member, workers int) []Member {
+	n, reach := 0, 0
+	for n < len(hosts) && n < PartsPerDomain && (n == 0 || reach < workers) {
+		reach += power(hosts[n]) * workersPerCore / 1000
+		n++
+	}
+	return hosts[:n]
 }
 
-// share returns how many parts of a domain one of so many planners has at the most.
-func share(planners int) int { return (PartsPerDomain + planners - 1) / planners }
+// quota returns how many parts a host of some power should have at the most beside a team, which it may belong to.
+func quota(team []Member, m Member) int {
+	sum := 0
+	for _, t := range team {
+		sum += power(t)
+	}
+	if sum == 0 {
+		return PartsPerDomain
+	}
+	return (PartsPerDomain*power(m) + sum - 1) / sum
+}
--- a/src/manifest/deploy_test.go
+++ b/src/manifest/deploy_test.go
@@ -16,7 +16,7 @@
 		`{{ip_address}}`, "10.1.0.13", `{{internal_ports.0}}`, "7720",
 		`{{listen_addresses.frontend_address}}`, "10.1.0.13:8161", `{{listen_addresses.readiness_address}}`, "10.1.0.13:8167",
 		`{{listen_addresses.control}}`, "10.1.0.13:8166", `{{#seed_nodes}}"{{.}}"{{,}}{{/seed_nodes}}`, `"10.1.0.16:8166"`,
-		`{{bounds.max_hold_ms}}`, "1000", `{{bounds.stop_timeout_ms}}`, "50", `{{heartbeat_interval_ms}}`, "1500",
+		`{{bounds.max_hold_ms}}`, "1000", `{{bounds.stop_timeout_ms}}`, "50", `{{limits.cpu_share|json}}`, "0.4", `{{heartbeat_interval_ms}}`, "1500",
 		`{{bootstrap|json}}`, "true", `{{fault_tolerance.machines|json}}`, "2", `{{data_directory}}`, "/data/registry",
 	)
 	tests := map[string]struct {
--- a/src/manifest/settings.go
+++ b/src/manifest/settings.go
@@ -91,6 +91,8 @@
 	Drain time.Duration
 	// Expiry is how long a target may stay silent.
 	Expiry time.Duration
+	// Processor is the processor time that the process may use, in cores; 0 means that it is not told.
+	Processor float64
 }
 
 // Defaults of the limits.
@@ -228,6 +230,7 @@
 		"retention":   r.Duration(&l.Retention, time.Second, 24*time.Hour),
 		"notice":      r.Duration(&l.Notice, 0, time.Minute),
 		"drain":       r.Duration(&l.Drain, 0, 10*time.Minute),
+		"processor":   r.Float(&l.Processor, 0, 1024),
 		"expiry":      r.Duration(&l.Expiry, time.Second, time.Minute),
 	}
 }
--- a/src/wharf/fleet.go
+++ b/src/wharf/fleet.go
@@ -53,6 +53,7 @@
 	self := flotilla.Member{
 		Name: s.Name, Domain: s.Domain, Address: s.Peers, Incarnation: h.Incarnation,
 		Dispatcher: s.Has(manifest.Dispatch), Registry: s.Has(manifest.Registry),
+		Power: int(1000 * s.Limits.Processor),
 	}
 	f := &fleet{h: h, ended: make(chan struct{})}
 	f.fleet = flotilla.NewFleet(self, s.Domains, seedPeers(s), h.Clock.Now())
