Tell of news that could not be had; advertise one address and listen on another in every role

Cause: failed fetches of configurations and registers were repeated without a word, datagrams that are no beats were dropped uncounted, and roles dispatch and registry ignored the setting advertise, which a fault proxy between hosts needs. Ruled out: nothing; found by reading. Conclusion: event 614 and sesamecleat_news_lost_total (TestMetricsAreDocumented, the catalogue's test).

--- a/src/logbook/event.go
+++ b/src/logbook/event.go
@@ -86,6 +86,7 @@
 	ConfigRefused = Event{611, Warn, "configuration refused as invalid", "mend the configuration"}
 	ConfigUnsure  = Event{612, Warn, "configuration not confirmed; it may or may not be stored", "send it again"}
 	ListenerEnded = Event{613, Error, "a listener ended", "restart the process"}
+	NewsLost      = Event{614, Warn, "news of another process could not be had; asked for again at its next beat", "look at the network if it lasts"}
 
 	JobTaken      = Event{700, Info, "job taken in", "none"}
 	JobQueued     = Event{701, Info, "job waits for room", "none"}
@@ -112,7 +113,7 @@
 		LeaderElected, LeaderLost, EditAccepted, TablesStale, TablesCurrent, DiskFailed, DiskDamaged, SnapshotLoaded,
 		ViewChanged, LedgerReset, CopyCaughtUp, LedgerPressure,
 		PeerHeard, PeerLost, DomainClaimed, DomainYielded, ConfigInForce, ConfigStored, VotersChanged, ClockJumped,
-		TargetListed, TargetDeparted, TargetSilent, ConfigRefused, ConfigUnsure, ListenerEnded,
+		TargetListed, TargetDeparted, TargetSilent, ConfigRefused, ConfigUnsure, ListenerEnded, NewsLost,
 		JobTaken, JobQueued, TaskPlaced, TaskRestarted, JobGivenUp, JobAnswered, JobRefused, JobMoved,
 		WorkerReady, WorkerSlow, WorkerLost, WorkerFenced, DropUnheard,
 	}
--- a/src/wharf/config.go
+++ b/src/wharf/config.go
@@ -61,6 +61,7 @@
 	case fetchedEvent:
 		c.fetching = false
 		if e.err != nil {
+			newsLost(c.h, "config", e.from, e.err)
 			return
 		}
 		c.install(now, e.config, e.from)
--- a/src/wharf/fleet.go
+++ b/src/wharf/fleet.go
@@ -21,6 +21,8 @@
 const (
 	macSize   = 16 // bytes of the code that proves a beat's sender
 	beatLimit = 8 << 10
+	// unreadInterval is the least pause between two lines about datagrams that are no beats.
+	unreadInterval = 10 * time.Second
 )
 
 // fleet sends and takes beats as datagrams on the port after the one for peers.
@@ -32,6 +34,8 @@
 	told   time.Time
 	dirty  bool
 	steady time.Time
+	// unreadAt is when a datagram that is no beat was last logged; it belongs to the goroutine that listens.
+	unreadAt time.Time
 }
 
 type beatEvent struct{ beat flotilla.Beat }
@@ -51,7 +55,7 @@
 func newFleet(h *helm.Helm) helm.Plugin {
 	s := h.Settings
 	self := flotilla.Member{
-		Name: s.Name, Domain: s.Domain, Address: s.Peers, Incarnation: h.Incarnation,
+		Name: s.Name, Domain: s.Domain, Address: s.Advertise, Incarnation: h.Incarnation,
 		Dispatcher: s.Has(manifest.Dispatch), Registry: s.Has(manifest.Registry),
 		Power: int(1000 * s.Limits.Processor),
 	}
@@ -245,21 +249,38 @@
 	defer close(f.ended)
 	buf := make([]byte, beatLimit)
 	for {
-		n, err := f.conn.Read(buf)
+		n, from, err := f.conn.ReadFromUDPAddrPort(buf)
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
-		if err != nil || n < macSize || !f.genuine(buf[:n]) {
+		if err != nil {
+			f.unread("", err)
+			continue
+		}
+		if n < macSize || !f.genuine(buf[:n]) {
+			f.unread(from.String(), Error.New("a datagram of %d bytes from no process of this deployment", n))
 			continue
 		}
 		b, err := flotilla.DecodeBeat(buf[macSize:n])
 		if err != nil {
+			f.unread(from.String(), err)
 			continue
 		}
 		f.h.Post(f, beatEvent{beat: b})
 	}
 }
 
+// unread counts a datagram that is no beat, and logs one now and then, as anyone can send them.
+func (f *fleet) unread(from string, err error) {
+	now := f.h.Clock.Now()
+	if now.Sub(f.unreadAt) < unreadInterval {
+		countNewsLost(f.h.Metrics, "beat")
+		return
+	}
+	f.unreadAt = now
+	newsLost(f.h, "beat", from, err)
+}
+
 func (f *fleet) genuine(data []byte) bool {
 	for _, key := range f.h.Settings.Keys {
 		if hmac.Equal(mac(key, data[macSize:]), data[:macSize]) {
--- a/src/wharf/follow.go
+++ b/src/wharf/follow.go
@@ -50,6 +50,7 @@
 func (p *plan) learnTargets(now time.Time, e targetsEvent) {
 	delete(p.fetching, e.key)
 	if e.err != nil {
+		newsLost(p.h, "targets", e.key.name, e.err)
 		return
 	}
 	p.marks[e.key] = max(p.marks[e.key], e.mark)
--- a/src/wharf/measures.go
+++ b/src/wharf/measures.go
@@ -8,6 +8,8 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"sesamecleat/src/convoy"
+	"sesamecleat/src/helm"
+	"sesamecleat/src/logbook"
 )
 
 // measures are the metrics of a dispatch process.
@@ -48,3 +50,14 @@
 func (m *measures) noted(event int) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`sesamecleat_decisions_total{event="%d"}`, event)).Inc()
 }
+
+// countNewsLost counts a failure to learn what another process knows, by what it was: beat, config or targets.
+func countNewsLost(set *metrics.Set, kind string) {
+	set.GetOrCreateCounter(fmt.Sprintf(`sesamecleat_news_lost_total{kind=%q}`, kind)).Inc()
+}
+
+// newsLost counts and logs a failed fetch from another process.
+func newsLost(h *helm.Helm, kind, from string, err error) {
+	countNewsLost(h.Metrics, kind)
+	h.Log.Write(logbook.NewsLost, logbook.F("kind", kind), logbook.F("peer", from), logbook.F("error", err.Error()))
+}
--- a/src/wharf/measures_test.go
+++ b/src/wharf/measures_test.go
@@ -21,6 +21,7 @@
 	m := newMeasures(set)
 	m.ordered("start", convoy.Accepted, time.Millisecond)
 	m.noted(700)
+	countNewsLost(set, "beat")
 	countAnswer(set, "r", convoy.Completed, time.Second)
 	var out strings.Builder
 	set.WritePrometheus(&out)
