--- a/src/wharf/council.go
+++ b/src/wharf/council.go
@@ -96,9 +96,9 @@
 // Start resumes from the disk; the hosts that the whole system starts with begin the log together.
 func (c *council) Start() error {
 	s := c.h.Settings
-	fresh := archive.Identity{Disk: diskName(s.Peers.Addr(), uuid.NewString()[:8])}
-	if founders := founders(s); s.Founding && slices.Contains(founders, diskName(s.Peers.Addr(), founderMark)) {
-		fresh = archive.Identity{Disk: diskName(s.Peers.Addr(), founderMark), Founders: founders}
+	fresh := archive.Identity{Disk: diskName(s.Advertise.Addr(), uuid.NewString()[:8])}
+	if founders := founders(s); s.Founding && slices.Contains(founders, diskName(s.Advertise.Addr(), founderMark)) {
+		fresh = archive.Identity{Disk: diskName(s.Advertise.Addr(), founderMark), Founders: founders}
 	}
 	var err error
 	if c.journal, err = archive.OpenJournal(s.Data, fresh); err != nil {
@@ -361,7 +361,7 @@
 		known[disk] = s
 	}
 	self := c.h.Settings
-	known[c.disk] = station{disk: c.disk, domain: self.Domain, host: self.Peers.Addr(), heard: now, alive: true}
+	known[c.disk] = station{disk: c.disk, domain: self.Domain, host: self.Advertise.Addr(), heard: now, alive: true}
 	next, ok := nextMembership(now, c.disk, c.node.Config(), known, 2*self.Survive+1)
 	if !ok {
 		return
--- a/src/wharf/fleet.go
+++ b/src/wharf/fleet.go
@@ -21,15 +21,21 @@
 const (
 	macSize   = 16 // bytes of the code that proves a beat's sender
 	beatLimit = 8 << 10
+	// outInterval is the least pause between two sockets that beats are sent from; the time in which one that fails is found
+	// out.
+	outInterval = flotilla.LostAfter
 	// unreadInterval is the least pause between two lines about datagrams that are no beats.
 	unreadInterval = 10 * time.Second
 )
 
-// fleet sends and takes beats as datagrams on the port after the one for peers.
+// fleet takes beats as datagrams on the port after the one for peers, and sends them from a port of their own.
 type fleet struct {
-	h      *helm.Helm
-	fleet  *flotilla.Fleet
-	conn   *net.UDPConn
+	h     *helm.Helm
+	fleet *flotilla.Fleet
+	conn  *net.UDPConn
+	// out is what beats are sent from, opened at outAt; what is on the way may have lost the flow of an older one for good.
+	out    *net.UDPConn
+	outAt  time.Time
 	ended  chan struct{}
 	told   time.Time
 	dirty  bool
@@ -80,10 +86,12 @@
 	if err != nil {
 		return Error.Wrap(err)
 	}
-	f.conn = conn
-	go f.listen()
 	now := f.h.Clock.Now()
-	f.steady = now
+	if f.out, err = f.openOut(); err != nil {
+		return Error.Wrap(errors.Join(err, conn.Close()))
+	}
+	f.conn, f.outAt, f.steady = conn, now, now
+	go f.listen()
 	f.h.Timers.Every(now, flotilla.BeatInterval, f.tick)
 	f.h.Timers.Every(now, roomInterval, f.tellRoom)
 	return nil
@@ -95,7 +103,8 @@
 
 // Stop closes the socket.
 func (f *fleet) Stop() {
-	_ = f.conn.Close() // nothing is sent any more
+	_ = f.conn.Close() // nothing is taken any more
+	_ = f.out.Close()  // nothing is sent any more
 	<-f.ended
 }
 
@@ -201,11 +210,22 @@
 			f.send(a.To, data)
 		default:
 			f.log(a)
+			if isLoss(a) {
+				f.renewOut(now)
+			}
 			f.h.Publish(now, fleetEvent{action: a})
 		}
 	}
 }
 
+func isLoss(a flotilla.Action) bool {
+	switch a.(type) {
+	case flotilla.Lost, flotilla.Deafened:
+		return true
+	}
+	return false
+}
+
 func (f *fleet) log(a flotilla.Action) {
 	switch a := a.(type) {
 	case flotilla.Joined:
@@ -242,7 +262,26 @@
 }
 
 func (f *fleet) send(to netip.AddrPort, data []byte) {
-	_, _ = f.conn.WriteToUDPAddrPort(data, beatAddress(to)) // a beat may be lost; the next one follows soon
+	_, _ = f.out.WriteToUDPAddrPort(data, beatAddress(to)) // a beat may be lost; the next one follows soon
+}
+
+func (f *fleet) openOut() (*net.UDPConn, error) {
+	return net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.AddrPortFrom(f.h.Settings.Peers.Addr(), 0)))
+}
+
+// renewOut sends from a new port once a peer is lost or does not hear this process: it may be the flow that is.
+func (f *fleet) renewOut(now time.Time) {
+	if now.Sub(f.outAt) < outInterval {
+		return
+	}
+	f.outAt = now
+	out, err := f.openOut()
+	if err != nil {
+		newsLost(f.h, "beat", "", err)
+		return
+	}
+	_ = f.out.Close() // beats that it still holds are repeated
+	f.out = out
 }
 
 func (f *fleet) listen() {
