Try the connection to a planner that keeps a job for a while

Ruled out: the planner (it served its own callers meanwhile), the beats (they had new flows). Weighed: keep-alive of every connection (four datagrams a second on each of some 20 a host); a call only while a job has been kept for 0.4 s. Built: the second.

--- a/src/wharf/jobs.go
+++ b/src/wharf/jobs.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/netip"
 	"sync/atomic"
 	"time"
 
@@ -26,10 +27,11 @@
 	// planner is who has the job now, empty while none is known; round tells late answers of earlier offers apart.
 	planner string
 	round   int
-	// attempt is the number of the last offer.
-	attempt uint64
-	offers  int
-	refused map[string]bool
+	// attempt is the number of the last offer, made at the time given.
+	attempt   uint64
+	offeredAt time.Time
+	offers    int
+	refused   map[string]bool
 }
 
 // jobs takes callers' jobs, offers each to one planner at a time, and answers.
@@ -42,7 +44,10 @@
 	// attempts counts the offers of this process.
 	attempts uint64
 	// spent counts, by planner, the tasks offered to it since it last told of its room.
-	spent   map[string]int
+	spent map[string]int
+	// probed says when the connection to a planner was last tried; one attempt at a time is under way.
+	probed  map[string]time.Time
+	probing map[string]bool
 	waiting atomic.Pointer[map[string]int]
 }
 
@@ -66,18 +71,26 @@
 	unsure bool
 }
 
+// probedEvent tells that an attempt to reach a planner has ended, either way.
+type probedEvent struct{ planner string }
+
 func (submitEvent) HelmEvent()   {}
+func (probedEvent) HelmEvent()   {}
 func (dropEvent) HelmEvent()     {}
 func (answeredEvent) HelmEvent() {}
 
 func newJobs(h *helm.Helm) helm.Plugin {
-	j := &jobs{h: h, pending: make(map[string]*pending), spent: make(map[string]int)}
+	j := &jobs{
+		h: h, pending: make(map[string]*pending), spent: make(map[string]int),
+		probed: make(map[string]time.Time), probing: make(map[string]bool),
+	}
 	h.Jobs = j
 	return j
 }
 
 // Start looks at the jobs without a planner now and then.
 func (j *jobs) Start() error {
+	j.h.Radio.Handle(kindPing, func(context.Context, netip.AddrPort, []byte) ([]byte, error) { return nil, nil })
 	j.h.Timers.Every(j.h.Clock.Now(), flotilla.BeatInterval/2, j.tick)
 	return nil
 }
@@ -150,6 +163,9 @@
 		j.drop(e)
 	case answeredEvent:
 		j.answered(now, e)
+	case probedEvent:
+		j.probed[e.planner] = now
+		delete(j.probing, e.planner)
 	case configInForceEvent:
 		j.config.Store(e.config)
 	case helm.Leaving:
@@ -212,7 +228,7 @@
 	p.offers++
 	p.round++
 	j.attempts++
-	p.attempt = j.attempts
+	p.attempt, p.offeredAt = j.attempts, now
 	j.spent[m.Name] += p.job.Tasks()
 	round := p.round
 	done := make(chan answer, 2)
@@ -353,6 +369,27 @@
 	for _, p := range j.pending {
 		if p.planner == "" {
 			j.offer(now, p)
+			continue
+		}
+		if now.Sub(p.offeredAt) >= probeAfter {
+			j.probe(now, p.planner)
 		}
 	}
 }
+
+// probe tries the connection to a planner that has kept a job for a while: on one that went silent, the job and all that
+// come after it would wait until their callers' time is over. The radio replaces it, which ends the calls on it.
+func (j *jobs) probe(now time.Time, planner string) {
+	peer, ok := j.h.Fleet.Peer(planner)
+	if !ok || planner == j.h.Settings.Name || j.probing[planner] || now.Sub(j.probed[planner]) < probeAfter {
+		return
+	}
+	j.probing[planner] = true
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+		defer cancel()
+		// The radio judges the answer; a planner that is gone is noticed by its beats.
+		_, _ = j.h.Radio.Probe(ctx, peer.Member.Address, kindPing, nil)
+		j.h.Post(j, probedEvent{planner: planner})
+	}()
+}
--- a/src/wharf/kinds.go
+++ b/src/wharf/kinds.go
@@ -21,6 +21,7 @@
 	kindJob
 	kindDrop
 	kindFreed
+	kindPing
 )
 
 // The orders in which plug-ins start; the fleet is last, as what it tells needs all others.
@@ -72,6 +73,9 @@
 	// idlePause is the same for a process that plans nothing; what it knows when it takes over is older by this much, half
 	// of the shortest time for which a worker that leaves may still be given tasks.
 	idlePause = time.Second
+	// probeAfter is how long a planner may keep a job, and how old the last answer of that planner may be, before the
+	// connection to it is tried: longer than most jobs take, so that few calls are made for nothing.
+	probeAfter = 400 * time.Millisecond
 	// offerLife is how long an offer may be on its way; connections between processes are given up before.
 	offerLife = 30 * time.Second
 	// dropTries bounds how often a drop is sent; by then a planner that is out of reach has given the job up by itself.
