Refuse offers older than the silence after which a planner is given up; give others' jobs up after a standstill

An offer that a cut had held up for 2.2 s, and one that waited in the socket of a process that was paused, were carried out after the entry host had given the planner up, told its caller so, and the caller's next attempt ran elsewhere. The caller's time was counted from the offer's arrival. Ruled out: the workers' tokens (two workers of two planners), drops (none is sent for a planner that is lost). Weighed: drops for lost planners alone (they race with the offer); epochs of who is alive, agreed on by both ends; the planner's own time of day in its beats, sent back with an offer. Built: the last, with the drops besides, as a planner may be back before it learns from its silence that its jobs were given up.

--- a/src/convoy/claim.go
+++ b/src/convoy/claim.go
@@ -117,6 +117,28 @@
 	p.passOn(now)
 }
 
+// awake looks whether the planner stood still since its last step, by the steady clock or by the time of day, as either may
+// stop meanwhile. If other entry hosts may have given it up, so does it with their jobs: their callers are told that the
+// fate is not known, ask again, and must not find a task at work twice.
+func (p *Planner) awake(now time.Time) {
+	last := p.stepped
+	p.stepped = now
+	if last.IsZero() || p.tuning.GiveUp == 0 {
+		return
+	}
+	still := max(now.Sub(last), now.Round(0).Sub(last.Round(0)))
+	if still < p.tuning.GiveUp {
+		return
+	}
+	p.thaw(now)
+	for _, j := range p.jobList() {
+		if !slices.Contains(j.hosts, p.tuning.Host) {
+			p.note(NoteGivenUp, j.ID, "", "this host stood still for "+still.Round(time.Millisecond).String())
+			p.end(now, j, Lost, "the planner stood still", 0)
+		}
+	}
+}
+
 // thaw asks every worker anew after this process stood still; leases may be gone, and tokens outdated.
 func (p *Planner) thaw(now time.Time) {
 	for _, w := range p.sorted() {
--- a/src/convoy/planner.go
+++ b/src/convoy/planner.go
@@ -53,9 +53,11 @@
 	queue     []*job
 	kinds     map[string]*kind
 	// leftover counts, by job, the runs of ended jobs and of other planners that may still be at work.
-	leftover  map[string]int
-	results   map[string]result
-	swept     time.Time
+	leftover map[string]int
+	results  map[string]result
+	swept    time.Time
+	// stepped is when the last step was taken.
+	stepped   time.Time
 	elsewhere int
 	typical   float64
 	// fast is the speed that the faster half of the workers has.
@@ -77,6 +79,7 @@
 // Step takes one event and returns the actions it leads to.
 func (p *Planner) Step(now time.Time, ev Event) []Action {
 	p.out = nil
+	p.awake(now)
 	switch e := ev.(type) {
 	case Claimed:
 		p.claim(now, e)
--- a/src/convoy/rules_test.go
+++ b/src/convoy/rules_test.go
@@ -186,3 +186,37 @@
 		})
 	}
 }
+
+// A planner that stood still for longer than others wait for it gives their jobs up before it does anything else, and keeps
+// those of its own host's callers, who are still there.
+func TestStandstillGivesUpOthersJobs(t *testing.T) {
+	tests := map[string]struct {
+		still time.Duration
+		host  string
+		want  map[string]Outcome
+	}{
+		"another host's jobs after a long standstill": {
+			still: time.Second, host: "other", want: map[string]Outcome{"a": Lost, "b": Lost},
+		},
+		"its own after a long one":         {still: time.Second, host: "own", want: map[string]Outcome{}},
+		"another host's after a short one": {still: 300 * time.Millisecond, host: "other", want: map[string]Outcome{}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			y := newYard(t, 1, 1)
+			y.planners[0].tuning.Host, y.planners[0].tuning.GiveUp = "own", 800*time.Millisecond
+			y.addWorker("w0", "d", 16_000, 1)
+			y.step(0, Claimed{Part: "d", Token: 1})
+			y.run(time.Second)
+			for _, id := range []string{"a", "b"} {
+				j := yardJob(y, id, "r", 1, 300, 9*time.Second)
+				j.Host = tt.host
+				y.step(0, Submitted{Job: j})
+			}
+			y.run(100 * time.Millisecond)
+			y.now = y.now.Add(tt.still)
+			y.step(0, Tick{})
+			require.Equal(t, tt.want, y.outcomes())
+		})
+	}
+}
--- a/src/convoy/tuning.go
+++ b/src/convoy/tuning.go
@@ -8,6 +8,10 @@
 	MaxLease time.Duration
 	// StopTime is the longest that a worker takes to stop a run.
 	StopTime time.Duration
+	// Host is the entry host in the planner's own process.
+	Host string
+	// GiveUp is the standstill of the planner after which other entry hosts may have given it up; 0 means never.
+	GiveUp time.Duration
 }
 
 const (
--- a/src/flotilla/codec.go
+++ b/src/flotilla/codec.go
@@ -36,6 +36,7 @@
 	Hears       []uint32
 	Slots       int
 	Power       int
+	Stamp       int64
 }
 
 // EncodeBeat returns the bytes of a beat.
@@ -49,7 +50,7 @@
 		Name: m.Name, Domain: m.Domain, Address: address, Incarnation: m.Incarnation,
 		Dispatcher: m.Dispatcher, Registry: m.Registry, Disk: m.Disk, Leaving: m.Leaving, Config: m.Config,
 		Targets: m.Targets, Room: m.Room, Waiting: m.Waiting,
-		Hears: b.Hears, Slots: m.Slots, Power: m.Power,
+		Hears: b.Hears, Slots: m.Slots, Power: m.Power, Stamp: m.Stamp,
 	}
 	for _, c := range m.Claims {
 		w.Claims = append(w.Claims, wireClaim{Part: c.Part, Token: c.Token})
@@ -74,7 +75,7 @@
 	b := Beat{Hears: w.Hears, From: Member{
 		Name: w.Name, Domain: w.Domain, Address: address, Incarnation: w.Incarnation,
 		Dispatcher: w.Dispatcher, Registry: w.Registry, Disk: w.Disk, Leaving: w.Leaving, Config: w.Config,
-		Targets: w.Targets, Room: w.Room, Waiting: w.Waiting, Slots: w.Slots, Power: w.Power,
+		Targets: w.Targets, Room: w.Room, Waiting: w.Waiting, Slots: w.Slots, Power: w.Power, Stamp: w.Stamp,
 	}}
 	for _, c := range w.Claims {
 		b.From.Claims = append(b.From.Claims, Claim{Part: c.Part, Token: c.Token})
--- a/src/flotilla/member.go
+++ b/src/flotilla/member.go
@@ -24,6 +24,9 @@
 	Registry   bool
 	// Power is the processor time it may use, in thousandths of a core; 0 means that it is not told.
 	Power int
+	// Stamp is the time of day at the process when it sent this, in milliseconds since 1970; whoever offers it a job sends it
+	// back, so that the process knows offers that are older than the silence after which it is given up.
+	Stamp int64
 	// Disk names the data folder of a registry host since it was made.
 	Disk string
 	// Leaving says that the process will end.
--- a/src/wharf/codec.go
+++ b/src/wharf/codec.go
@@ -66,6 +66,7 @@
 	Version  uint64
 	Attempt  uint64
 	Settled  bool
+	Stamp    int64
 }
 
 type wireAnswer struct {
@@ -90,6 +91,8 @@
 	job     convoy.Job
 	version uint64
 	attempt uint64
+	// stamp is the planner's own, from the last of its beats that the entry host had when it made the offer.
+	stamp int64
 }
 
 // drop says that an entry host waits no longer for a job that it offered.
@@ -150,7 +153,7 @@
 	w := wireJob{
 		ID: j.ID, Route: j.Route, Pool: j.Pool, Host: j.Host, Spec: j.Spec, Priority: j.Priority, Attempts: j.Attempts,
 		Stretch: j.Stretch, Target: int64(j.Target), Age: int64(now.Sub(j.Arrived)), Left: int64(j.Deadline.Sub(now)),
-		Version: o.version, Attempt: o.attempt, Settled: j.Settled,
+		Version: o.version, Attempt: o.attempt, Settled: j.Settled, Stamp: o.stamp,
 	}
 	for _, s := range j.Steps {
 		w.Steps = append(w.Steps, wireStep{
@@ -178,7 +181,7 @@
 			Label: s.Label, Rack: s.Rack, Spread: s.Spread,
 		})
 	}
-	return offer{job: j, version: w.Version, attempt: w.Attempt}, nil
+	return offer{job: j, version: w.Version, attempt: w.Attempt, stamp: w.Stamp}, nil
 }
 
 func encodeAnswer(a answer) ([]byte, error) {
--- a/src/wharf/fleet.go
+++ b/src/wharf/fleet.go
@@ -247,6 +247,8 @@
 
 // seal encodes the beat and proves its sender with the first key.
 func (f *fleet) seal() ([]byte, bool) {
+	stamp := f.h.Clock.Now().UnixMilli()
+	f.fleet.Describe(func(m *flotilla.Member) { m.Stamp = stamp })
 	b, err := flotilla.EncodeBeat(f.fleet.Beat())
 	if err != nil {
 		f.h.Log.Write(logbook.HandlerPanicked, logbook.F("panic", err.Error()))
--- a/src/wharf/jobs.go
+++ b/src/wharf/jobs.go
@@ -232,7 +232,7 @@
 	j.spent[m.Name] += p.job.Tasks()
 	round := p.round
 	done := make(chan answer, 2)
-	o := offer{job: p.job, version: p.version, attempt: p.attempt}
+	o := offer{job: p.job, version: p.version, attempt: p.attempt, stamp: m.Stamp}
 	if m.Name == j.h.Settings.Name {
 		go func() { j.h.Post(j, answeredEvent{id: p.job.ID, round: round, answer: <-done}) }()
 		j.h.Publish(now, offeredEvent{offer: o, done: done})
@@ -359,6 +359,8 @@
 func (j *jobs) plannerLost(_ time.Time, name string) {
 	for _, p := range j.pending {
 		if p.planner == name {
+			// It may be back before its silence tells it that the job was given up.
+			j.tellDropped(p, "the planner was lost")
 			j.finish(p, answer{outcome: convoy.Lost, reason: "the planner is lost"})
 		}
 	}
--- a/src/wharf/plan.go
+++ b/src/wharf/plan.go
@@ -82,7 +82,9 @@
 
 func newPlan(h *helm.Helm) helm.Plugin {
 	return &plan{
-		h: h, planner: convoy.NewPlanner(convoy.Tuning{MaxLease: h.Settings.Lease, StopTime: h.Settings.Stop}),
+		h: h, planner: convoy.NewPlanner(convoy.Tuning{
+			MaxLease: h.Settings.Lease, StopTime: h.Settings.Stop, Host: h.Settings.Name, GiveUp: stallLimit,
+		}),
 		orders: pond.NewPool(orderLimit), waiters: make(map[waiter]chan answer), dropped: make(map[waiter]droppedOffer),
 		marks: make(map[source]uint64), fetching: make(map[source]bool),
 		looked: make(map[source]time.Time), measures: newMeasures(h.Metrics),
@@ -253,6 +255,10 @@
 		e.done <- answer{outcome: convoy.Refused, reason: "the route is no longer there", retry: time.Second}
 		return
 	}
+	if old := p.offerAge(now, e.offer); old > flotilla.LostAfter || old < -flotilla.LostAfter {
+		e.done <- answer{outcome: convoy.Elsewhere, reason: "the offer is older than this host's last known beat by " + old.String()}
+		return
+	}
 	key := waiter{job: e.offer.job.ID, host: e.offer.job.Host}
 	if d, ok := p.dropped[key]; ok && e.offer.attempt <= d.attempt {
 		e.done <- answer{outcome: convoy.Lost, reason: "dropped before it arrived"}
@@ -265,6 +271,16 @@
 	p.step(now, convoy.Submitted{Job: e.offer.job})
 }
 
+// offerAge returns how old the beat of this process is that an offer of another host was made on. Beyond the silence after
+// which a process is given up the caller may have been told so, and be served elsewhere: the offer was held up on its way,
+// or this process stood still.
+func (p *plan) offerAge(now time.Time, o offer) time.Duration {
+	if o.job.Host == p.h.Settings.Name {
+		return 0
+	}
+	return time.Duration(now.UnixMilli()-o.stamp) * time.Millisecond
+}
+
 // drop gives a job up, and its offer too if that is still on its way.
 func (p *plan) drop(now time.Time, d drop) {
 	for key, old := range p.dropped {
--- a/src/wharf/plan_test.go
+++ b/src/wharf/plan_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"strings"
 	"testing"
 	"time"
 
@@ -46,6 +47,7 @@
 			ID: "a", Route: "r", Pool: "boats", Host: "entry", Arrived: now, Deadline: now.Add(time.Second),
 			Steps: []convoy.Step{{Count: 1, Estimate: time.Millisecond}},
 		},
+		stamp: now.UnixMilli(),
 	}}, done
 }
 
@@ -62,6 +64,32 @@
 	require.Equal(t, convoy.Elsewhere, (<-done).outcome, "a later offer is looked at; this planner has no domain")
 }
 
+// An offer that was held up, or found a process that had stood still, must not start anything once its entry host may have
+// given the planner up.
+func TestOfferHeldUp(t *testing.T) {
+	tests := map[string]struct {
+		age   time.Duration
+		taken bool
+	}{
+		"on time":                   {age: 300 * time.Millisecond, taken: true},
+		"held up":                   {age: flotilla.LostAfter + time.Millisecond},
+		"made on a beat to come":    {age: -flotilla.LostAfter - time.Millisecond},
+		"as old as a loss may take": {age: flotilla.LostAfter, taken: true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			now := time.Unix(1000, 0)
+			p := newPlan(loneHelm(now)).(*plan)
+			o, done := anOffer(now, 7, 1)
+			o.offer.stamp = now.Add(-tt.age).UnixMilli()
+			p.Handle(now, o)
+			a := <-done
+			require.Equal(t, convoy.Elsewhere, a.outcome)
+			require.Equal(t, !tt.taken, strings.Contains(a.reason, "older than"))
+		})
+	}
+}
+
 func TestOfferUnderAnOlderConfiguration(t *testing.T) {
 	tests := map[string]struct {
 		version uint64
