--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test race fuzz schedules lint ci demo bench capacity
+.PHONY: build test race fuzz schedules lint ci demo bench capacity soak
 
 build:
 	go build -o sesamecleat .
@@ -20,6 +20,10 @@
 	go test ./src/ledger -run TestSchedules -rapid.checks=100000 -rapid.steps=150 -rapid.seed=$$(date +%s)
 	go test ./src/pilot -run TestSchedules -rapid.checks=20000 -rapid.steps=300 -rapid.seed=$$(date +%s)
 
+# Real processes under faults, with fresh seeds; a seed that fails is kept in soakRegressions with its cause.
+soak:
+	go test ./platform -run TestSoak -v -timeout 30m -soak.first $$(date +%s) -soak.seeds 60 -soak.ways 3 -soak.time 10s
+
 fuzz:
 	go test ./src/manifest -run '^$$' -fuzz FuzzParse -fuzztime 30s
 	go test ./src/pilot -run '^$$' -fuzz FuzzDecodeMessage -fuzztime 30s
