--- a/src/convoy/rules_test.go
+++ b/src/convoy/rules_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -220,3 +221,30 @@
 		})
 	}
 }
+
+// Whoever is listed at an address later has replaced the worker that was there: what ran on that one starts again at once.
+// An older report changes nothing.
+func TestNewWorkerAtAnAddress(t *testing.T) {
+	tests := map[string]struct {
+		born int64
+		want map[string]bool
+	}{
+		"born later":   {born: 20, want: map[string]bool{"w1": true}},
+		"born earlier": {born: 5, want: map[string]bool{"w0": true, "w1": true}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			p := NewPlanner(Tuning{MaxLease: time.Second, StopTime: 50 * time.Millisecond})
+			now := time.Unix(1_700_000_000, 0)
+			address := netip.MustParseAddrPort("10.0.0.1:80")
+			p.Step(now, Claimed{Part: "d", Token: 1})
+			p.Step(now, Listed{Target: Target{ID: "w0", Part: "d", Address: address, Born: 10, Sequence: 1}})
+			p.Step(now, Listed{Target: Target{ID: "w1", Part: "d", Address: address, Born: tt.born, Sequence: 1}})
+			held := make(map[string]bool)
+			for id := range p.workers {
+				held[id] = true
+			}
+			require.Equal(t, tt.want, held)
+		})
+	}
+}
