Metrics by cause of refusal, waiting, run time, workers and registry progress

A cause goes with each answer from the planner to the entry host, which counts and logs it (sesamecleat_unserved_total). New besides: sesamecleat_wait_seconds, _run_ratio, _ends_total, _workers, _config_age_seconds, _registry_*. Tests: TestPlannerIsMeasured, TestMetricsAreDocumented.

--- a/src/convoy/claim.go
+++ b/src/convoy/claim.go
@@ -71,7 +71,7 @@
 func (p *Planner) passOn(now time.Time) {
 	for _, j := range append([]*job(nil), p.queue...) {
 		if !j.started {
-			p.end(now, j, Elsewhere, "the workers are handed over", 0)
+			p.end(now, j, Elsewhere, CauseStopping, "the workers are handed over", 0)
 		}
 	}
 }
@@ -88,7 +88,7 @@
 		}
 		r.task = nil
 		t.run = nil
-		p.end(now, t.job, Lost, reason, 0)
+		p.end(now, t.job, Lost, CauseFenced, reason, 0)
 	}
 	for key := range w.strays {
 		delete(w.strays, key)
@@ -134,7 +134,7 @@
 	for _, j := range p.jobList() {
 		if !slices.Contains(j.hosts, p.tuning.Host) {
 			p.note(NoteGivenUp, j.ID, "", "this host stood still for "+still.Round(time.Millisecond).String())
-			p.end(now, j, Lost, "the planner stood still", 0)
+			p.end(now, j, Lost, CauseStandstill, "the planner stood still", 0)
 		}
 	}
 }
--- a/src/convoy/event.go
+++ b/src/convoy/event.go
@@ -40,6 +40,9 @@
 // Ending is how a run ended.
 type Ending uint8
 
+// String returns the ending's name.
+func (e Ending) String() string { return [...]string{"done", "failed", "stopped", "lapsed"}[e] }
+
 // The endings of runs.
 const (
 	EndedDone Ending = iota
@@ -219,11 +222,26 @@
 	ID      string
 	Host    string
 	Outcome Outcome
+	Cause   Cause
 	Reason  string
 	// Retry is when room is expected; it counts with Refused.
 	Retry time.Duration
 }
 
+// Began tells how long a job waited for the start of its first task.
+type Began struct {
+	Route  string
+	Waited time.Duration
+}
+
+// Noticed tells of a run's end that was taken note of.
+type Noticed struct {
+	Route string
+	How   Ending
+	// Took is how long the run was at work, Expected how long it should have been.
+	Took, Expected time.Duration
+}
+
 // Release says that this planner has let go of a worker, so that the next one need not wait.
 type Release struct{ Target Target }
 
@@ -257,6 +275,8 @@
 func (Start) action()   {}
 func (Stop) action()    {}
 func (Answer) action()  {}
+func (Began) action()   {}
+func (Noticed) action() {}
 func (Release) action() {}
 func (Forget) action()  {}
 func (Note) action()    {}
--- a/src/convoy/judge.go
+++ b/src/convoy/judge.go
@@ -7,6 +7,7 @@
 
 // refusal is why a job is not taken on.
 type refusal struct {
+	cause  Cause
 	reason string
 	retry  time.Duration
 	// misfit says that none of this planner's workers can run the job; another planner's may.
@@ -18,14 +19,14 @@
 	for _, s := range j.Steps {
 		if len(p.workers) > 0 && !p.everFits(j, s) {
 			reason := fmt.Sprintf("no worker of pool %s has the room or the label that a task needs", j.Pool)
-			return refusal{reason: reason, retry: retryCeiling, misfit: true}, false
+			return refusal{cause: CauseMisfit, reason: reason, retry: retryCeiling, misfit: true}, false
 		}
 	}
 	slots := p.Slots()
 	chain := p.kind(j.Route).usual(j.Chain())
 	if slots == 0 {
 		if len(p.workers) == 0 {
-			return refusal{reason: "no worker is in reach", retry: retryFloor, misfit: true}, false
+			return refusal{cause: CauseNoWorker, reason: "no worker is in reach", retry: retryFloor, misfit: true}, false
 		}
 		return refusal{}, true
 	}
@@ -33,7 +34,7 @@
 	if now.Add(wait + chain).After(p.useful(j)) {
 		reason := fmt.Sprintf("%s of waiting for %d slots and %s of work do not end in time",
 			wait.Round(time.Millisecond), slots, chain.Round(time.Millisecond))
-		return refusal{reason: reason, retry: clampRetry(wait)}, false
+		return refusal{cause: CauseBacklog, reason: reason, retry: clampRetry(wait)}, false
 	}
 	return refusal{}, true
 }
@@ -72,13 +73,13 @@
 				reason := fmt.Sprintf("no room for %s; %d tasks wait for %d slots, and %s of work no longer ends in time",
 					now.Sub(j.Arrived).Round(time.Millisecond), p.Waiting(), p.Slots(), chain.Round(time.Millisecond))
 				p.note(NoteGivenUp, j.ID, "", reason)
-				p.end(now, j, Refused, reason, clampRetry(chain))
+				p.end(now, j, Refused, CauseWaited, reason, clampRetry(chain))
 			}
 			continue
 		}
 		if now.After(j.Deadline) {
 			p.note(NoteGivenUp, j.ID, "", "its deadline has passed")
-			p.end(now, j, Lost, "its deadline has passed", 0)
+			p.end(now, j, Lost, CauseDeadline, "its deadline has passed", 0)
 		}
 	}
 }
--- a/src/convoy/place.go
+++ b/src/convoy/place.go
@@ -124,7 +124,7 @@
 			continue
 		}
 		p.elsewhere -= j.Tasks()
-		p.end(now, j, Elsewhere, "another planner has room", 0)
+		p.end(now, j, Elsewhere, CauseMoved, "another planner has room", 0)
 	}
 }
 
--- a/src/convoy/planner.go
+++ b/src/convoy/planner.go
@@ -170,6 +170,15 @@
 	return n
 }
 
+// Workers returns how many workers are in hand, by how they stand: new, ready, lost or fenced.
+func (p *Planner) Workers() map[string]int {
+	out := make(map[string]int, len(phaseNames))
+	for _, w := range p.workers {
+		out[phaseNames[w.phase]]++
+	}
+	return out
+}
+
 // Released reports whether no worker is in hand.
 func (p *Planner) Released() bool { return len(p.workers) == 0 }
 
--- a/src/convoy/run.go
+++ b/src/convoy/run.go
@@ -17,7 +17,10 @@
 	t.run = r
 	w.runs[r.key] = r
 	w.used = w.used.plus(step.Need)
-	t.job.started = true
+	if !t.job.started {
+		t.job.started = true
+		p.act(Began{Route: t.job.Route, Waited: now.Sub(t.job.Arrived)})
+	}
 	t.job.waiting--
 	p.note(NotePlaced, t.job.ID, w.target.ID, fmt.Sprintf("task %d.%d run %d after %s, expected %s at speed %.2f, %d runs there",
 		t.step, t.index, t.number, now.Sub(t.job.Arrived).Round(time.Millisecond), expected.Round(time.Millisecond),
@@ -55,7 +58,7 @@
 	case Invalid:
 		p.removeRun(now, w, r, false)
 		if r.task != nil {
-			p.end(now, r.task.job, Failed, "the worker cannot read the task", 0)
+			p.end(now, r.task.job, Failed, CauseTask, "the worker cannot read the task", 0)
 		}
 		return
 	}
@@ -176,6 +179,9 @@
 	}
 	t := r.task
 	p.removeRun(now, w, r, false)
+	if t != nil {
+		p.act(Noticed{Route: t.job.Route, How: end.How, Took: now.Sub(r.began), Expected: r.expected})
+	}
 	if now.Before(w.passUntil) && w.failed == 0 {
 		w.passUntil = now
 	}
@@ -212,7 +218,7 @@
 			return
 		}
 	}
-	p.end(now, j, Completed, "", 0)
+	p.end(now, j, Completed, CauseNone, "", 0)
 }
 
 // taskFailed counts a failure against the task, and against the worker if it fails one job after the other.
@@ -229,7 +235,7 @@
 		p.note(NoteWorkerSlow, t.job.ID, w.target.ID, fmt.Sprintf("%d failures in a row, passed over for %s", w.failed, pause))
 	}
 	if t.failed >= t.job.Attempts {
-		p.end(now, t.job, Failed, fmt.Sprintf("task %s failed %d times", t.ref(), t.failed), 0)
+		p.end(now, t.job, Failed, CauseTask, fmt.Sprintf("task %s failed %d times", t.ref(), t.failed), 0)
 		return
 	}
 	p.requeue(now, t)
--- a/src/convoy/submit.go
+++ b/src/convoy/submit.go
@@ -17,7 +17,7 @@
 		return
 	}
 	if p.stopping || len(p.claims) == 0 {
-		p.act(Answer{ID: in.ID, Host: in.Host, Outcome: Elsewhere, Reason: "this host plans no domain"})
+		p.act(Answer{ID: in.ID, Host: in.Host, Outcome: Elsewhere, Cause: CauseNoWorker, Reason: "this host plans no domain"})
 		return
 	}
 	j := newJob(in)
@@ -26,11 +26,11 @@
 	refusal, ok := p.judge(now, j)
 	if !ok && !j.Settled && (p.elsewhere >= j.Tasks() || refusal.misfit) {
 		p.elsewhere = max(0, p.elsewhere-j.Tasks())
-		p.act(Answer{ID: in.ID, Host: in.Host, Outcome: Elsewhere, Reason: refusal.reason})
+		p.act(Answer{ID: in.ID, Host: in.Host, Outcome: Elsewhere, Cause: refusal.cause, Reason: refusal.reason})
 		return
 	}
 	if !ok {
-		p.act(Answer{ID: in.ID, Host: in.Host, Outcome: Refused, Reason: refusal.reason, Retry: refusal.retry})
+		p.act(Answer{ID: in.ID, Host: in.Host, Outcome: Refused, Cause: refusal.cause, Reason: refusal.reason, Retry: refusal.retry})
 		return
 	}
 	p.jobs[j.ID] = j
@@ -100,7 +100,7 @@
 }
 
 // end answers everyone who waits for a job and stops what is left of it.
-func (p *Planner) end(now time.Time, j *job, o Outcome, reason string, retry time.Duration) {
+func (p *Planner) end(now time.Time, j *job, o Outcome, cause Cause, reason string, retry time.Duration) {
 	if j.ended {
 		return
 	}
@@ -109,7 +109,7 @@
 	p.queue = slices.DeleteFunc(p.queue, func(q *job) bool { return q == j })
 	p.results[j.ID] = result{outcome: o, at: now}
 	for _, host := range j.hosts {
-		p.act(Answer{ID: j.ID, Host: host, Outcome: o, Reason: reason, Retry: retry})
+		p.act(Answer{ID: j.ID, Host: host, Outcome: o, Cause: cause, Reason: reason, Retry: retry})
 	}
 	if o == Completed {
 		return
@@ -138,7 +138,7 @@
 	}
 	if len(j.hosts) == 0 {
 		p.note(NoteGivenUp, j.ID, "", e.Reason)
-		p.end(now, j, Lost, e.Reason, 0)
+		p.end(now, j, Lost, CauseCallerGone, e.Reason, 0)
 	}
 }
 
@@ -149,7 +149,7 @@
 			j.hosts = slices.DeleteFunc(j.hosts, func(h string) bool { return h == host })
 			if len(j.hosts) == 0 {
 				p.note(NoteGivenUp, j.ID, "", "its entry host is lost")
-				p.end(now, j, Lost, "its entry host is lost", 0)
+				p.end(now, j, Lost, CauseHostLost, "its entry host is lost", 0)
 			}
 		}
 	}
--- a/src/convoy/worker.go
+++ b/src/convoy/worker.go
@@ -18,6 +18,8 @@
 	phaseFenced
 )
 
+var phaseNames = [...]string{"new", "ready", "lost", "fenced"}
+
 type runState uint8
 
 const (
--- a/src/wharf/codec.go
+++ b/src/wharf/codec.go
@@ -74,6 +74,7 @@
 	Outcome uint8
 	Reason  string
 	Retry   int64
+	Cause   uint8
 }
 
 type wireDrop struct {
@@ -104,6 +105,7 @@
 // answer is what a planner made of a job.
 type answer struct {
 	outcome convoy.Outcome
+	cause   convoy.Cause
 	reason  string
 	retry   time.Duration
 }
@@ -185,7 +187,7 @@
 }
 
 func encodeAnswer(a answer) ([]byte, error) {
-	b, err := cbor.Marshal(wireAnswer{Outcome: uint8(a.outcome), Reason: a.reason, Retry: int64(a.retry)})
+	b, err := cbor.Marshal(wireAnswer{Outcome: uint8(a.outcome), Reason: a.reason, Retry: int64(a.retry), Cause: uint8(a.cause)})
 	return b, Error.Wrap(err)
 }
 
@@ -197,7 +199,11 @@
 	if w.Outcome > uint8(convoy.Lost) {
 		return answer{}, Error.New("outcome %d is unknown", w.Outcome)
 	}
-	return answer{outcome: convoy.Outcome(w.Outcome), reason: w.Reason, retry: time.Duration(w.Retry)}, nil
+	cause := convoy.Cause(w.Cause)
+	if !cause.Known() {
+		return answer{}, Error.New("cause %d is unknown", w.Cause)
+	}
+	return answer{outcome: convoy.Outcome(w.Outcome), cause: cause, reason: w.Reason, retry: time.Duration(w.Retry)}, nil
 }
 
 func encodeDrop(d drop) ([]byte, error) {
--- a/src/wharf/config.go
+++ b/src/wharf/config.go
@@ -23,6 +23,8 @@
 	current  atomic.Pointer[charter.Config]
 	encoded  atomic.Pointer[[]byte]
 	fetching bool
+	// since is when the configuration in force here was learned, in milliseconds since 1970, 0 before the first.
+	since atomic.Int64
 }
 
 // configEvent tells of a configuration that has been agreed on.
@@ -47,6 +49,7 @@
 func (c *config) Start() error {
 	c.h.Radio.Handle(kindConfig, c.onConfig)
 	c.h.Metrics.GetOrCreateGauge("sesamecleat_config_version", func() float64 { return float64(c.version()) })
+	c.h.Metrics.GetOrCreateGauge("sesamecleat_config_age_seconds", func() float64 { return c.age().Seconds() })
 	return nil
 }
 
@@ -79,6 +82,14 @@
 	return 0
 }
 
+// age returns for how long the configuration in force here has been, 0 before the first.
+func (c *config) age() time.Duration {
+	if since := c.since.Load(); since > 0 {
+		return c.h.Clock.Now().Sub(time.UnixMilli(since))
+	}
+	return 0
+}
+
 func (c *config) install(now time.Time, cfg *charter.Config, from string) {
 	if cfg == nil || cfg.Version <= c.version() {
 		return
@@ -90,6 +101,7 @@
 	}
 	c.encoded.Store(&data)
 	c.current.Store(cfg)
+	c.since.Store(now.UnixMilli())
 	c.h.Log.Write(logbook.ConfigInForce, logbook.F("version", cfg.Version), logbook.F("routes", len(cfg.Routes)),
 		logbook.F("from", from))
 	c.h.Fleet.Describe(func(m *flotilla.Member) { m.Config = cfg.Version })
--- a/src/wharf/council.go
+++ b/src/wharf/council.go
@@ -43,7 +43,8 @@
 	wg      sync.WaitGroup
 	targets *targets
 	// commit is the last index known to be agreed on, for the writer.
-	commit atomic.Uint64
+	commit   atomic.Uint64
+	measures *logMeasures
 }
 
 type waitingOrder struct {
@@ -84,7 +85,7 @@
 		orders: make(map[uint64]chan reply), reads: make(map[uint64]chan reply),
 		waiting: make(map[uint64]waitingOrder), senders: make(map[string]chan []byte),
 		writes:  make(chan []pilot.Action, writeQueue),
-		targets: newTargets(h),
+		targets: newTargets(h), measures: newLogMeasures(h.Metrics),
 	}
 	h.Registry = &registry{council: c, targets: c.targets}
 	return c
@@ -126,7 +127,10 @@
 	c.h.Radio.Handle(kindPropose, c.onPropose)
 	c.h.Radio.Handle(kindNewest, c.onNewest)
 	c.h.Timers.Every(now, councilTick, func(now time.Time) { c.step(now, pilot.Tick{}) })
-	c.h.Timers.Every(now.Add(memberTick), memberTick, c.govern)
+	c.h.Timers.Every(now.Add(memberTick), memberTick, func(now time.Time) {
+		c.measures.look(c.node)
+		c.govern(now)
+	})
 	c.h.Fleet.Describe(func(m *flotilla.Member) { m.Disk = c.disk })
 	c.wg.Go(c.write)
 	if cfg := c.register.Current(); cfg != nil {
--- a/src/wharf/jobs.go
+++ b/src/wharf/jobs.go
@@ -60,6 +60,7 @@
 type dropEvent struct {
 	id     string
 	done   chan helm.JobAnswer
+	cause  convoy.Cause
 	reason string
 }
 
@@ -133,7 +134,8 @@
 	case a := <-done:
 		return a
 	case <-ctx.Done():
-		j.h.Post(j, dropEvent{id: job.ID, done: done, reason: whyLeft(ctx)})
+		cause, reason := whyLeft(ctx)
+		j.h.Post(j, dropEvent{id: job.ID, done: done, cause: cause, reason: reason})
 	case <-j.h.Done():
 		return helm.JobAnswer{Outcome: convoy.Lost, Reason: "this process stops"}
 	}
@@ -146,12 +148,12 @@
 }
 
 // whyLeft says why nobody waits for a job any more.
-func whyLeft(ctx context.Context) string {
-	cause := context.Cause(ctx)
-	if errors.Is(cause, context.DeadlineExceeded) {
-		return "the caller's time is over"
+func whyLeft(ctx context.Context) (convoy.Cause, string) {
+	err := context.Cause(ctx)
+	if errors.Is(err, context.DeadlineExceeded) {
+		return convoy.CauseDeadline, "the caller's time is over"
 	}
-	return cause.Error()
+	return convoy.CauseCallerGone, err.Error()
 }
 
 // Handle takes callers' jobs and planners' answers.
@@ -219,7 +221,7 @@
 	}
 	if !ok {
 		if now.Sub(p.job.Arrived) > plannerPause {
-			j.finish(p, answer{outcome: convoy.Refused, reason: "no planner is in reach or has room", retry: time.Second})
+			j.finish(p, answer{outcome: convoy.Refused, cause: convoy.CauseNoPlanner, reason: "no planner is in reach or has room", retry: time.Second})
 		}
 		p.planner = ""
 		return
@@ -252,13 +254,12 @@
 	ctx, cancel := context.WithTimeout(context.Background(), left)
 	defer cancel()
 	out, err := j.h.Radio.Call(ctx, m.Address, kindJob, body)
-	a := answer{outcome: convoy.Lost, reason: "the planner did not answer"}
+	a := answer{outcome: convoy.Lost, cause: convoy.CausePlannerLost, reason: "the planner did not answer"}
 	if err == nil {
 		a, err = decodeAnswer(out)
 	}
 	if err != nil {
-		a.reason = err.Error()
-		a.outcome = lostOutcome(err)
+		a = answer{outcome: lostOutcome(err), cause: convoy.CausePlannerLost, reason: err.Error()}
 	}
 	j.h.Post(j, answeredEvent{id: id, round: round, answer: a, unsure: err != nil && a.outcome == convoy.Lost})
 }
@@ -273,7 +274,7 @@
 		p.job.Settled = true
 		j.h.Log.Write(logbook.JobMoved, logbook.F("id", e.id), logbook.F("from", p.planner), logbook.F("why", e.answer.reason))
 		if p.offers >= offerLimit {
-			j.finish(p, answer{outcome: convoy.Refused, reason: "no planner has room", retry: time.Second})
+			j.finish(p, answer{outcome: convoy.Refused, cause: convoy.CauseNoPlanner, reason: "no planner has room", retry: time.Second})
 			return
 		}
 		j.offer(now, p)
@@ -291,7 +292,7 @@
 		done <- helm.JobAnswer{Outcome: a.outcome, Reason: a.reason, Retry: a.retry}
 	}
 	took := j.h.Clock.Now().Sub(p.job.Arrived)
-	countAnswer(j.h.Metrics, p.job.Route, a.outcome, took)
+	countAnswer(j.h.Metrics, p.job.Route, a, took)
 	event := logbook.JobAnswered
 	if a.outcome == convoy.Refused {
 		event = logbook.JobRefused
@@ -300,7 +301,7 @@
 		return
 	}
 	j.h.Log.Write(event, logbook.F("id", p.job.ID), logbook.F("route", p.job.Route), logbook.F("outcome", a.outcome.String()),
-		logbook.F("planner", p.planner), logbook.F("offers", p.offers), logbook.F("ms", took.Milliseconds()),
+		logbook.F("cause", a.cause.String()), logbook.F("planner", p.planner), logbook.F("offers", p.offers), logbook.F("ms", took.Milliseconds()),
 		logbook.F("why", a.reason))
 }
 
@@ -321,7 +322,7 @@
 		return
 	}
 	j.tellDropped(p, e.reason)
-	j.finish(p, answer{outcome: convoy.Lost, reason: e.reason})
+	j.finish(p, answer{outcome: convoy.Lost, cause: e.cause, reason: e.reason})
 }
 
 // tellDropped tells a job's planner that nobody waits for it here, until the planner has heard it.
@@ -361,7 +362,7 @@
 		if p.planner == name {
 			// It may be back before its silence tells it that the job was given up.
 			j.tellDropped(p, "the planner was lost")
-			j.finish(p, answer{outcome: convoy.Lost, reason: "the planner is lost"})
+			j.finish(p, answer{outcome: convoy.Lost, cause: convoy.CausePlannerLost, reason: "the planner is lost"})
 		}
 	}
 }
--- a/src/wharf/measures_test.go
+++ b/src/wharf/measures_test.go
@@ -1,6 +1,7 @@
 package wharf
 
 import (
+	"net/netip"
 	"os"
 	"regexp"
 	"strings"
@@ -11,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"sesamecleat/src/convoy"
+	"sesamecleat/src/radio"
 )
 
 // Every metric of this package stands on the page for those on call.
@@ -22,7 +24,14 @@
 	m.ordered("start", convoy.Accepted, time.Millisecond)
 	m.noted(700)
 	countNewsLost(set, "beat")
-	countAnswer(set, "r", convoy.Completed, time.Second)
+	countAnswer(set, "r", answer{outcome: convoy.Completed}, time.Second)
+	countAnswer(set, "r", answer{outcome: convoy.Refused, cause: convoy.CauseBacklog}, time.Second)
+	m.began(convoy.Began{Route: "r", Waited: time.Millisecond})
+	m.ended(convoy.Noticed{Route: "r", How: convoy.EndedDone, Took: 2 * time.Second, Expected: time.Second})
+	newLogMeasures(set)
+	h := loneHelm(time.Unix(1000, 0))
+	h.Metrics, h.Radio = set, newRadio(t)
+	require.NoError(t, newConfig(h).Start())
 	var out strings.Builder
 	set.WritePrometheus(&out)
 	names := regexp.MustCompile(`sesamecleat_[a-z_]+`).FindAllString(out.String(), -1)
@@ -35,4 +44,57 @@
 	}
 	require.Contains(t, out.String(), `outcome="completed"`)
 	require.Contains(t, out.String(), `verdict="accepted"`)
+	require.Contains(t, out.String(), `sesamecleat_unserved_total{outcome="refused",cause="backlog"} 1`)
+	require.Contains(t, out.String(), `sesamecleat_ends_total{how="done"} 1`)
+	require.Contains(t, out.String(), `sesamecleat_run_ratio_sum{route="r"} 2`)
+	require.NotContains(t, out.String(), `cause="none"`)
+}
+
+func newRadio(t *testing.T) *radio.Radio {
+	r, err := radio.NewRadio(netip.MustParseAddrPort("127.0.0.1:0"), []string{"a key for these tests"}, radio.ListenUDP, radio.Notices{})
+	require.NoError(t, err)
+	return r
+}
+
+// What a planner counts must follow from what it does: the wait before a start, the ends noticed, the state of its workers.
+func TestPlannerIsMeasured(t *testing.T) {
+	now := time.Unix(1000, 0)
+	h := loneHelm(now)
+	p := newPlan(h).(*plan)
+	worker := convoy.Target{ID: "w", Pool: "boats", Part: "d", Born: 1, Sequence: 1, Room: convoy.Need{Milli: 8000, Memory: 64}}
+	steps := []convoy.Event{
+		convoy.Claimed{Part: "d", Token: 1},
+		convoy.Listed{Target: worker},
+		convoy.Held{ID: "w", Sent: now, Report: convoy.Report{Born: 1}},
+	}
+	for _, ev := range steps {
+		p.planner.Step(now, ev)
+	}
+	o, done := anOffer(now, 1, 1)
+	o.offer.job.Arrived, o.offer.job.Target = now.Add(-100*time.Millisecond), time.Second
+	p.waiters[waiter{job: "a", host: "entry"}] = done
+	key := convoy.RunKey{Task: "a.0.0.0", Run: 1}
+	count := func(now time.Time, ev convoy.Event) {
+		for _, a := range p.planner.Step(now, ev) {
+			switch a := a.(type) {
+			case convoy.Began, convoy.Noticed, convoy.Answer:
+				p.act(now, a)
+			}
+		}
+	}
+	count(now, convoy.Submitted{Job: o.offer.job})
+	count(now, convoy.Started{ID: "w", Key: key})
+	later := now.Add(stallLimit / 2)
+	count(later, convoy.Held{ID: "w", Sent: now, Report: convoy.Report{
+		Born: 1, Ends: []convoy.EndRow{{Number: 1, Key: key, How: convoy.EndedDone}},
+	}})
+	require.Equal(t, convoy.Completed, (<-done).outcome)
+	p.measures.look(p.planner)
+	var out strings.Builder
+	h.Metrics.WritePrometheus(&out)
+	require.Contains(t, out.String(), `sesamecleat_wait_seconds_sum{route="r"} 0.1`)
+	require.Contains(t, out.String(), `sesamecleat_ends_total{how="done"} 1`)
+	require.Contains(t, out.String(), `sesamecleat_run_ratio_count{route="r"} 1`)
+	require.Contains(t, out.String(), `sesamecleat_workers{state="ready"} 1`)
+	require.Contains(t, out.String(), `sesamecleat_workers{state="lost"} 0`)
 }
--- a/src/wharf/plan.go
+++ b/src/wharf/plan.go
@@ -101,7 +101,7 @@
 	p.h.Timers.Every(p.h.Clock.Now(), planTick, func(now time.Time) {
 		p.step(now, convoy.RoomElsewhere{Tasks: p.roomElsewhere()})
 		p.step(now, convoy.Tick{})
-		p.measures.runs.Store(int64(p.planner.Runs()))
+		p.measures.look(p.planner)
 	})
 	return nil
 }
@@ -216,6 +216,10 @@
 		p.h.Fleet.Outbid(a.Part)
 	case convoy.Note:
 		p.note(a)
+	case convoy.Began:
+		p.measures.began(a)
+	case convoy.Noticed:
+		p.measures.ended(a)
 	}
 }
 
@@ -252,20 +256,20 @@
 // offered gives a job to the planner, unless a newer configuration here no longer has its route.
 func (p *plan) offered(now time.Time, e offeredEvent) {
 	if p.config != nil && p.config.Version > e.offer.version && !p.routed(e.offer.job) {
-		e.done <- answer{outcome: convoy.Refused, reason: "the route is no longer there", retry: time.Second}
+		e.done <- answer{outcome: convoy.Refused, cause: convoy.CauseNoRoute, reason: "the route is no longer there", retry: time.Second}
 		return
 	}
 	if old := p.offerAge(now, e.offer); old > flotilla.LostAfter || old < -flotilla.LostAfter {
-		e.done <- answer{outcome: convoy.Elsewhere, reason: "the offer is older than this host's last known beat by " + old.String()}
+		e.done <- answer{outcome: convoy.Elsewhere, cause: convoy.CauseStale, reason: "the offer is older than this host's last known beat by " + old.String()}
 		return
 	}
 	key := waiter{job: e.offer.job.ID, host: e.offer.job.Host}
 	if d, ok := p.dropped[key]; ok && e.offer.attempt <= d.attempt {
-		e.done <- answer{outcome: convoy.Lost, reason: "dropped before it arrived"}
+		e.done <- answer{outcome: convoy.Lost, cause: convoy.CauseStale, reason: "dropped before it arrived"}
 		return
 	}
 	if old, waits := p.waiters[key]; waits {
-		old <- answer{outcome: convoy.Lost, reason: "asked for again by the same host"}
+		old <- answer{outcome: convoy.Lost, cause: convoy.CauseCallerGone, reason: "asked for again by the same host"}
 	}
 	p.waiters[key] = e.done
 	p.step(now, convoy.Submitted{Job: e.offer.job})
@@ -308,7 +312,7 @@
 		return
 	}
 	delete(p.waiters, key)
-	done <- answer{outcome: a.Outcome, reason: a.Reason, retry: a.Retry}
+	done <- answer{outcome: a.Outcome, cause: a.Cause, reason: a.Reason, retry: a.Retry}
 }
 
 // release tells the planner that follows that a worker is free for it.
