--- a/src/convoy/claim.go
+++ b/src/convoy/claim.go
@@ -117,8 +117,7 @@
 	p.passOn(now)
 }
 
-// awake looks whether the planner stood still since its last step, by the steady clock or by the time of day, as either may
-// stop meanwhile. If other entry hosts may have given it up, so does it with their jobs: their callers are told that the
+// awake looks whether the planner stood still since its last step. If other entry hosts may have given it up, so does it with their jobs: their callers are told that the
 // fate is not known, ask again, and must not find a task at work twice.
 func (p *Planner) awake(now time.Time) {
 	last := p.stepped
@@ -126,7 +125,7 @@
 	if last.IsZero() || p.tuning.GiveUp == 0 {
 		return
 	}
-	still := max(now.Sub(last), now.Round(0).Sub(last.Round(0)))
+	still := now.Sub(last)
 	if still < p.tuning.GiveUp {
 		return
 	}
--- a/src/deck/run.go
+++ b/src/deck/run.go
@@ -76,7 +76,7 @@
 	if err != nil || !addr.IsValid() {
 		return helm.Answer{Outcome: helm.NotRun, Code: helm.CodeNoTarget, Reason: "the host is not known"}, berth.Unsent
 	}
-	ctx, cancel := context.WithDeadline(ctx, t.Deadline)
+	ctx, cancel := context.WithTimeout(ctx, t.Deadline.Sub(d.h.Clock.Now()))
 	defer cancel()
 	out, err := d.h.Radio.Call(ctx, addr, kindRun, body)
 	if radio.NotSent.Has(err) {
@@ -117,7 +117,7 @@
 	if d.h.Leaving() {
 		return encodeAnswer(notRun(helm.CodeStopping, "this host is being stopped", time.Second))
 	}
-	ctx, cancel := context.WithDeadline(ctx, t.Deadline)
+	ctx, cancel := context.WithTimeout(ctx, t.Deadline.Sub(d.h.Clock.Now()))
 	defer cancel()
 	return encodeAnswer(d.Run(ctx, t, work))
 }
--- a/src/deck/submit.go
+++ b/src/deck/submit.go
@@ -95,7 +95,7 @@
 		return notRun(helm.CodeNoRoute, "route "+sub.Route+" is not there", time.Second)
 	}
 	sub.NonIdempotent = sub.NonIdempotent || row.Route.NonIdempotent
-	ctx, cancel := context.WithDeadline(ctx, sub.Deadline.Add(answerGrace))
+	ctx, cancel := context.WithTimeout(ctx, sub.Deadline.Sub(s.h.Clock.Now())+answerGrace)
 	defer cancel()
 	if sub.Key == "" {
 		return s.executeFresh(ctx, sub, row.Route)
--- a/src/logbook/event.go
+++ b/src/logbook/event.go
@@ -78,7 +78,7 @@
 	ConfigInForce  = Event{604, Info, "configuration in force", "none"}
 	ConfigStored   = Event{605, Info, "configuration stored", "none"}
 	VotersChanged  = Event{606, Info, "membership of the registry hosts changes", "none"}
-	ClockJumped    = Event{607, Warn, "this process stood still, or the time of day jumped", "look at the host"}
+	StoodStill     = Event{607, Warn, "this process stood still", "look at the host"}
 	TargetListed   = Event{608, Info, "target announced itself, or changed", "none"}
 	TargetDeparted = Event{609, Info, "target left", "none"}
 	TargetSilent   = Event{610, Warn, "target stopped announcing itself", "look at the target"}
@@ -112,7 +112,7 @@
 		TargetAnnounced, TargetLeaving, TargetExpired, TargetEjected, TargetRestored, AnswerCrossed,
 		LeaderElected, LeaderLost, EditAccepted, TablesStale, TablesCurrent, DiskFailed, DiskDamaged, SnapshotLoaded,
 		ViewChanged, LedgerReset, CopyCaughtUp, LedgerPressure,
-		PeerHeard, PeerLost, DomainClaimed, DomainYielded, ConfigInForce, ConfigStored, VotersChanged, ClockJumped,
+		PeerHeard, PeerLost, DomainClaimed, DomainYielded, ConfigInForce, ConfigStored, VotersChanged, StoodStill,
 		TargetListed, TargetDeparted, TargetSilent, ConfigRefused, ConfigUnsure, ListenerEnded, NewsLost,
 		JobTaken, JobQueued, TaskPlaced, TaskRestarted, JobGivenUp, JobAnswered, JobRefused, JobMoved,
 		WorkerReady, WorkerSlow, WorkerLost, WorkerFenced, DropUnheard,
--- a/src/wharf/fleet.go
+++ b/src/wharf/fleet.go
@@ -34,12 +34,13 @@
 	fleet *flotilla.Fleet
 	conn  *net.UDPConn
 	// out is what beats are sent from, opened at outAt; what is on the way may have lost the flow of an older one for good.
-	out    *net.UDPConn
-	outAt  time.Time
-	ended  chan struct{}
-	told   time.Time
-	dirty  bool
-	steady time.Time
+	out   *net.UDPConn
+	outAt time.Time
+	ended chan struct{}
+	told  time.Time
+	dirty bool
+	// ticked is when the last beat was due.
+	ticked time.Time
 	// unreadAt is when a datagram that is no beat was last logged; it belongs to the goroutine that listens.
 	unreadAt time.Time
 }
@@ -90,7 +91,7 @@
 	if f.out, err = f.openOut(); err != nil {
 		return Error.Wrap(errors.Join(err, conn.Close()))
 	}
-	f.conn, f.outAt, f.steady = conn, now, now
+	f.conn, f.outAt, f.ticked = conn, now, now
 	go f.listen()
 	f.h.Timers.Every(now, flotilla.BeatInterval, f.tick)
 	f.h.Timers.Every(now, roomInterval, f.tellRoom)
@@ -154,25 +155,15 @@
 	f.dirty = false
 }
 
-// watchClock finds out that this process stood still: its timer is far behind, or, where the steady clock does not count
-// a freeze, the time of day has moved further.
+// watchClock finds out that this process stood still, as its timer is far behind.
 func (f *fleet) watchClock(now time.Time) {
-	steady := now.Sub(f.steady)
-	day := now.Round(0).Sub(f.steady.Round(0))
-	f.steady = now
-	if f.observe(steady, day) {
-		f.h.Publish(now, thawedEvent{})
-	}
-}
-
-// observe judges how far both clocks have moved between two beats.
-func (f *fleet) observe(steady, day time.Duration) bool {
-	off := day - steady
-	if off <= freezeLimit && off >= -freezeLimit && steady <= stallLimit {
-		return false
+	since := now.Sub(f.ticked)
+	f.ticked = now
+	if since <= stallLimit {
+		return
 	}
-	f.h.Log.Write(logbook.ClockJumped, logbook.F("by", off.String()), logbook.F("late", (steady-flotilla.BeatInterval).String()))
-	return true
+	f.h.Log.Write(logbook.StoodStill, logbook.F("late", (since-flotilla.BeatInterval).String()))
+	f.h.Publish(now, thawedEvent{})
 }
 
 // tellRoom sends beats out of turn when this process has something new to tell.
--- a/src/wharf/kinds.go
+++ b/src/wharf/kinds.go
@@ -82,8 +82,6 @@
 	dropTries = 8
 	// dropPause is the pause between two of them, as a peer that cannot be reached is found out at once.
 	dropPause = 100 * time.Millisecond
-	// freezeLimit is the difference between the time of day and the steady clock that tells of a freeze.
-	freezeLimit = 300 * time.Millisecond
-	// stallLimit is the pause between two beats that tells the same; most of the shortest lease of a worker.
+	// stallLimit is the pause between two beats that tells of a standstill; most of the shortest lease of a worker.
 	stallLimit = 800 * time.Millisecond
 )
