Know the targets again at once after a loss of power

Cause: the register of targets was in memory only. When all processes lose power the targets run on, but announce themselves anew one by one over a whole pause of 1.5 s; and a planner that has just taken its workers over judged jobs by those that had answered ("1.789s of waiting for 6 slots" where 38 are). A registry host keeps its register on its disk, saved at most once a second when a target came, changed or left; workers that have not had the time to answer count as room when a job is judged. Ruled out: agreeing on the register, which planners check against the workers anyway; keeping it at entry hosts, without disks.

--- a/src/convoy/judge.go
+++ b/src/convoy/judge.go
@@ -22,7 +22,7 @@
 			return refusal{cause: CauseMisfit, reason: reason, retry: retryCeiling, misfit: true}, false
 		}
 	}
-	slots := p.Slots()
+	slots := p.prospects()
 	chain := p.kind(j.Route).usual(j.Chain())
 	if slots == 0 {
 		if len(p.workers) == 0 {
@@ -55,6 +55,18 @@
 	return time.Duration(ahead / float64(slots))
 }
 
+// prospects returns how many ordinary tasks fit on the workers that answer or have not had the time to: what is judged by
+// those that have answered would be refused for want of room that is there a moment later.
+func (p *Planner) prospects() int {
+	n := 0
+	for _, w := range p.workers {
+		if (w.phase == phaseReady || w.phase == phaseNew) && !w.target.Leaving && !w.yielding {
+			n += w.slots(p.typical)
+		}
+	}
+	return n
+}
+
 func (p *Planner) everFits(j *job, s Step) bool {
 	for _, w := range p.workers {
 		if w.target.Pool == j.Pool && s.Need.Fits(w.target.Room) && w.labelled(s.Label) {
--- a/src/convoy/planner.go
+++ b/src/convoy/planner.go
@@ -132,7 +132,7 @@
 	n := 0
 	for _, w := range p.workers {
 		if w.phase == phaseReady && !w.target.Leaving && !w.yielding {
-			n += int(w.target.Room.Milli / int64(p.typical))
+			n += w.slots(p.typical)
 		}
 	}
 	return n
--- a/src/convoy/rules_test.go
+++ b/src/convoy/rules_test.go
@@ -248,3 +248,23 @@
 		})
 	}
 }
+
+// A planner that has just taken its workers over must not refuse for want of room while most have not had the time to
+// answer: callers who come in a lump after a loss of power would all be turned away.
+func TestWorkersThatHaveNotAnsweredCountAsRoom(t *testing.T) {
+	y := newYard(t, 1, 1)
+	p := y.planners[0]
+	p.typical = 14_000
+	for i := range 8 {
+		y.addWorker(fmt.Sprint("w", i), "d", 28_000, 1)
+	}
+	p.Step(y.now, Claimed{Part: "d", Token: 1})
+	p.Step(y.now, Held{ID: "w0", Sent: y.now, Report: Report{Born: 1}})
+	require.Equal(t, 2, p.Slots(), "one worker has answered")
+	for i := range 10 {
+		for _, a := range p.Step(y.now, Submitted{Job: yardJob(y, fmt.Sprint("j", i), "r", 4, 200, 2*time.Second)}) {
+			a, answered := a.(Answer)
+			require.False(t, answered, "job %d of 4 tasks of 200 ms, for 16 slots: %s", i, a.Reason)
+		}
+	}
+}
--- a/src/convoy/worker.go
+++ b/src/convoy/worker.go
@@ -119,6 +119,9 @@
 
 func (w *worker) free() Need { return w.target.Room.minus(w.used) }
 
+// slots returns how many ordinary tasks fit on the worker.
+func (w *worker) slots(typical float64) int { return int(w.target.Room.Milli / int64(typical)) }
+
 // open reports whether new tasks may be placed here.
 func (w *worker) open(now time.Time) bool {
 	return w.phase == phaseReady && !w.target.Leaving && !w.target.Silent && !now.Before(w.passUntil) && len(w.strays) == 0
--- a/src/logbook/event.go
+++ b/src/logbook/event.go
@@ -88,6 +88,9 @@
 	ListenerEnded = Event{613, Error, "a listener ended", "restart the process"}
 	NewsLost      = Event{614, Warn, "news of another process could not be had; asked for again at its next beat", "look at the network if it lasts"}
 
+	RegisterRecalled = Event{615, Info, "register of targets taken up from disk", "none"}
+	RegisterUnread   = Event{616, Warn, "register of targets on disk cannot be read; they are learned as they announce themselves", "none"}
+
 	JobTaken      = Event{700, Info, "job taken in", "none"}
 	JobQueued     = Event{701, Info, "job waits for room", "none"}
 	TaskPlaced    = Event{702, Info, "task placed", "none"}
@@ -114,6 +117,7 @@
 		ViewChanged, LedgerReset, CopyCaughtUp, LedgerPressure,
 		PeerHeard, PeerLost, DomainClaimed, DomainYielded, ConfigInForce, ConfigStored, VotersChanged, StoodStill,
 		TargetListed, TargetDeparted, TargetSilent, ConfigRefused, ConfigUnsure, ListenerEnded, NewsLost,
+		RegisterRecalled, RegisterUnread,
 		JobTaken, JobQueued, TaskPlaced, TaskRestarted, JobGivenUp, JobAnswered, JobRefused, JobMoved,
 		WorkerReady, WorkerSlow, WorkerLost, WorkerFenced, DropUnheard,
 	}
--- a/src/wharf/targets.go
+++ b/src/wharf/targets.go
@@ -35,6 +35,9 @@
 	mu      sync.Mutex
 	entries map[string]*entry
 	marks   uint64
+	// news counts what has changed but for the time it was last heard of; saved is the count as of the last save.
+	news, saved uint64
+	saving      bool
 }
 
 type targetsChangedEvent struct{ marks uint64 }
@@ -47,10 +50,13 @@
 
 func newTargetsPlugin(h *helm.Helm) helm.Plugin { return h.Registry.(*registry).targets }
 
-// Start serves the register to the dispatch processes.
+// Start takes up what was known before, and serves the register to the dispatch processes.
 func (t *targets) Start() error {
+	now := t.h.Clock.Now()
+	t.recall(now)
 	t.h.Radio.Handle(kindTargets, t.onTargets)
-	t.h.Timers.Every(t.h.Clock.Now(), t.h.Settings.Beat/2, t.age)
+	t.h.Timers.Every(now, t.h.Settings.Beat/2, t.age)
+	t.h.Timers.Every(now.Add(saveInterval), saveInterval, t.save)
 	return nil
 }
 
@@ -83,12 +89,14 @@
 		if same(old, target) && !e.left && now.Sub(e.told) < refreshAfter {
 			return
 		}
-		if !same(old, target) {
+		if !same(old, target) || e.left {
+			t.news++
 			t.log(target)
 		}
 	} else {
 		e = &entry{}
 		t.entries[target.ID] = e
+		t.news++
 		t.log(target)
 	}
 	*e = entry{target: target, heard: now}
@@ -115,6 +123,7 @@
 		return
 	}
 	e.left = true
+	t.news++
 	t.h.Log.Write(logbook.TargetDeparted, logbook.F("target", id))
 	t.changed(now, e)
 }
@@ -174,6 +183,7 @@
 			delete(t.entries, id)
 		case silent && !e.target.Silent:
 			e.target.Silent = true
+			t.news++
 			t.h.Log.Write(logbook.TargetSilent, logbook.F("target", id), logbook.F("heard", now.Sub(e.heard).String()))
 			t.changed(now, e)
 		}
