Serve to the end of a planned stop what can be answered by then

Cause: clients keep idle connections. These refusals stood in no log. Ruled out: a longer notice, after which the same connections are still there; closing them at once, as the balancer sends new ones here until it has missed two answers.

--- a/src/helm/services.go
+++ b/src/helm/services.go
@@ -115,8 +115,9 @@
 	Submit(ctx context.Context, j convoy.Job) JobAnswer
 	// Waiting returns how many jobs of a route wait for room in the whole system, as far as is known here.
 	Waiting(route string) int
-	// Admitting reports whether new jobs are taken.
-	Admitting() bool
+	// Admitting reports whether a job is taken whose caller waits until the time given; a process that stops takes those that
+	// it can still answer.
+	Admitting(until time.Time) bool
 	// Ready reports whether this process should get callers.
 	Ready() bool
 }
--- a/src/logbook/event.go
+++ b/src/logbook/event.go
@@ -104,6 +104,7 @@
 	WorkerLost    = Event{710, Warn, "worker does not answer", "look at the worker and the network"}
 	WorkerFenced  = Event{711, Warn, "worker follows another planner", "none if its part changed hands"}
 	DropUnheard   = Event{712, Warn, "planner was not told that a job is dropped; it gives the job up by itself", "none"}
+	JobTurnedAway = Event{713, Info, "job refused before it was taken in", "none if the host stops; else see the reason"}
 )
 
 // Catalogue returns every event in the order of its number.
@@ -119,6 +120,6 @@
 		TargetListed, TargetDeparted, TargetSilent, ConfigRefused, ConfigUnsure, ListenerEnded, NewsLost,
 		RegisterRecalled, RegisterUnread,
 		JobTaken, JobQueued, TaskPlaced, TaskRestarted, JobGivenUp, JobAnswered, JobRefused, JobMoved,
-		WorkerReady, WorkerSlow, WorkerLost, WorkerFenced, DropUnheard,
+		WorkerReady, WorkerSlow, WorkerLost, WorkerFenced, DropUnheard, JobTurnedAway,
 	}
 }
--- a/src/wharf/jobs.go
+++ b/src/wharf/jobs.go
@@ -40,7 +40,8 @@
 	config   atomic.Pointer[charter.Config]
 	pending  map[string]*pending
 	inflight atomic.Int64
-	closed   atomic.Bool
+	// ends is when the last job must have been answered, as this process stops; nil while it does not.
+	ends atomic.Pointer[time.Time]
 	// attempts counts the offers of this process.
 	attempts uint64
 	// spent counts, by planner, the tasks offered to it since it last told of its room.
@@ -105,8 +106,11 @@
 // Config returns the configuration in force here, or nil before the first.
 func (j *jobs) Config() *charter.Config { return j.config.Load() }
 
-// Admitting reports whether new jobs are taken.
-func (j *jobs) Admitting() bool { return !j.closed.Load() }
+// Admitting reports whether a job is taken whose caller waits until the time given.
+func (j *jobs) Admitting(until time.Time) bool {
+	ends := j.ends.Load()
+	return ends == nil || !until.After(*ends)
+}
 
 // Ready reports whether this process should get callers.
 func (j *jobs) Ready() bool { return !j.h.Leaving() && j.config.Load() != nil }
@@ -171,7 +175,8 @@
 	case configInForceEvent:
 		j.config.Store(e.config)
 	case helm.Leaving:
-		j.closed.Store(true)
+		ends := now.Add(j.h.Settings.Limits.Drain - stopMargin)
+		j.ends.Store(&ends)
 	case fleetEvent:
 		j.heed(now, e.action)
 	}
--- a/src/wharf/kinds.go
+++ b/src/wharf/kinds.go
@@ -61,6 +61,9 @@
 	refreshAfter = 3 * time.Second
 	// plannerPause is how long a job waits for a planner to be known, before it is refused.
 	plannerPause = time.Second
+	// stopMargin is what a process that stops keeps back of its time, for the last answers' way; as long as a lost packet
+	// takes to be sent again.
+	stopMargin = 200 * time.Millisecond
 	// offerLimit bounds how many planners a job is offered to.
 	offerLimit = 4
 	// roomInterval bounds how often a change is told out of turn; for each process beyond manyPeers it grows by
