Count a part as vacant only while its domain is in reach

Cause: a part's vacancy was counted from the loss of its planner, also while its whole domain was cut off. When the cut had healed, the first process of the domain to be heard, a registry host, made it reachable, and a host of another domain took all its parts in the moment before their planner was heard. Ruled out: a longer foreignAfter, which a cut of any length outlasts. Test: TestHealedDomainKeepsItsPlanner, red before (entry-n1 claims south#0).

--- a/src/flotilla/fleet_test.go
+++ b/src/flotilla/fleet_test.go
@@ -164,6 +164,29 @@
 	require.Equal(t, []string{"entry-s1"}, s.planner("south"))
 }
 
+// When a cut has healed, the first of the domain to be heard need not be the host that plans there: nobody may take its
+// place in the moment before that one is heard.
+func TestHealedDomainKeepsItsPlanner(t *testing.T) {
+	s := newHarbour()
+	south := map[string]bool{"registry-s": true, "entry-s1": true}
+	s.cut = func(from, to string) bool { return south[from] != south[to] }
+	s.run(6 * time.Second)
+	s.events = make(map[string][]Action)
+	s.cut = func(from, to string) bool {
+		return (from == "entry-s1") != (to == "entry-s1") && !(south[from] && south[to])
+	}
+	s.run(2 * BeatInterval)
+	s.cut = func(string, string) bool { return false }
+	s.run(time.Second)
+	require.Equal(t, []string{"entry-s1"}, s.planner("south"))
+	for name, actions := range s.events {
+		for _, a := range actions {
+			c, claimed := a.(Claimed)
+			require.False(t, claimed, "%s claims %s", name, c.Part)
+		}
+	}
+}
+
 // A peer that is heard but does not hear must be told apart: what it waits for from here does not arrive.
 func TestOneWayCutIsNoticed(t *testing.T) {
 	s := newHarbour()
--- a/src/flotilla/govern.go
+++ b/src/flotilla/govern.go
@@ -63,9 +63,7 @@
 		delete(f.vacant, part)
 		return
 	}
-	if !held && f.vacant[part].IsZero() {
-		f.vacant[part] = now
-	}
+	f.noteVacancy(now, part, held)
 	if f.candidate(now, part) != f.self.Name {
 		return
 	}
@@ -78,6 +76,32 @@
 	f.act(Claimed{Part: part, Token: c.token, Gentle: held, From: c.from})
 }
 
+// noteVacancy notes since when a part has had no planner, as far as can be told: while nothing of its domain is heard it may
+// well have one, which need not be the first to be heard when a cut has healed.
+func (f *Fleet) noteVacancy(now time.Time, part string, held bool) {
+	domain, _ := DomainOf(part)
+	if !f.reaches(domain) {
+		delete(f.vacant, part)
+		return
+	}
+	if !held && f.vacant[part].IsZero() {
+		f.vacant[part] = now
+	}
+}
+
+// reaches reports whether anything of a domain is heard.
+func (f *Fleet) reaches(domain string) bool {
+	if domain == f.self.Domain {
+		return true
+	}
+	for _, p := range f.seen.alive {
+		if p.Member.Domain == domain {
+			return true
+		}
+	}
+	return false
+}
+
 // mayReclaim reports whether this process takes a part of its own domain back from a host of another one.
 func (f *Fleet) mayReclaim(now time.Time, part string, other holder) bool {
 	domain, _ := DomainOf(part)
@@ -176,18 +200,16 @@
 		return f.leastBurdened(own, domain)
 	}
 	var foreign []string
-	reached := domain == f.self.Domain
 	if !f.self.Leaving {
 		foreign = append(foreign, f.self.Name)
 	}
 	for _, p := range f.seen.alive {
-		reached = reached || p.Member.Domain == domain
 		if p.Member.Dispatcher && !p.Member.Leaving {
 			foreign = append(foreign, p.Member.Name)
 		}
 	}
 	since, vacant := f.vacant[part]
-	if !reached || !vacant || now.Sub(since) < foreignAfter || len(foreign) == 0 {
+	if !vacant || now.Sub(since) < foreignAfter || len(foreign) == 0 {
 		return ""
 	}
 	return slices.Min(foreign)
