Offer jobs to planners that were heard in time

Cause: from the start of a cut until a planner counts as lost, a second later, entry hosts on the other side went on offering jobs to it; all of them were lost with it (45 to 56 jobs with cause=planner-lost a cut). A planner of which two beats are missing is offered nothing while others are heard, and counts as no room elsewhere. Ruled out: taking a peer for lost sooner, as a lost datagram or a busy host would cost it its jobs. Test: TestPromptPlanners.

--- a/src/wharf/choose.go
+++ b/src/wharf/choose.go
@@ -2,11 +2,13 @@
 
 import (
 	"math"
+	"time"
 
 	"github.com/zeebo/xxh3"
 
 	"sesamecleat/src/convoy"
 	"sesamecleat/src/flotilla"
+	"sesamecleat/src/helm"
 	"sesamecleat/src/radio"
 )
 
@@ -19,6 +21,8 @@
 	// fewPlanners is how many planners can be compared by their room; with more, all entry hosts would send their jobs to
 	// the same one between two of its beats.
 	fewPlanners = 4
+	// lateAfter is the silence after which a planner is offered no more jobs while others are heard: two beats are missing.
+	lateAfter = 2 * flotilla.BeatInterval
 )
 
 // choosePlanner returns the planner to offer a job to: one of the own domain where the whole job could start at once, else
@@ -58,6 +62,29 @@
 	return best, found
 }
 
+// prompt returns the planners that were heard in time, or all if none was. What keeps a planner's beats back keeps offers
+// from it too: jobs that are offered in the time until it counts as lost would be lost with it.
+func prompt(now time.Time, all []flotilla.Member, heard func(name string) (time.Time, bool)) []flotilla.Member {
+	var out []flotilla.Member
+	for _, m := range all {
+		if at, known := heard(m.Name); !known || now.Sub(at) <= lateAfter {
+			out = append(out, m)
+		}
+	}
+	if len(out) == 0 {
+		return all
+	}
+	return out
+}
+
+// planners returns the planners to consider for jobs now; this process is always among those heard in time.
+func planners(now time.Time, f helm.Fleet) []flotilla.Member {
+	return prompt(now, f.Planners(), func(name string) (time.Time, bool) {
+		p, known := f.Peer(name)
+		return p.Heard, known
+	})
+}
+
 // draw picks one of several planners by a job's id.
 func draw(members []flotilla.Member, id string) flotilla.Member {
 	return members[xxh3.HashString(id)%uint64(len(members))]
--- a/src/wharf/choose_test.go
+++ b/src/wharf/choose_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -45,6 +46,40 @@
 	}
 }
 
+// Between the start of a cut and the moment in which its planners count as lost, callers' jobs must not be offered to them.
+func TestPromptPlanners(t *testing.T) {
+	now := time.Unix(1000, 0)
+	tests := map[string]struct {
+		silent map[string]time.Duration
+		want   []string
+	}{
+		"all are heard":       {silent: map[string]time.Duration{"a": 0, "b": flotilla.BeatInterval}, want: []string{"a", "b", "self"}},
+		"one beat is missing": {silent: map[string]time.Duration{"a": 2 * flotilla.BeatInterval, "b": 0}, want: []string{"a", "b", "self"}},
+		"two are":             {silent: map[string]time.Duration{"a": 2*flotilla.BeatInterval + 1, "b": 0}, want: []string{"b", "self"}},
+		"nobody else is heard": {
+			silent: map[string]time.Duration{"a": flotilla.LostAfter, "b": flotilla.LostAfter}, want: []string{"self"},
+		},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			var all []flotilla.Member
+			for _, name := range []string{"a", "b", "self"} {
+				all = append(all, flotilla.Member{Name: name})
+			}
+			heard := func(name string) (time.Time, bool) {
+				silent, known := tt.silent[name]
+				return now.Add(-silent), known
+			}
+			var got []string
+			for _, m := range prompt(now, all, heard) {
+				got = append(got, m.Name)
+			}
+			require.Equal(t, tt.want, got)
+			require.Len(t, prompt(now, all[:1], func(string) (time.Time, bool) { return time.Time{}, true }), 1, "rather a late one than none")
+		})
+	}
+}
+
 func TestLostCalls(t *testing.T) {
 	tests := map[string]struct {
 		err  error
--- a/src/wharf/jobs.go
+++ b/src/wharf/jobs.go
@@ -218,11 +218,12 @@
 
 // offer gives a job to the planner that can serve it best, or lets it wait a little while none is known.
 func (j *jobs) offer(now time.Time, p *pending) {
-	m, ok := choosePlanner(j.h.Fleet.Planners(), j.spent, p, j.h.Settings.Domain)
+	all := planners(now, j.h.Fleet)
+	m, ok := choosePlanner(all, j.spent, p, j.h.Settings.Domain)
 	if !ok && len(p.refused) > 0 {
 		// Whoever handed it back for want of room lets it wait now.
 		clear(p.refused)
-		m, ok = choosePlanner(j.h.Fleet.Planners(), j.spent, p, j.h.Settings.Domain)
+		m, ok = choosePlanner(all, j.spent, p, j.h.Settings.Domain)
 	}
 	if !ok {
 		if now.Sub(p.job.Arrived) > plannerPause {
--- a/src/wharf/plan.go
+++ b/src/wharf/plan.go
@@ -99,7 +99,7 @@
 	p.h.Radio.Handle(kindFreed, p.onFreed)
 	p.h.Radio.Handle(kindTargets, p.register.onTargets)
 	p.h.Timers.Every(p.h.Clock.Now(), planTick, func(now time.Time) {
-		p.step(now, convoy.RoomElsewhere{Tasks: p.roomElsewhere()})
+		p.step(now, convoy.RoomElsewhere{Tasks: p.roomElsewhere(now)})
 		p.step(now, convoy.Tick{})
 		p.measures.look(p.planner)
 	})
@@ -149,10 +149,10 @@
 }
 
 // roomElsewhere returns the room of the other planner that has most of it.
-func (p *plan) roomElsewhere() int {
+func (p *plan) roomElsewhere(now time.Time) int {
 	best := 0
 	self := p.h.Settings.Name
-	for _, m := range p.h.Fleet.Planners() {
+	for _, m := range planners(now, p.h.Fleet) {
 		if m.Name != self && !m.Leaving {
 			best = max(best, m.Room)
 		}
