End with an error where an address is taken, whatever has started

Cause: a registry host whose port for beats was taken hung: the parts that had started wait for the end of the process, which was never announced. Seen as a test that hung for ten minutes beside another run of it on the same addresses; played again on purpose, with the stack of council.Stop. Test: TestAddressInUse, red before (the start hangs).

--- a/src/helm/helm.go
+++ b/src/helm/helm.go
@@ -113,14 +113,12 @@
 func (h *Helm) Start() error {
 	for i, p := range h.plugins {
 		if err := p.Start(); err != nil {
-			h.stopPlugins(h.plugins[:i])
-			h.closeStore()
+			h.abandon(h.plugins[:i])
 			return err
 		}
 	}
 	if err := h.Radio.Start(); err != nil {
-		h.stopPlugins(h.plugins)
-		h.closeStore()
+		h.abandon(h.plugins)
 		return err
 	}
 	go h.control()
@@ -129,6 +127,16 @@
 	return nil
 }
 
+// abandon ends the parts of a process that could not start.
+func (h *Helm) abandon(started []Plugin) {
+	h.stopOnce.Do(func() {
+		close(h.quit)
+		h.stopPlugins(started)
+		h.Radio.Stop()
+		h.closeStore()
+	})
+}
+
 // Post hands an event to one plug-in's control side.
 func (h *Helm) Post(to Plugin, ev Event) {
 	select {
