Claim all vacant parts of a domain in one round

Cause: a host claimed a part if it had the fewest; after one claim the others had fewer, as far as it had heard, so the parts of a domain were claimed one a beat and host. Each host now reckons with the parts that fall to the others in the same round, so all come to the same result at once. Ruled out: fewer parts, which would bind the size of a domain; a draw by name, which takes no account of power. Test: TestVacantPartsAreClaimedAtOnce, red before for both cases (part 12, part 8 without a planner).

--- a/src/flotilla/fleet_test.go
+++ b/src/flotilla/fleet_test.go
@@ -423,6 +423,49 @@
 }
 
 // A strong host that restarts gets its parts back from the weak ones that took them over, handed over worker by worker.
+// When all hosts of a domain start at once, or one with many parts is gone, every part must have a planner within a few
+// beats, however many parts there are: callers come in a lump then.
+func TestVacantPartsAreClaimedAtOnce(t *testing.T) {
+	tests := map[string]struct {
+		before func(s *sea)
+		within time.Duration
+	}{
+		"all start": {before: func(*sea) {}, within: settleHeard + 2*BeatInterval},
+		"half are gone": {
+			before: func(s *sea) {
+				s.run(3 * time.Second)
+				s.down["entry-n1"], s.down["entry-n2"] = true, true
+				s.run(LostAfter)
+			},
+			within: 2 * BeatInterval,
+		},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := newSea()
+			s.add("registry-n", "north", false)
+			for i := range 4 {
+				s.add(fmt.Sprintf("entry-n%d", i+1), "north", true)
+			}
+			for _, f := range s.fleets {
+				f.SetWorkers(map[string]int{"north": 1000})
+				f.Describe(func(m *Member) { m.Targets, m.Config = 1, 1 })
+			}
+			tt.before(s)
+			s.run(tt.within)
+			perHost := make(map[string]int)
+			for i := range PartsPerDomain {
+				holders := s.holders(part("north", i))
+				require.Len(t, holders, 1, "part %d", i)
+				perHost[holders[0]]++
+			}
+			for name, n := range perHost {
+				require.LessOrEqual(t, n, PartsPerDomain/2, name)
+			}
+		})
+	}
+}
+
 func TestStrongHostComesBack(t *testing.T) {
 	s := newHarbour()
 	strong := func() {
--- a/src/flotilla/govern.go
+++ b/src/flotilla/govern.go
@@ -14,15 +14,23 @@
 }
 
 // round is what the peers say of claims and domains, gathered once for all parts: the peers that are alive, who of them
-// has the highest claim on a part, and the entry hosts of a domain.
+// has the highest claim on a part, and the entry hosts of a domain. Assigned counts the parts without a planner that fall to
+// other hosts in this round, by host and domain: each of them comes to the same result and claims its own at once, where
+// one part after the other would take a beat each.
 type round struct {
-	alive   []*Peer
-	holders map[string]holder
-	hosts   map[string][]Member
+	alive    []*Peer
+	holders  map[string]holder
+	hosts    map[string][]Member
+	assigned map[assignment]int
 }
 
+type assignment struct{ host, domain string }
+
 func (f *Fleet) look() round {
-	r := round{alive: f.alive(), holders: make(map[string]holder), hosts: make(map[string][]Member)}
+	r := round{
+		alive: f.alive(), holders: make(map[string]holder), hosts: make(map[string][]Member),
+		assigned: make(map[assignment]int),
+	}
 	for _, p := range r.alive {
 		for _, c := range p.Member.Claims {
 			if best, held := r.holders[c.Part]; !held || c.Token > best.token {
@@ -64,7 +72,11 @@
 		return
 	}
 	f.noteVacancy(now, part, held)
-	if f.candidate(now, part) != f.self.Name {
+	if chosen := f.candidate(now, part); chosen != f.self.Name {
+		if !held && chosen != "" {
+			domain, _ := DomainOf(part)
+			f.seen.assigned[assignment{host: chosen, domain: domain}]++
+		}
 		return
 	}
 	delete(f.vacant, part)
@@ -126,10 +138,10 @@
 // team returns the entry hosts of a domain that should plan its workers.
 func (f *Fleet) team(domain string) []Member { return team(f.hosts(domain), f.workers[domain]) }
 
-// burden returns how many parts of a domain a host plans.
+// burden returns how many parts of a domain a host plans, or is about to.
 func (f *Fleet) burden(m Member, domain string) int {
 	if m.Name != f.self.Name {
-		return claims(m, domain)
+		return claims(m, domain) + f.seen.assigned[assignment{host: m.Name, domain: domain}]
 	}
 	n := 0
 	for claimed := range f.claims {
