Let a planned stop wait for answers on their way to the ledger

Cause: a submission that ran here counted as in flight until its answer was told to the caller; its end was told to the ledger, and passed on to the primary that followed, after that.

--- a/src/deck/ledger.go
+++ b/src/deck/ledger.go
@@ -22,6 +22,9 @@
 
 type ledgerEvent struct{ ev ledger.Event }
 
+// finishEvent brings the end of a submission that ran here; until it is taken, the submission counts as in flight.
+type finishEvent struct{ finish ledger.Finish }
+
 type batchEvent struct {
 	batch ledger.Batch
 	reply chan ledger.Ack
@@ -36,6 +39,7 @@
 func (askEvent) HelmEvent()    {}
 func (forgetEvent) HelmEvent() {}
 func (ledgerEvent) HelmEvent() {}
+func (finishEvent) HelmEvent() {}
 func (batchEvent) HelmEvent()  {}
 func (homeEvent) HelmEvent()   {}
 
@@ -49,6 +53,9 @@
 		delete(s.tickets, e.ticket)
 	case ledgerEvent:
 		s.step(now, e.ev)
+	case finishEvent:
+		s.step(now, e.finish)
+		s.inflight.Add(-1)
 	case batchEvent:
 		s.replies = nil
 		s.step(now, ledger.Received{Batch: e.batch})
@@ -188,13 +195,17 @@
 	}
 }
 
+// pass tells the primary that followed this host what became of a submission that ran here. It counts as in flight: a
+// process that ended before would leave the key unknown, though its answer was told.
 func (s *submit) pass(a ledger.Pass) {
 	p, known := s.h.Members.Peer(a.To)
 	body, err := ledger.EncodeLate(ledger.Late{Shard: a.Shard, Record: a.Record})
 	if !known || err != nil {
 		return
 	}
+	s.inflight.Add(1)
 	go func() {
+		defer s.inflight.Add(-1)
 		ctx, cancel := context.WithTimeout(context.Background(), batchTimeout)
 		defer cancel()
 		_, _ = s.h.Radio.Call(ctx, p.Member.Peers, kindLate, body) // without it the key stays unknown
--- a/src/deck/submit.go
+++ b/src/deck/submit.go
@@ -230,7 +230,8 @@
 	if f.Ran {
 		f.Answer, _ = encodeAnswer(a) // cannot fail for plain values
 	}
-	s.h.Post(s, ledgerEvent{f})
+	s.inflight.Add(1)
+	s.h.Post(s, finishEvent{f})
 	return a
 }
 
