Call an entry host ready once it was told of targets

Cause: readiness went by time, two rounds of heartbeats after the start. Ready is now who knows a target, or hears others of whom no neighbour knows any; at the latest after two announcements. Ruled out: a longer wait, which no length makes safe. Test: TestInformed.

--- a/src/deck/announce.go
+++ b/src/deck/announce.go
@@ -73,6 +73,32 @@
 	}()
 }
 
+// Informed reports whether this process knows targets, or no other one that it hears does. Before that it would refuse
+// requests for want of targets that are there.
+func (d *dispatch) Informed() bool { return d.informed.Load() }
+
+// look finds out whether this process need not wait to be told of targets any longer.
+func (d *dispatch) look(time.Time) {
+	if !d.informed.Load() && (len(d.addrs) > 0 || d.nothingToTell()) {
+		d.informed.Store(true)
+	}
+}
+
+// nothingToTell reports whether others are heard, but no neighbour with targets.
+func (d *dispatch) nothingToTell() bool {
+	heard := false
+	for _, p := range d.h.Members.Peers() {
+		if p.Status != roster.Alive {
+			continue
+		}
+		heard = true
+		if p.Member.Entry && p.Member.Domain == d.h.Settings.Domain && len(p.Member.Summary.Free) > 0 {
+			return false
+		}
+	}
+	return heard
+}
+
 func (d *dispatch) onAnnounce(_ context.Context, _ netip.AddrPort, body []byte) ([]byte, error) {
 	targets, err := decodeTargets(body)
 	if err != nil {
--- a/src/deck/dispatch.go
+++ b/src/deck/dispatch.go
@@ -29,6 +29,8 @@
 	guests atomic.Int64
 	heard  map[string]berth.Target
 	addrs  map[string]netip.AddrPort
+	// informed says that targets are known, or that no neighbour could tell of any.
+	informed atomic.Bool
 }
 
 // placement is a task that a traffic goroutine waits for.
@@ -102,6 +104,7 @@
 	now := d.h.Clock.Now()
 	d.h.Timers.Every(now, plannerTick, func(now time.Time) { d.step(now, berth.Tick{}) })
 	d.h.Timers.Every(now, announceBatch, d.relay)
+	d.h.Timers.Every(now, roster.BeatInterval, d.look)
 	d.h.Summaries = append(d.h.Summaries, func(now time.Time, s *roster.Summary) {
 		s.Free = d.planner.Free(now)
 		s.Demand = d.planner.Demand()
--- a/src/deck/dispatch_test.go
+++ b/src/deck/dispatch_test.go
@@ -13,6 +13,7 @@
 	"sesamecleat/src/helm"
 	"sesamecleat/src/manifest"
 	"sesamecleat/src/radio"
+	"sesamecleat/src/roster"
 	"sesamecleat/src/tide"
 )
 
@@ -93,3 +94,52 @@
 	require.Equal(t, helm.CodeStopping, a.Code)
 	require.Zero(t, d.Guests())
 }
+
+// neighbours are the processes that a host hears.
+type neighbours struct{ peers []roster.Peer }
+
+func (n neighbours) Peers() []roster.Peer { return n.peers }
+
+// Peer returns the first peer, whatever its name.
+func (n neighbours) Peer(string) (roster.Peer, bool) {
+	if len(n.peers) == 0 {
+		return roster.Peer{}, false
+	}
+	return n.peers[0], true
+}
+func (n neighbours) Self() roster.Member { return roster.Member{} }
+
+// A host that has started must not call itself ready while its neighbours know targets that it was not told of yet: it would
+// refuse what they could run.
+func TestInformed(t *testing.T) {
+	peer := func(domain string, status roster.Status, free map[string]int) roster.Peer {
+		m := roster.Member{Domain: domain, Entry: true, Summary: roster.Summary{Free: free}}
+		return roster.Peer{Member: m, Status: status}
+	}
+	full := map[string]int{"boats": 0}
+	tests := map[string]struct {
+		peers   []roster.Peer
+		targets int
+		want    bool
+	}{
+		"nobody is heard":              {},
+		"a neighbour knows targets":    {peers: []roster.Peer{peer("home", roster.Alive, full)}},
+		"and has told of them":         {peers: []roster.Peer{peer("home", roster.Alive, full)}, targets: 1, want: true},
+		"no neighbour does":            {peers: []roster.Peer{peer("home", roster.Alive, nil)}, want: true},
+		"one of another domain does":   {peers: []roster.Peer{peer("far", roster.Alive, full)}, want: true},
+		"a neighbour that is gone did": {peers: []roster.Peer{peer("home", roster.Dead, full), peer("far", roster.Alive, nil)}, want: true},
+		"a target told of itself":      {targets: 1, want: true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			h := &helm.Helm{Members: neighbours{tt.peers}}
+			h.Settings.Domain = "home"
+			d := newDispatch(h).(*dispatch)
+			for range tt.targets {
+				d.addrs["boat"] = netip.AddrPort{}
+			}
+			d.look(time.Time{})
+			require.Equal(t, tt.want, d.Informed())
+		})
+	}
+}
--- a/src/helm/services.go
+++ b/src/helm/services.go
@@ -57,6 +57,8 @@
 	Admit(ctx context.Context, t berth.Task, n int) *Refusal
 	// Announce takes a target's announcement.
 	Announce(a berth.Target)
+	// Informed reports whether this process knows targets, or no other one that it hears does.
+	Informed() bool
 	// Targets returns the targets known, by name.
 	Targets() []berth.TargetState
 	// Guests returns how many tasks run here for other hosts.
--- a/src/jetty/server.go
+++ b/src/jetty/server.go
@@ -31,11 +31,13 @@
 	idleTimeout  = 75 * time.Second
 	readyPoll    = 50 * time.Millisecond
 	// readyAfter is two rounds of heartbeats within a failure domain.
-	readyAfter  = 2 * roster.BeatInterval
-	stopTimeout = 200 * time.Millisecond
-	keyLimit    = 256 // bytes
-	jobLimit    = 600 // tasks
-	perConn     = 10_000_000
+	readyAfter = 2 * roster.BeatInterval
+	// uninformedAfter is when a process that was told of no target is ready all the same: two announcements of a target.
+	uninformedAfter = 4 * time.Second
+	stopTimeout     = 200 * time.Millisecond
+	keyLimit        = 256 // bytes
+	jobLimit        = 600 // tasks
+	perConn         = 10_000_000
 )
 
 func init() {
@@ -115,9 +117,11 @@
 	}
 }
 
-// isReady reports whether callers should come here: there are tables, and the neighbours had time to tell of targets.
+// isReady reports whether callers should come here: there are tables, and the neighbours have told of targets.
 func (s *Server) isReady() bool {
-	return s.h.Tables.Ready() && !s.h.Leaving() && s.h.Clock.Now().Sub(s.started) >= readyAfter
+	age := s.h.Clock.Now().Sub(s.started)
+	informed := s.h.Dispatcher.Informed() || age >= uninformedAfter
+	return s.h.Tables.Ready() && !s.h.Leaving() && age >= readyAfter && informed
 }
 
 // quiet drops what the HTTP library would print; refusals are answered and counted.
