Count probes of a connection that were under way together once

Cause: a connection is given up after two probes without an answer. Only a probe that began after the last one was missed counts as the next. Ruled out: more probes, which would find silent connections later; the renewal of lost peers' connections, as no peer was lost. Test: TestProbesTogetherCountOnce, red before (replaced once).

--- a/src/radio/link.go
+++ b/src/radio/link.go
@@ -17,10 +17,12 @@
 	conn      *quic.Conn
 	socket    net.PacketConn
 	transport *quic.Transport
-	missed    int
-	dialing   chan struct{}
-	failure   error
-	failed    time.Time
+	// missed counts the probes in a row that were not answered, the last of them given up at missedAt.
+	missed   int
+	missedAt time.Time
+	dialing  chan struct{}
+	failure  error
+	failed   time.Time
 }
 
 // Call sends a message to a peer and waits for the answer until ctx ends.
@@ -31,9 +33,10 @@
 
 // Probe is a Call that also judges the connection: one that misses several probes is replaced.
 func (r *Radio) Probe(ctx context.Context, peer netip.AddrPort, k Kind, body []byte) ([]byte, error) {
+	began := time.Now()
 	conn, out, err := r.call(ctx, peer, k, body)
 	if conn != nil {
-		r.judge(peer, conn, err)
+		r.judge(peer, conn, began, err)
 	}
 	return out, err
 }
@@ -166,7 +169,9 @@
 	return conn, socket, transport, nil
 }
 
-func (r *Radio) judge(peer netip.AddrPort, conn *quic.Conn, err error) {
+// judge counts a probe's end. Probes that were under way together count once: a peer that is busy for a while, not silent,
+// misses all of them.
+func (r *Radio) judge(peer netip.AddrPort, conn *quic.Conn, began time.Time, err error) {
 	l := r.link(peer)
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -177,7 +182,11 @@
 		l.missed = 0
 		return
 	}
+	if l.missed > 0 && began.Before(l.missedAt) {
+		return
+	}
 	l.missed++
+	l.missedAt = time.Now()
 	if l.missed < silentProbes {
 		return
 	}
--- a/src/radio/radio_test.go
+++ b/src/radio/radio_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"net/netip"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -148,6 +149,38 @@
 	require.NoError(t, probe())
 }
 
+// Many probes that miss a busy peer at the same time are no more than one: it must not lose the calls that it works on.
+func TestProbesTogetherCountOnce(t *testing.T) {
+	a := newEnd(t, loopback, ListenUDP, testKey)
+	b := newEnd(t, loopback, ListenUDP, testKey)
+	const kindSlow Kind = 9
+	release := make(chan struct{})
+	b.handlers[kindSlow] = func(context.Context, netip.AddrPort, []byte) ([]byte, error) {
+		<-release
+		return []byte("done"), nil
+	}
+	_, err := call(t, a, b.addr(), kindEcho, "", 5*time.Second)
+	require.NoError(t, err)
+	worked := make(chan error, 1)
+	go func() {
+		_, err := call(t, a, b.addr(), kindSlow, "", 10*time.Second)
+		worked <- err
+	}()
+	var probes sync.WaitGroup
+	for range 5 {
+		probes.Go(func() {
+			ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+			defer cancel()
+			_, err := a.Probe(ctx, b.addr(), kindSlow, nil)
+			require.Error(t, err)
+		})
+	}
+	probes.Wait()
+	require.Zero(t, a.replaced.Load())
+	close(release)
+	require.NoError(t, <-worked)
+}
+
 // A connection to a peer that was silent for a while may be silent for good: the call after it must not wait to find out.
 func TestRenewedConnectionIsNotTried(t *testing.T) {
 	g := &gate{}
