Read the clock of suspensions so that it is never ahead

Cause: found on reading: the clock that counts suspensions was read after the steady one. A process that stood still between the two readings took that time for a suspension, for good; its clock ran ahead, and leases measured by it would be taken for lapsed too early. The steady clock is read last now, so what is reckoned is the truth or less, and a later reading mends it.

--- a/src/convoy/cause.go
+++ b/src/convoy/cause.go
@@ -27,7 +27,7 @@
 	CauseStale
 	// CauseTask means that a task of the job failed as often as it may.
 	CauseTask
-	// CauseDeadline means that the job's deadline passed while its tasks ran.
+	// CauseDeadline means that the time of the job's caller was over before the job had ended.
 	CauseDeadline
 	// CauseCallerGone means that nobody waits for the job any more.
 	CauseCallerGone
--- a/src/convoy/claim.go
+++ b/src/convoy/claim.go
@@ -117,8 +117,8 @@
 	p.passOn(now)
 }
 
-// awake looks whether the planner stood still since its last step. If other entry hosts may have given it up, so does it with their jobs: their callers are told that the
-// fate is not known, ask again, and must not find a task at work twice.
+// awake looks whether the planner stood still since its last step. If other entry hosts may have given it up, so does it
+// with their jobs: their callers are told that the fate is not known, ask again, and must not find a task at work twice.
 func (p *Planner) awake(now time.Time) {
 	last := p.stepped
 	p.stepped = now
--- a/src/tide/clock.go
+++ b/src/tide/clock.go
@@ -35,7 +35,14 @@
 func (System) Now() time.Time {
 	t := time.Now()
 	steady := t.Sub(machine.start)
-	return machine.at(steady, t.Round(0).Sub(machine.start.Round(0))-steady, bootTime)
+	return machine.at(steady, t.Round(0).Sub(machine.start.Round(0))-steady, machine.readSuspended)
+}
+
+// readSuspended returns how long the machine has been suspended since the start, or less: the process may stand still
+// between the two readings, and a clock that runs ahead would take leases for lapsed that are not.
+func (c *clocks) readSuspended() time.Duration {
+	boot := bootTime()
+	return boot - c.boot - time.Since(c.start)
 }
 
 // bootTime returns the time since the machine was started, suspensions included; 0 where it cannot be told.
@@ -58,14 +65,14 @@
 
 func newClocks(start time.Time, boot time.Duration) *clocks { return &clocks{start: start, boot: boot} }
 
-// at returns the time for a reading of the steady clock since the start and of how far the time of day is ahead of it; boot
-// is read only now and then, as it is not among the clocks that are cheap to read.
-func (c *clocks) at(steady, skew time.Duration, boot func() time.Duration) time.Time {
+// at returns the time for a reading of the steady clock since the start and of how far the time of day is ahead of it. What
+// suspended returns is asked for only now and then, as the clock behind it is not among those that are cheap to read.
+func (c *clocks) at(steady, skew time.Duration, suspended func() time.Duration) time.Time {
 	moved := skew - time.Duration(c.skew.Load())
 	if moved > skewLimit || moved < -skewLimit || steady-time.Duration(c.looked.Load()) > suspensionInterval {
 		c.skew.Store(int64(skew))
 		c.looked.Store(int64(steady))
-		c.look(boot() - c.boot - steady)
+		c.look(suspended())
 	}
 	return c.start.Round(0).Add(steady + time.Duration(c.suspended.Load()))
 }
--- a/src/tide/clock_test.go
+++ b/src/tide/clock_test.go
@@ -1,6 +1,8 @@
 package tide
 
 import (
+	"runtime"
+	"sync"
 	"testing"
 	"time"
 
@@ -42,7 +44,7 @@
 			c := newClocks(time.Unix(1000, 0), time.Hour)
 			last, now := c.start, time.Time{}
 			for _, r := range tt.readings {
-				now = c.at(r.steady, r.moved+r.suspended, func() time.Duration { return time.Hour + r.steady + r.suspended })
+				now = c.at(r.steady, r.moved+r.suspended, func() time.Duration { return r.suspended })
 				require.False(t, now.Before(last), "it never goes back")
 				last = now
 			}
@@ -59,13 +61,33 @@
 		steady := time.Duration(ms) * time.Millisecond
 		c.at(steady, 0, func() time.Duration {
 			looks++
-			return steady
+			return 0
 		})
 	}
 	require.LessOrEqual(t, looks, int(time.Second/suspensionInterval))
 	require.NotZero(t, looks)
 }
 
+// However long the process stands still between the readings of the machine's clocks, its own must not run ahead: leases
+// would be taken for lapsed that are not.
+func TestSystemClockIsNeverAhead(t *testing.T) {
+	var wg sync.WaitGroup
+	for range 4 * runtime.GOMAXPROCS(0) {
+		wg.Go(func() {
+			for range 200 {
+				machine.looked.Store(-int64(time.Hour)) // every reading looks for a suspension
+				now := System{}.Now()
+				runtime.Gosched()
+				if ahead := now.Sub(machine.start.Round(0)) - time.Since(machine.start); ahead > suspensionLeast {
+					t.Errorf("the clock is ahead by %s", ahead)
+				}
+			}
+		})
+	}
+	wg.Wait()
+	require.Zero(t, machine.suspended.Load())
+}
+
 func TestSystemClockFollowsTheMachine(t *testing.T) {
 	before := time.Now()
 	now := System{}.Now()
--- a/src/wharf/jobs.go
+++ b/src/wharf/jobs.go
@@ -307,8 +307,8 @@
 		return
 	}
 	j.h.Log.Write(event, logbook.F("id", p.job.ID), logbook.F("route", p.job.Route), logbook.F("outcome", a.outcome.String()),
-		logbook.F("cause", a.cause.String()), logbook.F("planner", p.planner), logbook.F("offers", p.offers), logbook.F("ms", took.Milliseconds()),
-		logbook.F("why", a.reason))
+		logbook.F("cause", a.cause.String()), logbook.F("planner", p.planner), logbook.F("offers", p.offers),
+		logbook.F("ms", took.Milliseconds()), logbook.F("why", a.reason))
 }
 
 // drop gives up on a job for one caller, and at its planner once nobody waits any more.
