convoy: count runs on cut-off workers in the simulation, restart workers, keep each task's history

What was wrong: the simulation's check of two runs at once left out a worker that is cut off from the planner, although it is up and its runs go on until their lease expires. Late orders came at whole seconds only, and no worker ever restarted under its id. A failure named two workers and no cause. Now the check counts every worker that has not crashed, late orders come at any millisecond, a worker can restart knowing nothing of its former incarnation, and a failure shows the orders, answers and ends of the task in order.

--- a/src/convoy/yard_test.go
+++ b/src/convoy/yard_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/netip"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -31,6 +32,8 @@
 	// from the defaults.
 	taskDurations map[string]float64
 	taskNeeds     map[string]int64
+	// history holds what happened to each task's runs, for failure messages.
+	history map[string][]string
 }
 
 type fakeRun struct {
@@ -93,7 +96,7 @@
 func newSimulation(t *testing.T, seed uint64, planners int) *simulation {
 	sim := &simulation{
 		t: t, rng: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1_700_000_000, 0),
-		workers: make(map[string]*fakeWorker), answeredAt: make(map[string]time.Time),
+		workers: make(map[string]*fakeWorker), answeredAt: make(map[string]time.Time), history: make(map[string][]string),
 	}
 	for i := range planners {
 		p := NewPlanner(Tuning{MaxLease: time.Second, StopTime: 50 * time.Millisecond})
@@ -155,6 +158,11 @@
 	}
 }
 
+// note adds a line to a task's history.
+func (sim *simulation) note(task, format string, args ...any) {
+	sim.history[task] = append(sim.history[task], sim.now.Format("05.000000 ")+fmt.Sprintf(format, args...))
+}
+
 func (sim *simulation) execute(i int, a Action) {
 	switch a := a.(type) {
 	case Hold:
@@ -163,12 +171,18 @@
 			sim.handleHold(w, a, func(v OrderResult, r Report) { done(HoldResult{ID: a.Target.ID, Sent: sent, Result: v, Report: r}) })
 		}, HoldResult{ID: a.Target.ID, Sent: sent, Result: Unanswered})
 	case Start:
+		sim.note(a.Key.Task, "planner %d orders run %d at %s/%d", i, a.Key.Run, a.Target.ID, a.Target.Incarnation)
 		sim.sendOrder(i, a.Target, 100*time.Millisecond, func(w *fakeWorker, done func(Event)) {
-			done(StartResult{ID: a.Target.ID, Key: a.Key, Result: sim.handleStart(w, a)})
+			result := sim.handleStart(w, a)
+			sim.note(a.Key.Task, "start of run %d at %s/%d: %s", a.Key.Run, a.Target.ID, w.target.Incarnation, result)
+			done(StartResult{ID: a.Target.ID, Key: a.Key, Result: result})
 		}, StartResult{ID: a.Target.ID, Key: a.Key, Result: Unanswered})
 	case Stop:
+		sim.note(a.Key.Task, "planner %d stops run %d at %s/%d", i, a.Key.Run, a.Target.ID, a.Target.Incarnation)
 		sim.sendOrder(i, a.Target, 100*time.Millisecond, func(w *fakeWorker, done func(Event)) {
-			done(StopResult{ID: a.Target.ID, Key: a.Key, Result: sim.handleStop(w, a)})
+			result := sim.handleStop(w, a)
+			sim.note(a.Key.Task, "stop of run %d at %s/%d: %s", a.Key.Run, a.Target.ID, w.target.Incarnation, result)
+			done(StopResult{ID: a.Target.ID, Key: a.Key, Result: result})
 		}, StopResult{ID: a.Target.ID, Key: a.Key, Result: Unanswered})
 	case Answer:
 		sim.answers = append(sim.answers, a)
@@ -194,7 +208,7 @@
 	}
 	sim.after(limit, func() { finish(timeout) })
 	if sim.rng.Float64() < sim.lateRate {
-		sim.after(time.Duration(2+sim.rng.IntN(10))*time.Second, func() { sim.deliver(t, do, func(Event) {}) })
+		sim.after(time.Duration(2000+sim.rng.IntN(10_000))*time.Millisecond, func() { sim.deliver(t, do, func(Event) {}) })
 		return
 	}
 	reply := func(ev Event) { sim.after(networkDelay, func() { finish(ev) }) }
@@ -295,8 +309,9 @@
 	w.lease = max(w.lease, min(o.Lease, sim.clock(w)+1000))
 	sim.watchLease(w)
 	for id, other := range sim.workers {
-		if _, twice := other.runs[o.Key.Task]; twice && !other.unreachable {
-			require.Failf(sim.t, "a task runs twice", "%s on %s and %s at %s", o.Key.Task, id, w.target.ID, sim.now)
+		if _, twice := other.runs[o.Key.Task]; twice {
+			require.Failf(sim.t, "a task runs twice", "%s on %s and %s at %s\n%s", o.Key.Task, id, w.target.ID,
+				sim.now.Format("05.000000"), strings.Join(sim.history[o.Key.Task], "\n"))
 		}
 	}
 	ms, ok := sim.taskDurations[o.Key.Task]
@@ -340,6 +355,7 @@
 
 func (sim *simulation) endRun(w *fakeWorker, task string, result RunResult) {
 	run := w.runs[task]
+	sim.note(task, "run %d at %s/%d ended: %s", run.key.Run, w.target.ID, w.target.Incarnation, result)
 	delete(w.runs, task)
 	w.highestRun[task] = max(w.highestRun[task], run.key.Run)
 	w.endNumber++
@@ -354,11 +370,36 @@
 // crash ends a worker and all its runs at once.
 func (sim *simulation) crash(w *fakeWorker) {
 	w.unreachable = true
+	for task, run := range w.runs {
+		sim.note(task, "run %d at %s/%d ended: crash", run.key.Run, w.target.ID, w.target.Incarnation)
+	}
 	w.runs = make(map[string]*fakeRun)
 	w.pendingHolds = nil
 	w.epoch++
 }
 
+// restart begins a new incarnation of a worker under its id, which knows nothing of the previous one. Planners learn of it
+// from its announcement after the delay.
+func (sim *simulation) restart(w *fakeWorker, announced time.Duration) {
+	sim.crash(w)
+	w.unreachable = false
+	w.highestRun, w.ends, w.endNumber = make(map[string]int64), nil, 0
+	w.token, w.lease = 0, 0
+	w.clockStart = sim.now.Add(-time.Duration(sim.rng.IntN(1e6)) * time.Millisecond)
+	w.target.Incarnation, w.target.Sequence = sim.now.UnixMilli(), 1
+	next := w.target
+	sim.after(announced, func() {
+		for i := range sim.planners {
+			sim.step(i, WorkerListed{Target: next})
+		}
+	})
+}
+
+// upTo draws a duration below limit.
+func (sim *simulation) upTo(limit time.Duration) time.Duration {
+	return time.Duration(sim.rng.Int64N(int64(limit)))
+}
+
 // simJob returns a job of equal tasks that take ms milliseconds at speed 1.
 func simJob(sim *simulation, id, route string, tasks, ms int, deadline time.Duration) Job {
 	return Job{
