Log restarts of workers, stray runs and unanswered starts

A run that a worker lists and the planner did not order was stopped without a line, a start without an answer was only counted, a worker's restart was not logged, and line 703 gave three reasons in one. Now 714 names a worker's incarnations, 715 a stray run with the incarnation it is on, 716 a start without an answer with its token and the incarnation it was sent to; 703 names the run and its one reason; 702 has the token. A late order on a restarted worker shows as 716, 714, 715 of one task; a disagreement of planners as two lines 702 without a 703 between them; an early expiry as 703 'its lease expired' before the run's end.

--- a/src/convoy/event.go
+++ b/src/convoy/event.go
@@ -269,6 +269,9 @@
 	DecisionWorkerLost
 	DecisionWorkerFenced
 	DecisionJobAbandoned
+	DecisionWorkerRestarted
+	DecisionStrayRun
+	DecisionStartUnanswered
 )
 
 func (Hold) action()             {}
--- a/src/convoy/hold.go
+++ b/src/convoy/hold.go
@@ -1,6 +1,7 @@
 package convoy
 
 import (
+	"fmt"
 	"slices"
 	"strings"
 	"time"
@@ -46,7 +47,7 @@
 func (p *Planner) handleReport(now time.Time, w *worker, e HoldResult) {
 	if born := e.Report.Incarnation; born != 0 {
 		if w.target.Incarnation != 0 && born != w.target.Incarnation {
-			p.resetWorker(now, w)
+			p.resetWorker(now, w, born)
 		}
 		w.target.Incarnation = born
 	}
@@ -97,7 +98,7 @@
 		case r.state == runUnconfirmed:
 			p.orderStop(now, w, r)
 		case r.state == runActive, r.state == runStopping && r.listed:
-			p.restartTask(now, w, r)
+			p.restartTask(now, w, r, "the worker no longer lists it")
 		}
 	}
 }
@@ -119,6 +120,8 @@
 	}
 	if !known {
 		p.orphanCounts[jobID(key)]++
+		p.logDecision(DecisionStrayRun, jobID(key), w.target.ID,
+			fmt.Sprintf("%s run %d on incarnation %d", key.Task, key.Run, w.target.Incarnation))
 	}
 	w.orphans[key] = now
 	p.emit(Stop{Target: w.target, Token: w.token, Key: key})
@@ -139,7 +142,9 @@
 
 // resetWorker resets what is known of a worker that has restarted: its numbers start at 0, and no earlier run is active.
 // Runs are kept until the worker lists its own, as a start order may have reached the new incarnation already.
-func (p *Planner) resetWorker(now time.Time, w *worker) {
+func (p *Planner) resetWorker(now time.Time, w *worker, incarnation int64) {
+	p.logDecision(DecisionWorkerRestarted, "", w.target.ID, fmt.Sprintf(
+		"incarnation %d after %d, %d runs of the earlier one", incarnation, w.target.Incarnation, len(w.runs)))
 	for key := range w.orphans {
 		delete(w.orphans, key)
 		p.orphanEnded(key)
@@ -153,7 +158,7 @@
 // removeWorker removes a worker whose incarnation has ended, so that nothing runs there.
 func (p *Planner) removeWorker(now time.Time, w *worker, reason string) {
 	for _, r := range sortedRuns(w) {
-		p.restartTask(now, w, r)
+		p.restartTask(now, w, r, reason)
 	}
 	for key := range w.orphans {
 		p.orphanEnded(key)
@@ -187,7 +192,7 @@
 		return
 	}
 	for _, r := range sortedRuns(w) {
-		p.restartTask(now, w, r)
+		p.restartTask(now, w, r, "its lease expired")
 	}
 }
 
@@ -207,7 +212,7 @@
 		return
 	}
 	if t.Incarnation != 0 && w.target.Incarnation != 0 && t.Incarnation > w.target.Incarnation {
-		p.resetWorker(now, w)
+		p.resetWorker(now, w, t.Incarnation)
 	}
 	if t.Incarnation >= w.target.Incarnation {
 		w.target = t
--- a/src/convoy/run.go
+++ b/src/convoy/run.go
@@ -23,9 +23,9 @@
 	}
 	t.job.waiting--
 	p.logDecision(DecisionPlaced, t.job.ID, w.target.ID, fmt.Sprintf(
-		"task %d.%d run %d started after %s, predicted run time %s at speed %.2f, %d other runs on the worker",
+		"task %d.%d run %d started after %s, predicted run time %s at speed %.2f, %d other runs on the worker, token %d",
 		t.step, t.index, t.runNumber, now.Sub(t.job.Arrived).Round(time.Millisecond), expected.Round(time.Millisecond),
-		w.speedAt(now), len(w.runs)-1))
+		w.speedAt(now), len(w.runs)-1, w.token))
 	p.emit(Start{Target: w.target, Token: w.token, Key: r.key, Spec: t.job.Spec, Lease: w.grantLease(now, p.tuning.MaxLease)})
 }
 
@@ -50,6 +50,8 @@
 	case Unanswered:
 		r.state = runUnconfirmed
 		r.startedAt = now
+		p.logDecision(DecisionStartUnanswered, jobID(r.key), w.target.ID, fmt.Sprintf(
+			"%s run %d under token %d to incarnation %d", r.key.Task, r.key.Run, w.token, w.target.Incarnation))
 		p.orderStop(now, w, r)
 		return
 	case Outdated:
@@ -110,9 +112,9 @@
 }
 
 // restartTask restarts a task whose run can no longer be active although the worker did not list its end.
-func (p *Planner) restartTask(now time.Time, w *worker, r *run) {
+func (p *Planner) restartTask(now time.Time, w *worker, r *run, reason string) {
 	if r.task != nil {
-		p.logDecision(DecisionRestarted, r.task.job.ID, w.target.ID, "the worker restarted or left, or the run's lease expired")
+		p.logDecision(DecisionRestarted, r.task.job.ID, w.target.ID, fmt.Sprintf("%s run %d: %s", r.key.Task, r.key.Run, reason))
 	}
 	p.removeRun(now, w, r, true)
 }
--- a/src/logbook/event.go
+++ b/src/logbook/event.go
@@ -105,6 +105,9 @@
 	WorkerFenced      = Event{711, Warn, "worker is controlled by another planner", "none if its part was handed over"}
 	CancelUndelivered = Event{712, Warn, "planner did not receive the cancellation of a job; it abandons the job on its own", "none"}
 	JobRejected       = Event{713, Info, "job refused before it was accepted", "none if the host stops; else see the reason"}
+	WorkerRestarted   = Event{714, Info, "worker started again under its id", "none"}
+	StrayRun          = Event{715, Warn, "worker runs a task that this planner did not start there; it is stopped", "none after a handover; else look for a late start order (716)"}
+	StartUnanswered   = Event{716, Info, "start order unanswered; the worker may carry it out late", "check the worker and the network if it recurs"}
 )
 
 // Catalogue returns all events in order of their numbers.
@@ -120,6 +123,7 @@
 		TargetListed, TargetDeparted, TargetSilent, ConfigRefused, ConfigUnconfirmed, ListenerEnded, PeerUpdateFailed,
 		TargetsLoaded, TargetsUnreadable,
 		JobAccepted, JobQueued, TaskPlaced, TaskRestarted, JobGivenUp, JobAnswered, JobRefused, JobForwarded,
-		WorkerReady, WorkerSlow, WorkerLost, WorkerFenced, CancelUndelivered, JobRejected,
+		WorkerReady, WorkerSlow, WorkerLost, WorkerFenced, CancelUndelivered, JobRejected, WorkerRestarted, StrayRun,
+		StartUnanswered,
 	}
 }
--- a/src/wharf/plan.go
+++ b/src/wharf/plan.go
@@ -244,14 +244,17 @@
 }
 
 var decisionEvents = map[convoy.DecisionKind]logbook.Event{
-	convoy.DecisionQueued:       logbook.JobQueued,
-	convoy.DecisionPlaced:       logbook.TaskPlaced,
-	convoy.DecisionRestarted:    logbook.TaskRestarted,
-	convoy.DecisionWorkerReady:  logbook.WorkerReady,
-	convoy.DecisionWorkerSlow:   logbook.WorkerSlow,
-	convoy.DecisionWorkerLost:   logbook.WorkerLost,
-	convoy.DecisionWorkerFenced: logbook.WorkerFenced,
-	convoy.DecisionJobAbandoned: logbook.JobGivenUp,
+	convoy.DecisionQueued:          logbook.JobQueued,
+	convoy.DecisionPlaced:          logbook.TaskPlaced,
+	convoy.DecisionRestarted:       logbook.TaskRestarted,
+	convoy.DecisionWorkerReady:     logbook.WorkerReady,
+	convoy.DecisionWorkerSlow:      logbook.WorkerSlow,
+	convoy.DecisionWorkerLost:      logbook.WorkerLost,
+	convoy.DecisionWorkerFenced:    logbook.WorkerFenced,
+	convoy.DecisionJobAbandoned:    logbook.JobGivenUp,
+	convoy.DecisionWorkerRestarted: logbook.WorkerRestarted,
+	convoy.DecisionStrayRun:        logbook.StrayRun,
+	convoy.DecisionStartUnanswered: logbook.StartUnanswered,
 }
 
 // onOffer passes a job to the planner, unless it is stale or a newer configuration here no longer has its route.
