convoy: give each incarnation of a worker a token of its own

What callers saw: two runs of one task at once. A start without an answer may be carried out seconds later. What makes that harmless is a stop, the fencing token and the deadline, all kept by the worker; a worker that starts again under its id has forgotten them, and the planner went on under the same token, counted on stops that the former incarnation had acknowledged, and took late answers of the former incarnation for the new one's. Now every incarnation is contacted under a higher token first, which fences what was sent to earlier ones; its lists count only once they come under that token. A stop counts only under the token in use, an answer to a hold request only if it is the last one sent. A run leaves a silent worker no earlier than a whole lease after its start was answered. Ruled out: telling incarnations apart by the header that names the worker; it carries the id, which is the same. Each of the three new tests fails with its part of the change taken back.

--- a/src/convoy/claim.go
+++ b/src/convoy/claim.go
@@ -25,7 +25,7 @@
 
 // renewToken switches a worker to a higher fencing token and contacts a fenced worker again.
 func (p *Planner) renewToken(now time.Time, w *worker, token int64) {
-	w.token = token
+	w.token = max(w.token, token)
 	w.handingOver = false
 	if w.phase == phaseFenced {
 		w.phase = phaseNew
@@ -46,7 +46,7 @@
 	if t.Expired {
 		return
 	}
-	w := newWorker(t, p.claims[t.Part])
+	w := newWorker(t, p.firstToken(t))
 	p.workers[t.ID] = w
 	p.sendHold(now, w)
 }
@@ -107,9 +107,8 @@
 			return
 		}
 	}
-	delete(p.workers, w.target.ID)
+	p.forgetWorker(now, w)
 	p.emit(ReleaseWorker{Target: w.target})
-	p.emit(CloseConnections{ID: w.target.ID})
 }
 
 // beginShutdown returns the jobs that have not started; the workers are released when the next planner has claimed them.
--- a/src/convoy/event.go
+++ b/src/convoy/event.go
@@ -132,17 +132,19 @@
 	Report Report
 }
 
-// StartResult carries the answer to a start order.
+// StartResult carries the answer to a start order that was sent under Token.
 type StartResult struct {
 	ID     string
 	Key    RunKey
+	Token  int64
 	Result OrderResult
 }
 
-// StopResult carries the answer to a stop order.
+// StopResult carries the answer to a stop order that was sent under Token.
 type StopResult struct {
 	ID     string
 	Key    RunKey
+	Token  int64
 	Result OrderResult
 }
 
--- a/src/convoy/hold.go
+++ b/src/convoy/hold.go
@@ -10,7 +10,7 @@
 // sendHold asks a worker for its active and ended runs. It renews the lease only if the worker has answered the previous
 // request and has no orphaned runs: the runs on a worker that does not answer must end at a known time, with their lease.
 func (p *Planner) sendHold(now time.Time, w *worker) {
-	w.holdPending = true
+	w.holdPending, w.holdSent, w.holdToken = true, now, w.token
 	h := Hold{Target: w.target, Token: w.token, Acked: w.ackedEnds}
 	if w.phase == phaseReady && len(w.orphans) == 0 && len(w.runs) > 0 {
 		h.Lease = w.grantLease(now, p.tuning.MaxLease)
@@ -26,7 +26,7 @@
 
 func (p *Planner) handleHold(now time.Time, e HoldResult) {
 	w, ok := p.workers[e.ID]
-	if !ok {
+	if !ok || !e.Sent.Equal(w.holdSent) {
 		return
 	}
 	w.holdPending = false
@@ -45,14 +45,17 @@
 // handleReport processes a worker's lists, the ended runs first, so that only the remaining runs are compared with the
 // active ones.
 func (p *Planner) handleReport(now time.Time, w *worker, e HoldResult) {
+	w.unanswered = 0
 	if born := e.Report.Incarnation; born != 0 {
-		if w.target.Incarnation != 0 && born != w.target.Incarnation {
-			p.resetWorker(now, w, born)
-		}
+		former := w.target.Incarnation
 		w.target.Incarnation = born
+		if former != 0 && born != former {
+			// An order to the former incarnation may still begin a run that these lists do not have.
+			p.beginIncarnation(now, w, former)
+			return
+		}
 	}
 	w.clock, w.clockAt = e.Report.Clock, now
-	w.unanswered = 0
 	for _, end := range e.Report.Ends {
 		if end.Number > w.ackedEnds {
 			w.ackedEnds = end.Number
@@ -95,6 +98,8 @@
 			continue
 		}
 		switch {
+		case r.state == runUnconfirmed && r.token < w.holdToken:
+			p.removeRun(now, w, r, true)
 		case r.state == runUnconfirmed:
 			p.orderStop(now, w, r)
 		case r.state == runActive, r.state == runStopping && r.listed:
@@ -135,26 +140,10 @@
 	w.phase = phaseFenced
 	w.fencedAt = now
 	if w.handingOver {
-		delete(p.workers, w.target.ID)
-		p.emit(CloseConnections{ID: w.target.ID})
+		p.forgetWorker(now, w)
 	}
 }
 
-// resetWorker resets what is known of a worker that has restarted: its numbers start at 0, and no earlier run is active.
-// Runs are kept until the worker lists its own, as a start order may have reached the new incarnation already.
-func (p *Planner) resetWorker(now time.Time, w *worker, incarnation int64) {
-	p.logDecision(DecisionWorkerRestarted, "", w.target.ID, fmt.Sprintf(
-		"incarnation %d after %d, %d runs of the earlier one", incarnation, w.target.Incarnation, len(w.runs)))
-	for key := range w.orphans {
-		delete(w.orphans, key)
-		p.orphanEnded(key)
-	}
-	w.ackedEnds = 0
-	w.speed, w.measuredAt = 1, time.Time{}
-	w.failuresInRow, w.skipUntil = 0, time.Time{}
-	w.nextHold = now
-}
-
 // removeWorker removes a worker whose incarnation has ended, so that nothing runs there.
 func (p *Planner) removeWorker(now time.Time, w *worker, reason string) {
 	for _, r := range sortedRuns(w) {
@@ -163,10 +152,9 @@
 	for key := range w.orphans {
 		p.orphanEnded(key)
 	}
-	delete(p.workers, w.target.ID)
+	p.forgetWorker(now, w)
 	delete(p.targets, w.target.ID)
 	p.logDecision(DecisionWorkerLost, "", w.target.ID, reason)
-	p.emit(CloseConnections{ID: w.target.ID})
 }
 
 // markLost marks a worker as lost that did not answer an order; its runs count as ended only when their lease has expired.
@@ -181,8 +169,7 @@
 		w.nextHold = now.Add(min(maxProbeBackoff, minProbeBackoff<<min(w.unanswered-2, 10)))
 	}
 	if w.target.Expired && len(w.runs) == 0 {
-		delete(p.workers, w.target.ID)
-		p.emit(CloseConnections{ID: w.target.ID})
+		p.forgetWorker(now, w)
 	}
 }
 
@@ -192,6 +179,9 @@
 		return
 	}
 	for _, r := range sortedRuns(w) {
+		if now.Sub(r.startedAt) <= leaseBound(p.tuning.MaxLease) {
+			continue
+		}
 		p.restartTask(now, w, r, "its lease expired")
 	}
 }
@@ -211,12 +201,13 @@
 		}
 		return
 	}
-	if t.Incarnation != 0 && w.target.Incarnation != 0 && t.Incarnation > w.target.Incarnation {
-		p.resetWorker(now, w, t.Incarnation)
-	}
-	if t.Incarnation >= w.target.Incarnation {
+	former := w.target.Incarnation
+	if t.Incarnation >= former {
 		w.target = t
 	}
+	if former != 0 && t.Incarnation > former {
+		p.beginIncarnation(now, w, former)
+	}
 }
 
 // replaceAtAddress removes the older worker at the address of a new one.
@@ -246,8 +237,7 @@
 	}
 	w.target.Leaving, w.target.Expired = true, true
 	if len(w.runs) == 0 {
-		delete(p.workers, id)
-		p.emit(CloseConnections{ID: id})
+		p.forgetWorker(now, w)
 	}
 }
 
--- /dev/null
+++ b/src/convoy/incarnation_test.go
@@ -0,0 +1,145 @@
+package convoy
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// bench steps one planner by hand; its workers answer only what a test says.
+type bench struct {
+	t    *testing.T
+	p    *Planner
+	now  time.Time
+	sent []Action
+	// seen is how many of these starts has returned.
+	seen int
+}
+
+func newBench(t *testing.T, workers ...string) *bench {
+	b := &bench{
+		t: t, now: time.Unix(1_700_000_000, 0),
+		p: NewPlanner(Tuning{MaxLease: time.Second, StopTime: 50 * time.Millisecond, TokenStep: tokenStep}),
+	}
+	b.step(PartClaimed{Part: "d", Token: 1})
+	for _, id := range workers {
+		b.step(WorkerListed{Target: b.target(id, 1)})
+		b.answerHold(id, Report{Incarnation: 1, Clock: 900_000})
+	}
+	return b
+}
+
+func (b *bench) target(id string, incarnation int64) Target {
+	return Target{ID: id, Pool: "pool", Part: "d", Incarnation: incarnation, Capacity: Resources{Milli: 28_000, Memory: 1 << 17}}
+}
+
+func (b *bench) step(ev Event) { b.sent = append(b.sent, b.p.Step(b.now, ev)...) }
+
+func (b *bench) wait(d time.Duration) {
+	for range d / tickInterval {
+		b.now = b.now.Add(tickInterval)
+		b.step(Tick{})
+	}
+}
+
+// hold returns the last hold request to a worker.
+func (b *bench) hold(id string) Hold {
+	for i := len(b.sent) - 1; i >= 0; i-- {
+		if h, ok := b.sent[i].(Hold); ok && h.Target.ID == id {
+			return h
+		}
+	}
+	require.Fail(b.t, "no hold request to "+id)
+	return Hold{}
+}
+
+func (b *bench) answerHold(id string, r Report) {
+	b.hold(id)
+	sent := b.p.workers[id].holdSent
+	b.now = b.now.Add(time.Millisecond)
+	b.step(HoldResult{ID: id, Sent: sent, Result: Accepted, Report: r})
+}
+
+// starts returns the start orders since the last call.
+func (b *bench) starts() []Start {
+	var out []Start
+	for _, a := range b.sent[b.seen:] {
+		if s, ok := a.(Start); ok {
+			out = append(out, s)
+		}
+	}
+	b.seen = len(b.sent)
+	return out
+}
+
+// submit hands in a job of one task and returns its start order.
+func (b *bench) submit(id string) Start {
+	b.step(Submitted{Job: Job{
+		ID: id, Route: "r", Pool: "pool", Host: "entry", Attempts: 2, Stretch: 9, Arrived: b.now, Deadline: b.now.Add(9 * time.Second),
+		Steps: []Step{{Count: 1, Need: Resources{Milli: 14_000, Memory: 64}, Estimate: 900 * time.Millisecond}},
+	}})
+	starts := b.starts()
+	require.Len(b.t, starts, 1)
+	return starts[0]
+}
+
+func TestOrdersToEarlierIncarnationAreFenced(t *testing.T) {
+	tests := map[string]func(b *bench){
+		"a listed restart":   func(b *bench) { b.step(WorkerListed{Target: b.target("w0", 2)}) },
+		"a reported restart": func(b *bench) { b.answerHold("w0", Report{Incarnation: 2, Clock: 5}) },
+		"a worker that left and is back": func(b *bench) {
+			b.step(WorkerRemoved{ID: "w0"})
+			b.step(WorkerListed{Target: b.target("w0", 2)})
+		},
+	}
+	for name, restart := range tests {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t, "w0")
+			before := b.hold("w0").Token
+			restart(b)
+			require.Greater(t, b.hold("w0").Token, before)
+			b.answerHold("w0", Report{Incarnation: 2, Clock: 10})
+			require.Greater(t, b.submit("a").Token, before)
+		})
+	}
+}
+
+func TestStopAckedByEarlierIncarnationIsNotCountedOn(t *testing.T) {
+	tests := map[string]struct {
+		// acked says whether the stop is acknowledged before or after the planner learns of the restart.
+		before, after bool
+	}{
+		"acknowledged before the restart": {before: true},
+		"acknowledgement comes late":      {after: true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t, "w0", "w1")
+			s := b.submit("a")
+			b.step(StartResult{ID: s.Target.ID, Key: s.Key, Token: s.Token, Result: Unanswered})
+			ack := StopResult{ID: s.Target.ID, Key: s.Key, Token: s.Token, Result: Accepted}
+			if tt.before {
+				b.step(ack)
+			}
+			b.step(WorkerListed{Target: b.target(s.Target.ID, 2)})
+			if tt.after {
+				b.step(ack)
+			}
+			b.wait(300 * time.Millisecond)
+			require.Empty(t, b.starts())
+		})
+	}
+}
+
+func TestSupersededHoldAnswerIsIgnored(t *testing.T) {
+	b := newBench(t, "w0")
+	s := b.submit("a")
+	b.step(StartResult{ID: "w0", Key: s.Key, Token: s.Token, Result: Accepted})
+	old := b.p.workers["w0"].holdSent
+	b.now = b.now.Add(time.Millisecond)
+	b.step(WorkerListed{Target: b.target("w0", 2)})
+	b.step(HoldResult{ID: "w0", Sent: old, Result: Accepted, Report: Report{Incarnation: 1, Clock: 900_500}})
+	require.Equal(t, int64(2), b.p.workers["w0"].target.Incarnation)
+	require.Equal(t, phaseNew, b.p.workers["w0"].phase)
+}
--- a/src/convoy/planner.go
+++ b/src/convoy/planner.go
@@ -11,6 +11,7 @@
 	job       *job
 	step      int
 	index     int
+	name      string
 	done      bool
 	run       *run
 	runNumber int64
@@ -49,9 +50,11 @@
 	// addresses maps an address to the id of the worker that was last listed at it.
 	addresses map[netip.AddrPort]string
 	workers   map[string]*worker
-	jobs      map[string]*job
-	queue     []*job
-	routes    map[string]*routeStats
+	// usedTokens holds the highest token used with each worker that was removed.
+	usedTokens map[string]usedToken
+	jobs       map[string]*job
+	queue      []*job
+	routes     map[string]*routeStats
 	// orphanCounts counts, by job, the runs of ended jobs and of other planners that may still be active.
 	orphanCounts map[string]int
 	results      map[string]result
@@ -74,6 +77,7 @@
 		addresses: make(map[netip.AddrPort]string), workers: make(map[string]*worker),
 		jobs: make(map[string]*job), routes: make(map[string]*routeStats),
 		orphanCounts: make(map[string]int), results: make(map[string]result),
+		usedTokens: make(map[string]usedToken),
 	}
 }
 
@@ -225,6 +229,7 @@
 			delete(p.results, id)
 		}
 	}
+	p.forgetIncarnations(now)
 	for _, k := range p.routes {
 		k.updateLoad(now)
 	}
--- a/src/convoy/run.go
+++ b/src/convoy/run.go
@@ -11,7 +11,7 @@
 	step := t.job.Steps[t.step]
 	t.runNumber++
 	r := &run{
-		key: RunKey{Task: t.ref().String(), Run: t.runNumber}, task: t,
+		key: RunKey{Task: t.name, Run: t.runNumber}, task: t, token: w.token,
 		startedAt: now, predicted: expected, need: step.Need,
 	}
 	t.run = r
@@ -36,7 +36,7 @@
 	}
 	r, ok := w.runs[e.Key]
 	if !ok || r.state != runStarting {
-		p.handleRefusal(now, w, e.Result)
+		p.handleRefusal(now, w, e.Token, e.Result)
 		return
 	}
 	switch e.Result {
@@ -66,14 +66,17 @@
 		return
 	}
 	p.removeRun(now, w, r, true)
-	p.handleRefusal(now, w, e.Result)
+	p.handleRefusal(now, w, e.Token, e.Result)
 }
 
-// handleRefusal updates the state of a worker after it refused an order.
-func (p *Planner) handleRefusal(now time.Time, w *worker, v OrderResult) {
+// handleRefusal updates the state of a worker after it refused an order that was sent under a token.
+func (p *Planner) handleRefusal(now time.Time, w *worker, token int64, v OrderResult) {
 	switch v {
 	case Fenced:
-		p.markFenced(now, w)
+		// An older token may have been outbid by this planner's own one.
+		if token >= w.token {
+			p.markFenced(now, w)
+		}
 	case NoRoom, TooLate:
 		w.skipUntil = now.Add(noRoomPause)
 	case Busy:
@@ -152,12 +155,12 @@
 		return
 	}
 	r, ok := w.runs[e.Key]
-	if ok && e.Result == Accepted && r.state == runUnconfirmed && r.stopAckedAt.IsZero() {
+	if ok && e.Result == Accepted && e.Token == w.token && r.state == runUnconfirmed && r.stopAckedAt.IsZero() {
 		r.stopAckedAt = now
 		return
 	}
 	if e.Result == Fenced || e.Result == WrongIncarnation {
-		p.handleRefusal(now, w, e.Result)
+		p.handleRefusal(now, w, e.Token, e.Result)
 	}
 }
 
--- a/src/convoy/submit.go
+++ b/src/convoy/submit.go
@@ -52,6 +52,7 @@
 		tasks := make([]*task, s.Count)
 		for k := range tasks {
 			tasks[k] = &task{job: j, step: i, index: k}
+			tasks[k].name = tasks[k].ref().String()
 		}
 		j.tasks = append(j.tasks, tasks)
 		j.remaining[i] = s.Count
--- a/src/convoy/tuning.go
+++ b/src/convoy/tuning.go
@@ -8,6 +8,8 @@
 	MaxLease time.Duration
 	// StopTime is the longest time that a worker takes to stop a run.
 	StopTime time.Duration
+	// TokenStep is the difference between two consecutive tokens of one planner for one worker.
+	TokenStep int64
 	// Host is the name of the entry host in the planner's own process.
 	Host string
 	// SuspensionLimit is how long the process may be suspended before other entry hosts may have marked it as failed; 0 means never.
@@ -31,6 +33,8 @@
 	// minProbeBackoff and maxProbeBackoff bound the backoff between hold requests to a worker that does not answer.
 	minProbeBackoff = 100 * time.Millisecond
 	maxProbeBackoff = 2 * time.Second
+	// lateOrderLimit is how long after an unanswered order a worker may still carry it out.
+	lateOrderLimit = 15 * time.Second
 	// noRoomPause is how long a worker without free capacity gets no tasks, unless it lists an ended run earlier.
 	noRoomPause = 40 * time.Millisecond
 	// busyPause is how long a worker that reported itself unhealthy gets no tasks.
--- a/src/convoy/worker.go
+++ b/src/convoy/worker.go
@@ -35,6 +35,8 @@
 	key   RunKey
 	task  *task
 	state runState
+	// token is the fencing token of the start order.
+	token int64
 	// startedAt is the time of the start order, and of its answer once that has come.
 	startedAt time.Time
 	// predicted is the predicted run time on this worker.
@@ -61,10 +63,13 @@
 	lease       int64
 	ackedEnds   int64
 	holdPending bool
-	nextHold    time.Time
-	unanswered  int
-	fencedAt    time.Time
-	runs        map[RunKey]*run
+	// holdSent and holdToken are the time and the token of the last hold request.
+	holdSent   time.Time
+	holdToken  int64
+	nextHold   time.Time
+	unanswered int
+	fencedAt   time.Time
+	runs       map[RunKey]*run
 	// orphans are active runs of other planners, with the time of the last stop order.
 	orphans map[RunKey]time.Time
 	used    Resources
--- a/src/convoy/yard_test.go
+++ b/src/convoy/yard_test.go
@@ -91,6 +91,8 @@
 const (
 	networkDelay = 300 * time.Microsecond
 	tickInterval = 20 * time.Millisecond
+	// tokenStep leaves room for the tokens of other planners, which claim with tokens that are not multiples of it.
+	tokenStep = 1 << 12
 )
 
 func newSimulation(t *testing.T, seed uint64, planners int) *simulation {
@@ -99,7 +101,7 @@
 		workers: make(map[string]*fakeWorker), answeredAt: make(map[string]time.Time), history: make(map[string][]string),
 	}
 	for i := range planners {
-		p := NewPlanner(Tuning{MaxLease: time.Second, StopTime: 50 * time.Millisecond})
+		p := NewPlanner(Tuning{MaxLease: time.Second, StopTime: 50 * time.Millisecond, TokenStep: tokenStep})
 		sim.planners = append(sim.planners, p)
 		sim.every(tickInterval, func() { sim.step(i, Tick{}) })
 	}
@@ -175,15 +177,15 @@
 		sim.sendOrder(i, a.Target, 100*time.Millisecond, func(w *fakeWorker, done func(Event)) {
 			result := sim.handleStart(w, a)
 			sim.note(a.Key.Task, "start of run %d at %s/%d: %s", a.Key.Run, a.Target.ID, w.target.Incarnation, result)
-			done(StartResult{ID: a.Target.ID, Key: a.Key, Result: result})
-		}, StartResult{ID: a.Target.ID, Key: a.Key, Result: Unanswered})
+			done(StartResult{ID: a.Target.ID, Key: a.Key, Token: a.Token, Result: result})
+		}, StartResult{ID: a.Target.ID, Key: a.Key, Token: a.Token, Result: Unanswered})
 	case Stop:
 		sim.note(a.Key.Task, "planner %d stops run %d at %s/%d", i, a.Key.Run, a.Target.ID, a.Target.Incarnation)
 		sim.sendOrder(i, a.Target, 100*time.Millisecond, func(w *fakeWorker, done func(Event)) {
 			result := sim.handleStop(w, a)
 			sim.note(a.Key.Task, "stop of run %d at %s/%d: %s", a.Key.Run, a.Target.ID, w.target.Incarnation, result)
-			done(StopResult{ID: a.Target.ID, Key: a.Key, Result: result})
-		}, StopResult{ID: a.Target.ID, Key: a.Key, Result: Unanswered})
+			done(StopResult{ID: a.Target.ID, Key: a.Key, Token: a.Token, Result: result})
+		}, StopResult{ID: a.Target.ID, Key: a.Key, Token: a.Token, Result: Unanswered})
 	case Answer:
 		sim.answers = append(sim.answers, a)
 		sim.answeredAt[a.ID] = sim.now
--- a/src/flotilla/member.go
+++ b/src/flotilla/member.go
@@ -92,6 +92,8 @@
 	handoverTimeout = 5 * time.Second
 	// maxContacts bounds the addresses in one heartbeat.
 	maxContacts = 24
+	// TokenStep is the difference between two consecutive tokens of one process.
+	TokenStep = 1 << tokenShift
 	// tokenShift is the number of low bits of a token that hold a hash of the process's name; the rest is a time in
 	// milliseconds.
 	tokenShift = 12
--- a/src/wharf/plan.go
+++ b/src/wharf/plan.go
@@ -85,6 +85,7 @@
 	return &plan{
 		h: h, planner: convoy.NewPlanner(convoy.Tuning{
 			MaxLease: h.Settings.Lease, StopTime: h.Settings.StopTimeout, Host: h.Settings.Name, SuspensionLimit: suspensionThreshold,
+			TokenStep: flotilla.TokenStep,
 		}),
 		orders: pond.NewPool(maxOrders), waiters: make(map[jobKey]chan answer), cancelled: make(map[jobKey]cancelledOffer),
 		revisions: make(map[processRun]uint64), fetching: make(map[processRun]bool),
@@ -198,14 +199,14 @@
 			start := p.h.Clock.Now()
 			result := p.h.Workers.Start(a)
 			p.metrics.countOrder("start", result, p.h.Clock.Now().Sub(start))
-			return convoy.StartResult{ID: a.Target.ID, Key: a.Key, Result: result}
+			return convoy.StartResult{ID: a.Target.ID, Key: a.Key, Token: a.Token, Result: result}
 		})
 	case convoy.Stop:
 		p.submitOrder(func() convoy.Event {
 			start := p.h.Clock.Now()
 			result := p.h.Workers.Stop(a)
 			p.metrics.countOrder("stop", result, p.h.Clock.Now().Sub(start))
-			return convoy.StopResult{ID: a.Target.ID, Key: a.Key, Result: result}
+			return convoy.StopResult{ID: a.Target.ID, Key: a.Key, Token: a.Token, Result: result}
 		})
 	case convoy.Answer:
 		p.sendAnswer(a)
