convoy: bind a task with an unanswered start to its worker

Between a worker's restart and the planner's first contact nothing can refuse an order to the incarnation before: the new one knows no token, no stop and no lease. The task had been started elsewhere, as its stop was acknowledged or its lease had expired. A job whose task is bound to a worker out of reach is given up, and refused at once if it is handed in again here; the worker is asked every 100 ms so that a new incarnation is soon under a token. Ruled out: waiting until the order can no longer come, which would cost every job with an unanswered order. The two new tests fail without the binding. What remains: two unanswered starts of one task that both come before the new incarnation is contacted; and a job handed in again at another planner, which does not know of the binding.

--- a/src/convoy/hold.go
+++ b/src/convoy/hold.go
@@ -99,6 +99,7 @@
 		}
 		switch {
 		case r.state == runUnconfirmed && r.token < w.holdToken:
+			p.leaveUnresolved(now, w, r)
 			p.removeRun(now, w, r, true)
 		case r.state == runUnconfirmed:
 			p.orderStop(now, w, r)
@@ -166,7 +167,7 @@
 	w.unanswered++
 	w.nextHold = now
 	if w.unanswered > 1 {
-		w.nextHold = now.Add(min(maxProbeBackoff, minProbeBackoff<<min(w.unanswered-2, 10)))
+		w.nextHold = now.Add(min(p.probeBackoffLimit(now, w), minProbeBackoff<<min(w.unanswered-2, 10)))
 	}
 	if w.target.Expired && len(w.runs) == 0 {
 		p.forgetWorker(now, w)
@@ -182,7 +183,11 @@
 		if now.Sub(r.startedAt) <= leaseBound(p.tuning.MaxLease) {
 			continue
 		}
+		t := r.task
 		p.restartTask(now, w, r, "its lease expired")
+		if r.state == runUnconfirmed && p.leaveUnresolved(now, w, r) && t != nil {
+			p.endJob(now, t.job, Lost, CauseNoWorker, "a start is unanswered at a worker that is out of reach", 0)
+		}
 	}
 }
 
--- a/src/convoy/incarnation.go
+++ b/src/convoy/incarnation.go
@@ -11,6 +11,13 @@
 	at    time.Time
 }
 
+// unresolvedStart is a start order without an answer. A later incarnation of its worker does not know the stop, the fencing
+// token and the clock that make the order harmless, so the task may run on no other worker while it may be carried out.
+type unresolvedStart struct {
+	worker string
+	until  time.Time
+}
+
 // beginIncarnation handles the restart of a worker: its numbers start at 0, and no earlier run is active. It is contacted
 // under a higher token, which fences the orders to earlier incarnations. Runs are kept until the worker lists its own, as a
 // start order may have reached the new incarnation already.
@@ -51,8 +58,65 @@
 	p.emit(CloseConnections{ID: w.target.ID})
 }
 
+// leaveUnresolved records that the start order of a run may still be carried out by a later incarnation of its worker, and
+// reports whether that is so.
+func (p *Planner) leaveUnresolved(now time.Time, w *worker, r *run) bool {
+	if r.listed {
+		return false
+	}
+	p.unresolved[r.key.Task] = unresolvedStart{worker: w.target.ID, until: now.Add(lateOrderLimit)}
+	return true
+}
+
+// boundTo returns the only worker on which a task may run because a start order there is unresolved.
+func (p *Planner) boundTo(now time.Time, t *task) (id string, bound bool) {
+	if len(p.unresolved) == 0 {
+		return "", false
+	}
+	u, ok := p.unresolved[t.name]
+	return u.worker, ok && now.Before(u.until)
+}
+
+// checkUnresolved refuses a job of which a task may run only on a worker that is out of reach.
+func (p *Planner) checkUnresolved(now time.Time, j *job) (refusal, bool) {
+	if len(p.unresolved) == 0 {
+		return refusal{}, false
+	}
+	for _, tasks := range j.tasks {
+		for _, t := range tasks {
+			id, bound := p.boundTo(now, t)
+			if w, known := p.workers[id]; bound && (!known || w.phase == phaseLost || w.phase == phaseFenced) {
+				reason := fmt.Sprintf("a start of task %s is unanswered at worker %s, which is out of reach", t.name, id)
+				return refusal{cause: CauseNoWorker, reason: reason, retry: maxRetryDelay, final: true}, true
+			}
+		}
+	}
+	return refusal{}, false
+}
+
+// probeBackoffLimit returns the longest backoff between hold requests to a worker that does not answer. A worker with
+// unresolved starts must learn the new token soon after a restart.
+func (p *Planner) probeBackoffLimit(now time.Time, w *worker) time.Duration {
+	for _, r := range w.runs {
+		if r.state == runUnconfirmed {
+			return minProbeBackoff
+		}
+	}
+	for _, u := range p.unresolved {
+		if u.worker == w.target.ID && now.Before(u.until) {
+			return minProbeBackoff
+		}
+	}
+	return maxProbeBackoff
+}
+
 // forgetIncarnations deletes what is known of orders that can no longer be carried out.
 func (p *Planner) forgetIncarnations(now time.Time) {
+	for task, u := range p.unresolved {
+		if now.After(u.until) {
+			delete(p.unresolved, task)
+		}
+	}
 	for id, used := range p.usedTokens {
 		if now.Sub(used.at) > lateOrderLimit {
 			delete(p.usedTokens, id)
--- a/src/convoy/incarnation_test.go
+++ b/src/convoy/incarnation_test.go
@@ -143,3 +143,50 @@
 	require.Equal(t, int64(2), b.p.workers["w0"].target.Incarnation)
 	require.Equal(t, phaseNew, b.p.workers["w0"].phase)
 }
+
+func TestTaskWithUnansweredStartRunsOnNoOtherWorker(t *testing.T) {
+	b := newBench(t, "w0", "w1")
+	s := b.submit("a")
+	id := s.Target.ID
+	for _, w := range b.p.workers {
+		if w.target.ID != id {
+			w.speed = 4
+		}
+	}
+	b.step(StartResult{ID: id, Key: s.Key, Token: s.Token, Result: Unanswered})
+	b.step(StopResult{ID: id, Key: s.Key, Token: s.Token, Result: Accepted})
+	b.wait(200 * time.Millisecond)
+	again := b.starts()
+	require.Len(t, again, 1)
+	require.Equal(t, id, again[0].Target.ID)
+	b.step(StartResult{ID: id, Key: again[0].Key, Token: again[0].Token, Result: Accepted})
+	b.now = b.now.Add(time.Millisecond)
+	b.step(WorkerListed{Target: b.target(id, 2)})
+	b.wait(100 * time.Millisecond)
+	require.Empty(t, b.starts())
+	b.answerHold(id, Report{Incarnation: 2, Clock: 5})
+	again = b.starts()
+	require.Len(t, again, 1)
+	require.Equal(t, id, again[0].Target.ID)
+}
+
+func TestJobWithUnansweredStartAtLostWorkerIsRefusedAtOnce(t *testing.T) {
+	b := newBench(t, "w0", "w1")
+	s := b.submit("a")
+	id := s.Target.ID
+	b.step(StartResult{ID: id, Key: s.Key, Token: s.Token, Result: Unanswered})
+	b.step(HoldResult{ID: id, Sent: b.p.workers[id].holdSent, Result: Unanswered})
+	b.wait(1500 * time.Millisecond)
+	b.seen = len(b.sent)
+	b.step(RemoteCapacity{Tasks: 100})
+	b.step(Submitted{Job: Job{
+		ID: "a", Pool: "pool", Host: "entry", Arrived: b.now, Deadline: b.now.Add(9 * time.Second), Steps: []Step{{Count: 1}},
+	}})
+	var answers []Outcome
+	for _, a := range b.sent[b.seen:] {
+		if a, ok := a.(Answer); ok {
+			answers = append(answers, a.Outcome)
+		}
+	}
+	require.Equal(t, []Outcome{Refused}, answers)
+}
--- a/src/convoy/judge.go
+++ b/src/convoy/judge.go
@@ -12,6 +12,8 @@
 	retry  time.Duration
 	// neverFits says that none of this planner's workers can run the job; those of another planner may.
 	neverFits bool
+	// final says that no other planner may run the job either.
+	final bool
 }
 
 // checkAdmission decides on arrival whether a job can finish in time.
@@ -22,6 +24,9 @@
 			return refusal{cause: CauseNeverFits, reason: reason, retry: maxRetryDelay, neverFits: true}, false
 		}
 	}
+	if refusal, blocked := p.checkUnresolved(now, j); blocked {
+		return refusal, false
+	}
 	slots := p.prospectiveSlots()
 	chain := p.routeStats(j.Route).predict(j.Chain())
 	if slots == 0 {
--- a/src/convoy/place.go
+++ b/src/convoy/place.go
@@ -48,6 +48,13 @@
 			if t.done || t.run != nil {
 				continue
 			}
+			id, bound := p.boundTo(now, t)
+			if bound {
+				if w := p.workers[id]; w != nil && p.canRun(now, w, j, s, t) {
+					p.startRun(now, w, t, p.predictRunTime(now, w, j, s))
+				}
+				continue
+			}
 			w := p.pickWorker(now, j, s, t)
 			if w == nil {
 				*smallest = min(*smallest, s.Need.Milli)
@@ -72,7 +79,7 @@
 	slack := float64(p.objective(j).Sub(now) - runOverhead)
 	predicted := float64(p.routeStats(j.Route).predict(s.Estimate))
 	for _, w := range p.workers {
-		if !p.canRun(now, w, j, s, t) {
+		if !p.canRun(now, w, j, s, t) || p.excludes(t, w) {
 			continue
 		}
 		pace := w.speedAt(now)
@@ -107,13 +114,16 @@
 	if w.handingOver && !j.started {
 		return false
 	}
+
 	if w.failuresInRow >= failureThreshold && len(w.runs) > 0 {
 		return false
 	}
-	if s.Spread > 0 && w.runsOfStep(t) >= s.Spread {
-		return false
-	}
-	return !slices.Contains(t.excluded, w.target.ID) || len(t.excluded) >= len(p.workers)
+	return s.Spread <= 0 || w.runsOfStep(t) < s.Spread
+}
+
+// excludes reports whether a task avoids a worker on which it failed or was too slow.
+func (p *Planner) excludes(t *task, w *worker) bool {
+	return slices.Contains(t.excluded, w.target.ID) && len(t.excluded) < len(p.workers)
 }
 
 // redirectJobs returns waiting jobs to their entry hosts while other planners have free slots for them.
--- a/src/convoy/planner.go
+++ b/src/convoy/planner.go
@@ -52,6 +52,8 @@
 	workers   map[string]*worker
 	// usedTokens holds the highest token used with each worker that was removed.
 	usedTokens map[string]usedToken
+	// unresolved holds, by task, the unanswered starts that may still be carried out.
+	unresolved map[string]unresolvedStart
 	jobs       map[string]*job
 	queue      []*job
 	routes     map[string]*routeStats
@@ -77,7 +79,7 @@
 		addresses: make(map[netip.AddrPort]string), workers: make(map[string]*worker),
 		jobs: make(map[string]*job), routes: make(map[string]*routeStats),
 		orphanCounts: make(map[string]int), results: make(map[string]result),
-		usedTokens: make(map[string]usedToken),
+		usedTokens: make(map[string]usedToken), unresolved: make(map[string]unresolvedStart),
 	}
 }
 
--- a/src/convoy/run.go
+++ b/src/convoy/run.go
@@ -169,6 +169,7 @@
 	limit := time.Duration(clockDriftFactor*float64(p.tuning.StopTime)) + leaseMargin
 	for _, r := range sortedRuns(w) {
 		if r.state == runUnconfirmed && !r.stopAckedAt.IsZero() && now.Sub(r.stopAckedAt) > limit {
+			p.leaveUnresolved(now, w, r)
 			p.removeRun(now, w, r, true)
 		}
 	}
