convoy: ignore refusals of orders to a former incarnation

What callers saw: nothing seen; found by reading. A worker that moves under its id leaves orders on their way to its former address. The answer that another worker is there made the planner take the present incarnation for ended: its runs were restarted at once beside themselves. A refusal now counts only if its order was sent under the token in use. Evidence: the new test fails without this.

--- a/src/convoy/incarnation_test.go
+++ b/src/convoy/incarnation_test.go
@@ -190,3 +190,24 @@
 	}
 	require.Equal(t, []Outcome{Refused}, answers)
 }
+
+func TestRefusalAtFormerAddressDoesNotEndNewIncarnation(t *testing.T) {
+	tests := map[string]OrderResult{"another worker has the address": WrongIncarnation, "outbid by a newer token of the planner": Fenced}
+	for name, result := range tests {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t, "w0")
+			old := b.submit("a")
+			b.step(StartResult{ID: "w0", Key: old.Key, Token: old.Token, Result: Accepted})
+			b.step(WorkerListed{Target: b.target("w0", 2)})
+			b.answerHold("w0", Report{Incarnation: 2, Clock: 5})
+			b.now = b.now.Add(time.Millisecond)
+			b.answerHold("w0", Report{Incarnation: 2, Clock: 6})
+			second := b.starts()
+			require.Len(t, second, 1)
+			b.step(StartResult{ID: "w0", Key: second[0].Key, Token: second[0].Token, Result: Accepted})
+			b.step(StopResult{ID: "w0", Key: old.Key, Token: old.Token, Result: result})
+			require.Contains(t, b.p.workers, "w0")
+			require.Len(t, b.p.workers["w0"].runs, 1)
+		})
+	}
+}
--- a/src/convoy/run.go
+++ b/src/convoy/run.go
@@ -71,12 +71,13 @@
 
 // handleRefusal updates the state of a worker after it refused an order that was sent under a token.
 func (p *Planner) handleRefusal(now time.Time, w *worker, token int64, v OrderResult) {
+	if token < w.token {
+		// The refusal is of an order to an earlier incarnation, or this planner's own newer token caused it.
+		return
+	}
 	switch v {
 	case Fenced:
-		// An older token may have been outbid by this planner's own one.
-		if token >= w.token {
-			p.markFenced(now, w)
-		}
+		p.markFenced(now, w)
 	case NoRoom, TooLate:
 		w.skipUntil = now.Add(noRoomPause)
 	case Busy:
