convoy: take no lease and no orphan of a worker beyond its incarnation

What callers saw: nothing seen; found by reading. The lease of a former incarnation, on a clock that may have been far ahead, was kept for the new one, so runs on a worker that went silent were never restarted. A worker that left was forgotten together with the runs of other planners that it still listed, and their count kept the jobs from ever being placed here again; forgetting the count alone would have let them run twice. Now the lease starts anew with the new clock, at a whole lease, and a worker with such runs is forgotten once they have ended or every lease of the former planner has expired. Evidence: TestLeaseOfFormerIncarnationDoesNotKeepRunsForever fails without the new lease, TestOrphanOfGoneWorkerDoesNotBlockItsJob if the worker is forgotten with its orphans. That a worker which is forgotten otherwise takes its orphans along has no test.

--- a/src/convoy/claim.go
+++ b/src/convoy/claim.go
@@ -91,10 +91,7 @@
 		t.run = nil
 		p.endJob(now, t.job, Lost, CauseFenced, reason, 0)
 	}
-	for key := range w.orphans {
-		delete(w.orphans, key)
-		p.orphanEnded(key)
-	}
+	p.dropOrphans(w)
 }
 
 // releaseIfIdle releases a worker that is being handed over, once it has no runs and no task of a started job waits for it.
--- a/src/convoy/hold.go
+++ b/src/convoy/hold.go
@@ -56,6 +56,10 @@
 		}
 	}
 	w.clock, w.clockAt = e.Report.Clock, now
+	if w.newClock {
+		// Orders to the new incarnation that were sent before it was known may have renewed its lease up to now.
+		w.lease, w.newClock = w.clock+p.tuning.MaxLease.Milliseconds(), false
+	}
 	for _, end := range e.Report.Ends {
 		if end.Number > w.ackedEnds {
 			w.ackedEnds = end.Number
@@ -150,9 +154,6 @@
 	for _, r := range sortedRuns(w) {
 		p.restartTask(now, w, r, reason)
 	}
-	for key := range w.orphans {
-		p.orphanEnded(key)
-	}
 	p.forgetWorker(now, w)
 	delete(p.targets, w.target.ID)
 	p.logDecision(DecisionWorkerLost, "", w.target.ID, reason)
@@ -169,16 +170,25 @@
 	if w.unanswered > 1 {
 		w.nextHold = now.Add(min(p.probeBackoffLimit(now, w), minProbeBackoff<<min(w.unanswered-2, 10)))
 	}
-	if w.target.Expired && len(w.runs) == 0 {
+	p.forgetIfGone(now, w)
+}
+
+// forgetIfGone forgets a worker that has left or stopped announcing itself, once nothing runs there any more.
+func (p *Planner) forgetIfGone(now time.Time, w *worker) {
+	if w.target.Expired && len(w.runs) == 0 && len(w.orphans) == 0 {
 		p.forgetWorker(now, w)
 	}
 }
 
-// expireLeases restarts the runs of a worker that does not answer, once their lease has expired.
+// expireLeases restarts the runs of a worker that does not answer, once their lease has expired. The lease of the orphans
+// is the former planner's, who could not renew it since the worker's last answer.
 func (p *Planner) expireLeases(now time.Time, w *worker) {
-	if w.phase == phaseReady || w.phase == phaseFenced || len(w.runs) == 0 || !w.leasesExpired(now) || w.clockAt.IsZero() {
+	if w.phase == phaseReady || w.phase == phaseFenced || w.clockAt.IsZero() || !w.leasesExpired(now) {
 		return
 	}
+	if now.Sub(w.clockAt) > leaseBound(p.tuning.MaxLease) {
+		p.dropOrphans(w)
+	}
 	for _, r := range sortedRuns(w) {
 		if now.Sub(r.startedAt) <= leaseBound(p.tuning.MaxLease) {
 			continue
@@ -241,9 +251,7 @@
 		return
 	}
 	w.target.Leaving, w.target.Expired = true, true
-	if len(w.runs) == 0 {
-		p.forgetWorker(now, w)
-	}
+	p.forgetIfGone(now, w)
 }
 
 func jobID(key RunKey) string {
--- a/src/convoy/incarnation.go
+++ b/src/convoy/incarnation.go
@@ -24,15 +24,12 @@
 func (p *Planner) beginIncarnation(now time.Time, w *worker, former int64) {
 	p.logDecision(DecisionWorkerRestarted, "", w.target.ID, fmt.Sprintf(
 		"incarnation %d after %d, %d runs of the earlier one", w.target.Incarnation, former, len(w.runs)))
-	for key := range w.orphans {
-		delete(w.orphans, key)
-		p.orphanEnded(key)
-	}
+	p.dropOrphans(w)
 	for _, r := range w.runs {
 		r.stopSentAt, r.stopAckedAt = time.Time{}, time.Time{}
 	}
 	w.token += p.tuning.TokenStep
-	w.ackedEnds = 0
+	w.ackedEnds, w.newClock = 0, true
 	w.speed, w.measuredAt = 1, time.Time{}
 	w.failuresInRow, w.skipUntil = 0, time.Time{}
 	if w.phase != phaseFenced {
@@ -42,6 +39,14 @@
 	}
 }
 
+// dropOrphans forgets the runs of other planners on a worker; they have ended.
+func (p *Planner) dropOrphans(w *worker) {
+	for key := range w.orphans {
+		delete(w.orphans, key)
+		p.orphanEnded(key)
+	}
+}
+
 // firstToken returns the token for a worker that is taken over; it is higher than every token used with it before.
 func (p *Planner) firstToken(t Target) int64 {
 	token := p.claims[t.Part]
@@ -53,6 +58,7 @@
 
 // forgetWorker removes a worker that gets no more orders from this planner.
 func (p *Planner) forgetWorker(now time.Time, w *worker) {
+	p.dropOrphans(w)
 	delete(p.workers, w.target.ID)
 	p.usedTokens[w.target.ID] = usedToken{token: w.token, at: now}
 	p.emit(CloseConnections{ID: w.target.ID})
--- a/src/convoy/incarnation_test.go
+++ b/src/convoy/incarnation_test.go
@@ -211,3 +211,48 @@
 		})
 	}
 }
+
+func TestLeaseOfFormerIncarnationDoesNotKeepRunsForever(t *testing.T) {
+	b := newBench(t, "w0", "w1")
+	b.p.workers["w0"].speed = 4
+	first := b.submit("a")
+	require.Equal(t, "w0", first.Target.ID)
+	b.step(StartResult{ID: "w0", Key: first.Key, Token: first.Token, Result: Accepted})
+	b.step(WorkerListed{Target: b.target("w0", 2)})
+	b.answerHold("w0", Report{Incarnation: 2, Clock: 5})
+	b.p.workers["w0"].speed = 4
+	second := b.submit("b")
+	require.Equal(t, "w0", second.Target.ID)
+	b.step(StartResult{ID: "w0", Key: second.Key, Token: second.Token, Result: Accepted})
+	b.step(HoldResult{ID: "w0", Sent: b.p.workers["w0"].holdSent, Result: Unanswered})
+	b.wait(1500 * time.Millisecond)
+	restarted := make(map[string]string)
+	for _, s := range b.starts() {
+		restarted[s.Key.Task] = s.Target.ID
+	}
+	require.Equal(t, "w1", restarted[second.Key.Task])
+}
+
+func TestOrphanOfGoneWorkerDoesNotBlockItsJob(t *testing.T) {
+	tests := map[string]struct {
+		end     func(b *bench)
+		blocked bool
+	}{
+		"the worker left and its run is active": {end: func(*bench) {}, blocked: true},
+		"the worker left and its run ended":     {end: func(b *bench) { b.answerHold("w0", Report{Incarnation: 1, Clock: 900_100}) }},
+		"the worker left and does not answer": {end: func(b *bench) {
+			b.step(HoldResult{ID: "w0", Sent: b.p.workers["w0"].holdSent, Result: Unanswered})
+			b.wait(1500 * time.Millisecond)
+			b.step(HoldResult{ID: "w0", Sent: b.p.workers["w0"].holdSent, Result: Unanswered})
+		}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t, "w0", "w1")
+			b.answerHold("w0", Report{Incarnation: 1, Clock: 900_000, Runs: []RunReport{{Key: RunKey{Task: "a.0.0.0", Run: 1}}}})
+			b.step(WorkerRemoved{ID: "w0"})
+			tt.end(b)
+			require.Equal(t, tt.blocked, b.p.orphanCounts["a"] > 0)
+		})
+	}
+}
--- a/src/convoy/worker.go
+++ b/src/convoy/worker.go
@@ -59,6 +59,8 @@
 	// clock is the worker's clock in milliseconds at the local time clockAt.
 	clock   int64
 	clockAt time.Time
+	// newClock says that clock and lease are of a former incarnation.
+	newClock bool
 	// lease is the latest lease expiry that was requested, in milliseconds of the worker's clock.
 	lease       int64
 	ackedEnds   int64
