convoy: end the runs for a dead entry host before its callers are back

What callers saw: two runs of one task at once. A caller whose host is killed sends its job again 1.3 s later, and another planner may get it. The first attempt was given up when its host had been silent for a second, looked at every 0.2 s, and ended when the stops arrived: with one stop lost 1.37 s after the host, with two 1.47 s. If its planner was suspended for just under 0.8 s, or killed too, its runs went on until 1.80 s. Now a planner knows when each entry host was last alive, by the time its heartbeat was sent and not by when it was read, as a suspended process finds heartbeats of the dead in its socket. It starts nothing for a host that has been silent for two heartbeats, asks for leases that end within the caller's pause less that silence, and lets the lease of a worker with runs for a silent host or of an ended job run out in time. The caller's pause is the new setting 'pause'. Ruled out: a shorter failure time-out; it does not help when the planner goes as well, and gives up hosts that are only slow.

--- a/src/convoy/event.go
+++ b/src/convoy/event.go
@@ -161,6 +161,12 @@
 // HostLost says that an entry host has failed or restarted, so that no caller waits there for its jobs.
 type HostLost struct{ Host string }
 
+// HostHeard says that another entry host was alive at a time.
+type HostHeard struct {
+	Host string
+	At   time.Time
+}
+
 // RemoteCapacity carries how many tasks of typical size other planners could start at once.
 type RemoteCapacity struct{ Tasks int }
 
@@ -184,6 +190,7 @@
 func (Submitted) event()         {}
 func (JobCancelled) event()      {}
 func (HostLost) event()          {}
+func (HostHeard) event()         {}
 func (RemoteCapacity) event()    {}
 func (Stopping) event()          {}
 func (ProcessResumed) event()    {}
--- a/src/convoy/hold.go
+++ b/src/convoy/hold.go
@@ -12,8 +12,8 @@
 func (p *Planner) sendHold(now time.Time, w *worker) {
 	w.holdPending, w.holdSent, w.holdToken = true, now, w.token
 	h := Hold{Target: w.target, Token: w.token, Acked: w.ackedEnds}
-	if w.phase == phaseReady && len(w.orphans) == 0 && len(w.runs) > 0 {
-		h.Lease = w.grantLease(now, p.tuning.MaxLease)
+	if length := p.leaseFor(now, w); length > 0 && w.phase == phaseReady && len(w.orphans) == 0 && len(w.runs) > 0 {
+		h.Lease = w.grantLease(now, length)
 	}
 	if w.phase == phaseReady {
 		h.Wait = w.holdTimeout(now)
--- /dev/null
+++ b/src/convoy/hosts.go
@@ -0,0 +1,65 @@
+package convoy
+
+import "time"
+
+// A caller whose entry host died submits its job again after Tuning.CallerPause, to any host, and another planner may get
+// it. The runs of the first attempt have to be over by then even if this planner dies too, so their leases end in time, and
+// no task is started for a host that has been silent for Tuning.HostSilence.
+
+// hostHeard records when an entry host was last known to be alive.
+func (p *Planner) hostHeard(e HostHeard) {
+	if e.At.After(p.heard[e.Host]) {
+		p.heard[e.Host] = e.At
+	}
+}
+
+// lastHeard returns when an entry host that waits for a job was last known to be alive.
+func (p *Planner) lastHeard(now time.Time, j *job) time.Time {
+	for _, host := range j.hosts {
+		if host == p.tuning.Host {
+			j.heardAt = now
+		} else {
+			j.heardAt = later(j.heardAt, p.heard[host])
+		}
+	}
+	return j.heardAt
+}
+
+// isAwaited reports whether an entry host that waits for a job is known to be alive, so that tasks of it may start.
+func (p *Planner) isAwaited(now time.Time, j *job) bool {
+	return p.tuning.CallerPause == 0 || now.Sub(p.lastHeard(now, j)) <= p.tuning.HostSilence
+}
+
+// leaseLength returns the longest lease that this planner asks for.
+func (p *Planner) leaseLength() time.Duration {
+	if p.tuning.CallerPause == 0 {
+		return p.tuning.MaxLease
+	}
+	return min(p.tuning.MaxLease, leaseWithin(p.tuning.CallerPause-p.tuning.HostSilence))
+}
+
+// leaseFor returns the longest lease that ends before a caller of any run on the worker can be back.
+func (p *Planner) leaseFor(now time.Time, w *worker) time.Duration {
+	length := p.leaseLength()
+	if p.tuning.CallerPause == 0 {
+		return length
+	}
+	for _, r := range w.runs {
+		left := p.lastHeard(now, r.job).Add(p.tuning.CallerPause).Sub(now)
+		if r.job.ended {
+			left = min(left, r.job.endedAt.Add(p.tuning.CallerPause-p.tuning.HostSilence).Sub(now))
+		}
+		length = min(length, leaseWithin(left))
+	}
+	return length.Truncate(time.Millisecond)
+}
+
+// leaseWithin returns the lease that certainly ends within d on a worker's clock.
+func leaseWithin(d time.Duration) time.Duration {
+	return time.Duration(float64(d-leaseMargin) / clockDriftFactor)
+}
+
+// leaseBound returns the longest time for which a lease can last from when it is granted.
+func leaseBound(length time.Duration) time.Duration {
+	return time.Duration(clockDriftFactor*float64(length)) + leaseMargin
+}
--- a/src/convoy/incarnation.go
+++ b/src/convoy/incarnation.go
@@ -129,8 +129,3 @@
 		}
 	}
 }
-
-// leaseBound returns the longest time for which a lease can last from when it is granted.
-func leaseBound(length time.Duration) time.Duration {
-	return time.Duration(clockDriftFactor*float64(length)) + leaseMargin
-}
--- a/src/convoy/place.go
+++ b/src/convoy/place.go
@@ -16,7 +16,7 @@
 	// smallest is the smallest CPU request, in thousandths of a core, that found no worker in this round.
 	smallest := int64(math.MaxInt64)
 	for _, j := range append([]*job(nil), p.queue...) {
-		if j.ended || p.orphanCounts[j.ID] > 0 {
+		if j.ended || p.orphanCounts[j.ID] > 0 || !p.isAwaited(now, j) {
 			continue
 		}
 		p.placeJob(now, j, &smallest)
@@ -114,6 +114,9 @@
 	if w.handingOver && !j.started {
 		return false
 	}
+	if len(w.runs) > 0 && p.leaseFor(now, w) < minStartLease {
+		return false
+	}
 
 	if w.failuresInRow >= failureThreshold && len(w.runs) > 0 {
 		return false
--- a/src/convoy/planner.go
+++ b/src/convoy/planner.go
@@ -30,8 +30,11 @@
 	remaining []int
 	waiting   int
 	// started says that the start of one of its tasks has been ordered.
-	started      bool
-	ended        bool
+	started bool
+	ended   bool
+	endedAt time.Time
+	// heardAt is when an entry host that waits for the job was last known to be alive.
+	heardAt      time.Time
 	queuedLogged bool
 }
 
@@ -60,7 +63,9 @@
 	// orphanCounts counts, by job, the runs of ended jobs and of other planners that may still be active.
 	orphanCounts map[string]int
 	results      map[string]result
-	lastSweep    time.Time
+	// heard holds when each other entry host was last known to be alive.
+	heard     map[string]time.Time
+	lastSweep time.Time
 	// lastStep is the time of the last call of Step.
 	lastStep     time.Time
 	remoteSlots  int
@@ -79,7 +84,7 @@
 		addresses: make(map[netip.AddrPort]string), workers: make(map[string]*worker),
 		jobs: make(map[string]*job), routes: make(map[string]*routeStats),
 		orphanCounts: make(map[string]int), results: make(map[string]result),
-		usedTokens: make(map[string]usedToken), unresolved: make(map[string]unresolvedStart),
+		usedTokens: make(map[string]usedToken), heard: make(map[string]time.Time), unresolved: make(map[string]unresolvedStart),
 	}
 }
 
@@ -110,6 +115,9 @@
 		p.detachHost(now, e)
 	case HostLost:
 		p.hostLost(now, e.Host)
+	case HostHeard:
+		p.hostHeard(e)
+		return p.actions
 	case RemoteCapacity:
 		p.remoteSlots = e.Tasks
 	case Stopping:
@@ -232,6 +240,11 @@
 		}
 	}
 	p.forgetIncarnations(now)
+	for host, at := range p.heard {
+		if now.Sub(at) > resultRetention {
+			delete(p.heard, host)
+		}
+	}
 	for _, k := range p.routes {
 		k.updateLoad(now)
 	}
--- a/src/convoy/run.go
+++ b/src/convoy/run.go
@@ -11,7 +11,7 @@
 	step := t.job.Steps[t.step]
 	t.runNumber++
 	r := &run{
-		key: RunKey{Task: t.name, Run: t.runNumber}, task: t, token: w.token,
+		key: RunKey{Task: t.name, Run: t.runNumber}, task: t, job: t.job, token: w.token,
 		startedAt: now, predicted: expected, need: step.Need,
 	}
 	t.run = r
@@ -26,7 +26,7 @@
 		"task %d.%d run %d started after %s, predicted run time %s at speed %.2f, %d other runs on the worker, token %d",
 		t.step, t.index, t.runNumber, now.Sub(t.job.Arrived).Round(time.Millisecond), expected.Round(time.Millisecond),
 		w.speedAt(now), len(w.runs)-1, w.token))
-	p.emit(Start{Target: w.target, Token: w.token, Key: r.key, Spec: t.job.Spec, Lease: w.grantLease(now, p.tuning.MaxLease)})
+	p.emit(Start{Target: w.target, Token: w.token, Key: r.key, Spec: t.job.Spec, Lease: w.grantLease(now, p.leaseFor(now, w))})
 }
 
 func (p *Planner) handleStart(now time.Time, e StartResult) {
--- a/src/convoy/submit.go
+++ b/src/convoy/submit.go
@@ -107,7 +107,8 @@
 	if j.ended {
 		return
 	}
-	j.ended = true
+	p.lastHeard(now, j)
+	j.ended, j.endedAt = true, now
 	delete(p.jobs, j.ID)
 	p.queue = slices.DeleteFunc(p.queue, func(q *job) bool { return q == j })
 	p.results[j.ID] = result{outcome: o, at: now}
@@ -136,6 +137,7 @@
 	if !ok {
 		return
 	}
+	p.lastHeard(now, j)
 	if i := slices.Index(j.hosts, e.Host); i >= 0 {
 		j.hosts = slices.Delete(j.hosts, i, i+1)
 	}
@@ -149,6 +151,7 @@
 func (p *Planner) hostLost(now time.Time, host string) {
 	for _, j := range p.jobList() {
 		if slices.Contains(j.hosts, host) {
+			p.lastHeard(now, j)
 			j.hosts = slices.DeleteFunc(j.hosts, func(h string) bool { return h == host })
 			if len(j.hosts) == 0 {
 				p.logDecision(DecisionJobAbandoned, j.ID, "", "its entry host has failed")
--- a/src/convoy/tuning.go
+++ b/src/convoy/tuning.go
@@ -8,6 +8,10 @@
 	MaxLease time.Duration
 	// StopTime is the longest time that a worker takes to stop a run.
 	StopTime time.Duration
+	// CallerPause is how long a caller that got no answer waits before it submits its job again, to any host; 0 means forever.
+	CallerPause time.Duration
+	// HostSilence is how long an entry host may be silent before no tasks are started for its jobs; it matters with CallerPause.
+	HostSilence time.Duration
 	// TokenStep is the difference between two consecutive tokens of one planner for one worker.
 	TokenStep int64
 	// Host is the name of the entry host in the planner's own process.
@@ -26,6 +30,8 @@
 	holdMargin  = 1.5
 	// clockDriftFactor allows for workers whose clock runs slow; the platform allows 2%.
 	clockDriftFactor = 1.03
+	// minStartLease is the shortest lease for which a task is started; the next hold request renews it within that time.
+	minStartLease = 200 * time.Millisecond
 	// leaseMargin allows for the round trip of an order.
 	leaseMargin = 30 * time.Millisecond
 	// stopRetryInterval is the interval at which a stop order is repeated: four round trips and the time that a stop takes.
--- a/src/convoy/worker.go
+++ b/src/convoy/worker.go
@@ -32,8 +32,10 @@
 
 // run is one attempt of a task on a worker.
 type run struct {
-	key   RunKey
-	task  *task
+	key  RunKey
+	task *task
+	// job is the task's job, also after the job has ended and task is nil.
+	job   *job
 	state runState
 	// token is the fencing token of the start order.
 	token int64
--- a/src/flotilla/fleet.go
+++ b/src/flotilla/fleet.go
@@ -234,6 +234,10 @@
 	if joined {
 		p.AliveSince = now
 	}
+	if m.Incarnation != p.Member.Incarnation {
+		p.offset = clockOffset{}
+	}
+	p.LastSent = p.offset.sentAt(now, m.SentAtMillis)
 	p.Member, p.LastHeartbeat, p.Alive = m, now, true
 	f.updateReceiving(now, p, slices.Contains(b.ReceivesFrom, NameHash(f.self.Name)))
 	if joined {
--- a/src/flotilla/member.go
+++ b/src/flotilla/member.go
@@ -58,6 +58,10 @@
 type Peer struct {
 	Member        Member
 	LastHeartbeat time.Time
+	// LastSent is when that heartbeat was sent, by the local clock; it is earlier than LastHeartbeat if the heartbeat was held
+	// up on its way or this process was suspended.
+	LastSent time.Time
+	offset   clockOffset
 	// AliveSince is the time of its first heartbeat, or of the first one after it had failed.
 	AliveSince time.Time
 	Alive      bool
--- a/src/manifest/deploy_test.go
+++ b/src/manifest/deploy_test.go
@@ -17,14 +17,17 @@
 		`{{listen_addresses.frontend_address}}`, "10.1.0.13:8161", `{{listen_addresses.readiness_address}}`, "10.1.0.13:8167",
 		`{{listen_addresses.control}}`, "10.1.0.13:8166", `{{#seed_nodes}}"{{.}}"{{,}}{{/seed_nodes}}`, `"10.1.0.16:8166"`,
 		`{{bounds.max_hold_ms}}`, "1000", `{{bounds.stop_timeout_ms}}`, "50", `{{limits.cpu_share|json}}`, "0.4", `{{heartbeat_interval_ms}}`, "1500",
+		"{{#bounds.resend_interval_ms}}\n  \"pause\": \"{{.}}ms\",\n{{/bounds.resend_interval_ms}}", `"pause": "1500ms",`,
 		`{{bootstrap|json}}`, "true", `{{fault_tolerance.machines|json}}`, "2", `{{data_directory}}`, "/data/registry",
 	)
 	tests := map[string]struct {
 		file string
 		want func(s Settings) bool
 	}{
-		"an entry host": {file: "dispatch.json", want: func(s Settings) bool { return s.Has(Dispatch) && s.Lease == time.Second }},
-		"a state host":  {file: "registry.json", want: func(s Settings) bool { return s.Has(Registry) && s.Bootstrap && s.ToleratedFailures == 2 }},
+		"an entry host": {file: "dispatch.json", want: func(s Settings) bool {
+			return s.Has(Dispatch) && s.Lease == time.Second && s.CallerPause == 1500*time.Millisecond
+		}},
+		"a state host": {file: "registry.json", want: func(s Settings) bool { return s.Has(Registry) && s.Bootstrap && s.ToleratedFailures == 2 }},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/src/manifest/settings.go
+++ b/src/manifest/settings.go
@@ -67,6 +67,8 @@
 	Lease time.Duration
 	// StopTimeout is the maximum time that a worker takes to stop a run.
 	StopTimeout time.Duration
+	// CallerPause is how long a caller that got no answer waits before it submits its job again.
+	CallerPause time.Duration
 	// AnnounceInterval is the interval between announcements of a target.
 	AnnounceInterval time.Duration
 	// Metrics is the address where metrics are served, unless they are served at the callers' address.
@@ -108,6 +110,7 @@
 	DefaultExpiry           = 6 * time.Second
 	DefaultLease            = time.Second
 	DefaultStopTimeout      = 50 * time.Millisecond
+	DefaultCallerPause      = 1300 * time.Millisecond
 	DefaultAnnounceInterval = 2 * time.Second
 	maxToleratedFailures    = 3
 	MaxWeight               = 1000
@@ -125,6 +128,7 @@
 		ToleratedFailures: 1,
 		Lease:             DefaultLease,
 		StopTimeout:       DefaultStopTimeout,
+		CallerPause:       DefaultCallerPause,
 		AnnounceInterval:  DefaultAnnounceInterval,
 		Limits: Limits{
 			Body: DefaultBody, Connections: DefaultConnections, Inflight: DefaultInflight,
@@ -219,6 +223,7 @@
 		"survive":  r.Int(&s.ToleratedFailures, 0, maxToleratedFailures),
 		"lease":    r.Duration(&s.Lease, 100*time.Millisecond, time.Minute),
 		"stop":     r.Duration(&s.StopTimeout, time.Millisecond, time.Minute),
+		"pause":    r.Duration(&s.CallerPause, 100*time.Millisecond, time.Minute),
 		"beat":     r.Duration(&s.AnnounceInterval, 100*time.Millisecond, time.Minute),
 	}
 }
--- a/src/wharf/plan.go
+++ b/src/wharf/plan.go
@@ -85,7 +85,7 @@
 	return &plan{
 		h: h, planner: convoy.NewPlanner(convoy.Tuning{
 			MaxLease: h.Settings.Lease, StopTime: h.Settings.StopTimeout, Host: h.Settings.Name, SuspensionLimit: suspensionThreshold,
-			TokenStep: flotilla.TokenStep,
+			TokenStep: flotilla.TokenStep, CallerPause: h.Settings.CallerPause, HostSilence: overdueAfter,
 		}),
 		orders: pond.NewPool(maxOrders), waiters: make(map[jobKey]chan answer), cancelled: make(map[jobKey]cancelledOffer),
 		revisions: make(map[processRun]uint64), fetching: make(map[processRun]bool),
@@ -146,6 +146,7 @@
 	case flotilla.PeerNotReceiving:
 		p.step(now, convoy.HostLost{Host: a.Peer.Member.Name})
 	case flotilla.PeerUpdated:
+		p.planner.Step(now, convoy.HostHeard{Host: a.Peer.Member.Name, At: a.Peer.LastSent})
 		p.fetchTargets(a.Peer.Member)
 	}
 }
