convoy: ask a worker before its address counts as another's

What callers saw: nothing seen; found by reading. An announcement of a newer worker at an address ended the older one there and restarted its runs at once. An entry of another writer with an address in use, or a late one, would have run all these tasks twice. Now the older worker is asked first: the answer that another one is there removes it, its own answer keeps it.

--- a/src/convoy/hold.go
+++ b/src/convoy/hold.go
@@ -225,7 +225,8 @@
 	}
 }
 
-// replaceAtAddress removes the older worker at the address of a new one.
+// replaceAtAddress asks at the address of a new worker for the older one, which is removed if it is no longer there; the
+// announcement alone does not end its runs.
 func (p *Planner) replaceAtAddress(now time.Time, t Target) {
 	id := p.addresses[t.Address]
 	old, listed := p.targets[id]
@@ -238,8 +239,10 @@
 	}
 	p.addresses[t.Address] = t.ID
 	delete(p.targets, id)
-	if w, ok := p.workers[id]; ok {
-		p.removeWorker(now, w, "a newer worker has its address")
+	if w, ok := p.workers[id]; ok && w.phase != phaseFenced {
+		w.phase = phaseNew
+		p.emit(CloseConnections{ID: id})
+		p.sendHold(now, w)
 	}
 }
 
