convoy: unbind tasks from a worker whose address is another's

What callers saw: nothing yet; a fault of the binding before it landed. A worker that crashes comes back under another id at the same address, which refuses its orders for good, late ones too. Tasks bound to it waited for their deadlines. Evidence: the new test fails without this.

--- a/src/convoy/hold.go
+++ b/src/convoy/hold.go
@@ -155,6 +155,7 @@
 		p.restartTask(now, w, r, reason)
 	}
 	p.forgetWorker(now, w)
+	p.resolveStarts(w)
 	delete(p.targets, w.target.ID)
 	p.logDecision(DecisionWorkerLost, "", w.target.ID, reason)
 }
--- a/src/convoy/incarnation.go
+++ b/src/convoy/incarnation.go
@@ -74,6 +74,15 @@
 	return true
 }
 
+// resolveStarts unbinds the tasks from a worker at whose address another one refuses its orders.
+func (p *Planner) resolveStarts(w *worker) {
+	for task, u := range p.unresolved {
+		if u.worker == w.target.ID {
+			delete(p.unresolved, task)
+		}
+	}
+}
+
 // boundTo returns the only worker on which a task may run because a start order there is unresolved.
 func (p *Planner) boundTo(now time.Time, t *task) (id string, bound bool) {
 	if len(p.unresolved) == 0 {
--- a/src/convoy/incarnation_test.go
+++ b/src/convoy/incarnation_test.go
@@ -170,6 +170,19 @@
 	require.Equal(t, id, again[0].Target.ID)
 }
 
+func TestTaskIsNotBoundToWorkerWhoseAddressIsAnothers(t *testing.T) {
+	b := newBench(t, "w0", "w1")
+	s := b.submit("a")
+	id := s.Target.ID
+	b.step(StartResult{ID: id, Key: s.Key, Token: s.Token, Result: Unanswered})
+	b.step(StopResult{ID: id, Key: s.Key, Token: s.Token, Result: Accepted})
+	b.p.workers[id].skipUntil = b.now.Add(time.Hour)
+	b.wait(200 * time.Millisecond)
+	require.Empty(t, b.starts())
+	b.step(HoldResult{ID: id, Sent: b.p.workers[id].holdSent, Result: WrongIncarnation})
+	require.Len(t, b.starts(), 1)
+}
+
 func TestJobWithUnansweredStartAtLostWorkerIsRefusedAtOnce(t *testing.T) {
 	b := newBench(t, "w0", "w1")
 	s := b.submit("a")
