Tell answers to earlier attempts of a job apart

Callers saw: 504 for a job that then ran on; they sent it again, and two runs of one task were active at the same time. Cause: an entry host numbers the offers of a pending job from 1. If a caller's connection breaks and the caller comes back to the same entry host, the job is pending again and its first offer has the number 1 again. The planner, the same one, ends the first call with 'asked for again by the same host', and that answer is taken for the answer to the second offer: the caller gets 504, nothing is cancelled, and the planner runs the job on. Result: answers are matched by the number of the offer, which is unique in a process.

--- a/src/wharf/jobs.go
+++ b/src/wharf/jobs.go
@@ -24,11 +24,10 @@
 	job     convoy.Job
 	version uint64
 	callers []chan helm.JobResult
-	// planner is the process that has the job now, empty while none is known; round distinguishes answers to earlier
-	// offers from those to the current one.
+	// planner is the process that has the job now, empty while none is known.
 	planner string
-	round   int
-	// attempt is the number of the last offer, made at offeredAt.
+	// attempt is the number of the last offer, made at offeredAt. No other offer of this process has that number, so an
+	// answer to an offer for an earlier caller of the same job is told apart, too.
 	attempt   uint64
 	offeredAt time.Time
 	offers    int
@@ -67,9 +66,9 @@
 }
 
 type answeredEvent struct {
-	id     string
-	round  int
-	answer answer
+	id      string
+	attempt uint64
+	answer  answer
 	// mayRun says that the planner may have the job in spite of the failed call.
 	mayRun bool
 }
@@ -235,15 +234,14 @@
 	}
 	p.planner = m.Name
 	p.offers++
-	p.round++
 	j.attempts++
 	p.attempt, p.offeredAt = j.attempts, now
 	j.offered[m.Name] += p.job.Tasks()
-	round := p.round
+	attempt := p.attempt
 	done := make(chan answer, 2)
-	o := offer{job: p.job, version: p.version, attempt: p.attempt, plannerSentAt: m.SentAtMillis}
+	o := offer{job: p.job, version: p.version, attempt: attempt, plannerSentAt: m.SentAtMillis}
 	if m.Name == j.h.Settings.Name {
-		go func() { j.h.Post(j, answeredEvent{id: p.job.ID, round: round, answer: <-done}) }()
+		go func() { j.h.Post(j, answeredEvent{id: p.job.ID, attempt: attempt, answer: <-done}) }()
 		j.h.Publish(now, offeredEvent{offer: o, done: done})
 		return
 	}
@@ -253,11 +251,11 @@
 		return
 	}
 	timeout := p.job.Deadline.Sub(now) + callTimeout
-	go j.sendOffer(m, p.job.ID, round, body, timeout)
+	go j.sendOffer(m, p.job.ID, attempt, body, timeout)
 }
 
 // sendOffer sends an offer to another host and waits for the outcome of the job.
-func (j *jobs) sendOffer(m flotilla.Member, id string, round int, body []byte, timeout time.Duration) {
+func (j *jobs) sendOffer(m flotilla.Member, id string, attempt uint64, body []byte, timeout time.Duration) {
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	out, err := j.h.RPC.Call(ctx, m.Address, kindOfferJob, body)
@@ -268,12 +266,12 @@
 	if err != nil {
 		a = answer{outcome: failedCallOutcome(err), cause: convoy.CausePlannerLost, reason: err.Error()}
 	}
-	j.h.Post(j, answeredEvent{id: id, round: round, answer: a, mayRun: err != nil && a.outcome == convoy.Lost})
+	j.h.Post(j, answeredEvent{id: id, attempt: attempt, answer: a, mayRun: err != nil && a.outcome == convoy.Lost})
 }
 
 func (j *jobs) onAnswer(now time.Time, e answeredEvent) {
 	p, ok := j.pending[e.id]
-	if !ok || p.round != e.round {
+	if !ok || p.attempt != e.attempt {
 		return
 	}
 	if e.answer.outcome == convoy.Redirected {
