Take no offers of entry hosts whose loss would go unnoticed

Callers saw: two runs of one task at once, after 504 and a second try. Cause: a planner takes the offers of an entry host that counts as lost there, and gives up a host's jobs only when the host becomes lost. If the host is cut off before it is heard again, it answers 504 and the caller goes elsewhere, but the planner runs the job on. An entry host that starts with an earlier time of day than before is in that state for up to a minute, because its heartbeats have a lower incarnation and are ignored. Result: such offers are returned, and the lower incarnation is heard once the former one counts as lost.

--- a/src/flotilla/fleet.go
+++ b/src/flotilla/fleet.go
@@ -210,7 +210,8 @@
 		f.contact(a)
 	}
 	p, known := f.peers[m.Name]
-	if known && m.Incarnation < p.Member.Incarnation {
+	// A process that started with an earlier time of day than its last incarnation is known again once that has failed.
+	if known && p.Alive && m.Incarnation < p.Member.Incarnation {
 		return
 	}
 	for _, c := range m.Claims {
--- a/src/flotilla/fleet_test.go
+++ b/src/flotilla/fleet_test.go
@@ -209,6 +209,20 @@
 	require.True(t, failed)
 }
 
+// A process that starts with an earlier time of day than its last incarnation must not be ignored for good.
+func TestRestartWithEarlierClockIsHeard(t *testing.T) {
+	s := newTwoDomains()
+	start := s.now
+	s.now = start.Add(-10 * time.Second)
+	s.add("entry-n1", "north", true)
+	s.now = start
+	s.run(2 * time.Second)
+	p, known := s.fleets["entry-s1"].Peer("entry-n1")
+	require.True(t, known)
+	require.True(t, p.Alive)
+	require.Equal(t, uint64(start.Add(-10*time.Second).UnixMilli()), p.Member.Incarnation)
+}
+
 func TestRestartIsReportedAsFailure(t *testing.T) {
 	s := newTwoDomains()
 	s.events = make(map[string][]Action)
--- a/src/wharf/plan.go
+++ b/src/wharf/plan.go
@@ -269,6 +269,10 @@
 		e.done <- answer{outcome: convoy.Lost, cause: convoy.CauseStale, reason: "dropped before it arrived"}
 		return
 	}
+	if !p.watches(e.offer) {
+		e.done <- answer{outcome: convoy.Redirected, cause: convoy.CauseStale, reason: "this host would not notice the loss of the entry host"}
+		return
+	}
 	if previous, waits := p.waiters[key]; waits {
 		previous <- answer{outcome: convoy.Lost, cause: convoy.CauseCallerGone, reason: "asked for again by the same host"}
 	}
@@ -276,6 +280,16 @@
 	p.step(now, convoy.Submitted{Job: e.offer.job})
 }
 
+// watches reports whether this process will notice that the entry host of an offer is lost, so that the job is given up
+// then: a host that counts as lost already is not reported again.
+func (p *plan) watches(o offer) bool {
+	if o.job.Host == p.h.Settings.Name {
+		return true
+	}
+	peer, known := p.h.Fleet.Peer(o.job.Host)
+	return known && peer.Alive && !peer.NotReceiving
+}
+
 // offerAge returns the age of this process's heartbeat on which another host based an offer. Beyond the failure
 // time-out the entry host may have marked this process failed and the caller may have been served elsewhere: the offer
 // was delayed on its way, or this process was suspended.
--- a/src/wharf/plan_test.go
+++ b/src/wharf/plan_test.go
@@ -17,13 +17,20 @@
 	"sesamecleat/src/tide"
 )
 
-// singleFleet is a fleet of one process.
-type singleFleet struct{ self flotilla.Member }
+// singleFleet is a fleet of one process, or of one that hears a few peers.
+type singleFleet struct {
+	self  flotilla.Member
+	peers map[string]flotilla.Peer
+}
+
+func (l *singleFleet) Peers() []flotilla.Peer { return nil }
+func (l *singleFleet) Self() flotilla.Member  { return l.self }
+func (l *singleFleet) PeerCounts() (int, int) { return 0, 0 }
 
-func (l *singleFleet) Peers() []flotilla.Peer            { return nil }
-func (l *singleFleet) Peer(string) (flotilla.Peer, bool) { return flotilla.Peer{}, false }
-func (l *singleFleet) Self() flotilla.Member             { return l.self }
-func (l *singleFleet) PeerCounts() (int, int)            { return 0, 0 }
+func (l *singleFleet) Peer(name string) (flotilla.Peer, bool) {
+	p, known := l.peers[name]
+	return p, known
+}
 
 func (l *singleFleet) Planners() []flotilla.Member                { return []flotilla.Member{l.self} }
 func (l *singleFleet) UpdateSelf(change func(m *flotilla.Member)) { change(&l.self) }
@@ -33,7 +40,7 @@
 func newTestKernel(now time.Time) *helm.Kernel {
 	h := &helm.Kernel{
 		Clock: tide.NewFakeClock(now), Log: logbook.NewLog(io.Discard, "a"), Sampler: logbook.NewSampler(1),
-		Metrics: metrics.NewSet(), Fleet: &singleFleet{},
+		Metrics: metrics.NewSet(), Fleet: &singleFleet{peers: map[string]flotilla.Peer{"entry": {Alive: true}}},
 	}
 	h.Settings.Lease = time.Second
 	return h
@@ -91,6 +98,33 @@
 	}
 }
 
+// An offer of an entry host whose loss would not be noticed must not start anything: nobody would give the job up when the
+// caller has gone to another host.
+func TestOfferOfUnheardHostIsDeclined(t *testing.T) {
+	tests := map[string]struct {
+		peers map[string]flotilla.Peer
+		taken bool
+	}{
+		"heard":         {peers: map[string]flotilla.Peer{"entry": {Alive: true}}, taken: true},
+		"not known":     {},
+		"lost":          {peers: map[string]flotilla.Peer{"entry": {}}},
+		"not receiving": {peers: map[string]flotilla.Peer{"entry": {Alive: true, NotReceiving: true}}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			now := time.Unix(1000, 0)
+			h := newTestKernel(now)
+			h.Fleet = &singleFleet{peers: tt.peers}
+			p := newPlan(h).(*plan)
+			o, done := newOffer(now, 7, 1)
+			p.Handle(now, o)
+			a := <-done
+			require.Equal(t, convoy.Redirected, a.outcome)
+			require.Equal(t, tt.taken, a.cause == convoy.CauseNoWorker, "this planner has no part")
+		})
+	}
+}
+
 func TestOfferUnderAnotherConfigVersion(t *testing.T) {
 	tests := map[string]struct {
 		version uint64
