Take no offers of an earlier incarnation of an entry host

Callers saw: two runs of one task at once, after the entry host was killed and the job was sent again. Cause: an offer that is on its way when its entry host is killed can arrive after the planner has heard the new incarnation and has given up the jobs of the former one. Nobody gives up this one. Ruled out: the planner heard the new incarnation in time, and the workers were undisturbed. 'restarted since the offer' and TestOfferNumbersRiseOverRestarts fail before. Result: the numbers of offers start at the incarnation, and offers with lower numbers are returned.

--- a/src/wharf/jobs.go
+++ b/src/wharf/jobs.go
@@ -42,7 +42,8 @@
 	inflight atomic.Int64
 	// acceptUntil is the latest deadline of jobs that are still accepted while this process stops; nil otherwise.
 	acceptUntil atomic.Pointer[time.Time]
-	// attempts counts the offers of this process.
+	// attempts is the number of the last offer. It starts at the incarnation of this process, so that numbers rise over
+	// its restarts.
 	attempts uint64
 	// offered counts, by planner, the tasks offered to it since its last heartbeat.
 	offered map[string]int
@@ -83,7 +84,7 @@
 
 func newJobs(h *helm.Kernel) helm.Plugin {
 	j := &jobs{
-		h: h, pending: make(map[string]*pendingJob), offered: make(map[string]int),
+		h: h, attempts: h.Incarnation, pending: make(map[string]*pendingJob), offered: make(map[string]int),
 		lastProbe: make(map[string]time.Time), probing: make(map[string]bool),
 	}
 	h.Jobs = j
--- a/src/wharf/jobs_test.go
+++ b/src/wharf/jobs_test.go
@@ -29,3 +29,13 @@
 	require.Empty(t, second)
 	require.Contains(t, j.pending, "a")
 }
+
+func TestOfferNumbersRiseOverRestarts(t *testing.T) {
+	now := time.Unix(1000, 0)
+	h := newTestKernel(now)
+	h.Incarnation = uint64(now.UnixMilli())
+	h.Fleet = &singleFleet{self: flotilla.Member{Slots: 4, FreeSlots: 4}}
+	j := newJobs(h).(*jobs)
+	j.Handle(now, submitEvent{job: convoy.Job{ID: "a", Deadline: now.Add(time.Second)}, done: make(chan helm.JobResult, 1)})
+	require.Greater(t, j.pending["a"].attempt, h.Incarnation)
+}
--- a/src/wharf/plan.go
+++ b/src/wharf/plan.go
@@ -281,13 +281,13 @@
 }
 
 // watches reports whether this process will notice that the entry host of an offer is lost, so that the job is given up
-// then: a host that counts as lost already is not reported again.
+// then: a host that counts as lost already, or an earlier incarnation of a host, is not reported again.
 func (p *plan) watches(o offer) bool {
 	if o.job.Host == p.h.Settings.Name {
 		return true
 	}
 	peer, known := p.h.Fleet.Peer(o.job.Host)
-	return known && peer.Alive && !peer.NotReceiving
+	return known && peer.Alive && !peer.NotReceiving && o.attempt > peer.Member.Incarnation
 }
 
 // offerAge returns the age of this process's heartbeat on which another host based an offer. Beyond the failure
--- a/src/wharf/plan_test.go
+++ b/src/wharf/plan_test.go
@@ -109,6 +109,9 @@
 		"not known":     {},
 		"lost":          {peers: map[string]flotilla.Peer{"entry": {}}},
 		"not receiving": {peers: map[string]flotilla.Peer{"entry": {Alive: true, NotReceiving: true}}},
+		"restarted since the offer": {
+			peers: map[string]flotilla.Peer{"entry": {Alive: true, Member: flotilla.Member{Incarnation: 7}}},
+		},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
