Keep the highest cancelled attempt of a job

Cause: a cancellation is sent until it is answered, so one of an earlier attempt can arrive after one of a later attempt. It replaced that one, and the late offer of the later attempt was taken again. Evidence: found by reading; TestRepeatedCancellationKeepsLaterOne fails before. Result: the highest cancelled attempt counts.

--- a/src/wharf/plan.go
+++ b/src/wharf/plan.go
@@ -307,7 +307,8 @@
 			delete(p.cancelled, key)
 		}
 	}
-	p.cancelled[jobKey{job: d.job.ID, host: d.job.Host}] = cancelledOffer{attempt: d.attempt, at: now}
+	key := jobKey{job: d.job.ID, host: d.job.Host}
+	p.cancelled[key] = cancelledOffer{attempt: max(d.attempt, p.cancelled[key].attempt), at: now}
 	p.step(now, d.job)
 }
 
--- a/src/wharf/plan_test.go
+++ b/src/wharf/plan_test.go
@@ -72,6 +72,18 @@
 	require.Equal(t, convoy.Redirected, (<-done).outcome, "a later offer is considered; this planner has no part")
 }
 
+// A repeated cancellation of an earlier attempt must not let the offer of a later, cancelled attempt through.
+func TestRepeatedCancellationKeepsLaterOne(t *testing.T) {
+	now := time.Unix(1000, 0)
+	p := newPlan(newTestKernel(now)).(*plan)
+	for _, attempt := range []uint64{8, 7} {
+		p.Handle(now, cancelledEvent{cancellation: cancellation{job: convoy.JobCancelled{ID: "a", Host: "entry"}, attempt: attempt}})
+	}
+	late, done := newOffer(now, 8, 1)
+	p.Handle(now, late)
+	require.Equal(t, convoy.Lost, (<-done).outcome)
+}
+
 // An offer that was delayed in transit, or by the suspension of its planner, must not start anything once its entry
 // host may have marked the planner failed.
 func TestDelayedOfferIsDeclined(t *testing.T) {
