--- a/src/wharf/sim_host_test.go
+++ b/src/wharf/sim_host_test.go
@@ -76,7 +76,10 @@
 		ConfigVersion: 1,
 	}
 	h.fleet = flotilla.NewFleet(self, []string{"north", "south"}, contacts, now)
-	h.planner = convoy.NewPlanner(convoy.Tuning{MaxLease: simLease, StopTime: simStopTime, Host: h.name, SuspensionLimit: suspensionThreshold})
+	h.planner = convoy.NewPlanner(convoy.Tuning{
+		MaxLease: simLease, StopTime: simStopTime, Host: h.name, SuspensionLimit: suspensionThreshold,
+		TokenStep: flotilla.TokenStep, CallerPause: simResend, HostSilence: overdueAfter,
+	})
 	h.known, h.offered = make(map[string]bool), make(map[string]int)
 	h.pending, h.waiters = make(map[string]*simPending), make(map[jobKey]*simReply)
 	h.cancelled, h.conns = make(map[jobKey]cancelledOffer), make(map[string]*simConn)
@@ -236,6 +239,7 @@
 			h.closeConn(a.Peer.Member.Name)
 			h.step(now, convoy.HostLost{Host: a.Peer.Member.Name})
 		case flotilla.PeerUpdated:
+			h.step(now, convoy.HostHeard{Host: a.Peer.Member.Name, At: a.Peer.LastSent})
 			delete(h.offered, a.Peer.Member.Name)
 		}
 	}
@@ -280,7 +284,7 @@
 				done(w.start(a, by))
 			}, func(v any) {
 				s.log("%s: start %s run %d at %s: %s", by, a.Key.Task, a.Key.Run, a.Target.ID, v)
-				h.step(h.now(), convoy.StartResult{ID: a.Target.ID, Key: a.Key, Result: v.(convoy.OrderResult)})
+				h.step(h.now(), convoy.StartResult{ID: a.Target.ID, Key: a.Key, Token: a.Token, Result: v.(convoy.OrderResult)})
 			})
 		})
 	case convoy.Stop:
@@ -290,7 +294,7 @@
 				done(w.stop(a))
 			}, func(v any) {
 				s.log("%s: stop %s run %d at %s: %s", by, a.Key.Task, a.Key.Run, a.Target.ID, v)
-				h.step(h.now(), convoy.StopResult{ID: a.Target.ID, Key: a.Key, Result: v.(convoy.OrderResult)})
+				h.step(h.now(), convoy.StopResult{ID: a.Target.ID, Key: a.Key, Token: a.Token, Result: v.(convoy.OrderResult)})
 			})
 		})
 	case convoy.Answer:
