Read lists of targets past entries that cannot be read

Callers saw: after one odd announcement every dispatch process stopped following the lists of the registry hosts, for as long as the entry stayed there (a target that expired is never removed, so for good). Workers that came or changed later were never learned: a small system served no job in 20 s, and a registry host that restarted lost all it had on disk, at each start.

Cause: decodeTargets gave up the whole list at its first bad entry. JSON strings may hold bytes that are not UTF-8 and announcements may carry any number of labels; CBOR text must be UTF-8 and its decoder takes 131,072 elements an array, so both are encoded without an error and refused by every reader ("cbor: invalid UTF-8 string", "exceeded max number of elements"). The fetch then fails at every heartbeat from the same revision.

Ruled out: panics of the decoders (fastjson ends at 300 levels, encoding/json and CBOR at theirs); heartbeats, whose strings come from settings and from the configuration.

Entries are decoded one by one; the format is unchanged.

--- a/src/wharf/codec.go
+++ b/src/wharf/codec.go
@@ -1,7 +1,9 @@
 package wharf
 
 import (
+	"math"
 	"net/netip"
+	"sync"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -37,6 +39,17 @@
 	Targets  []wireTarget
 }
 
+// wireEntries reads a wireTargets whose entries are decoded one by one, so that one that cannot be read hides no other.
+type wireEntries struct {
+	_        struct{} `cbor:",toarray"`
+	Revision uint64
+	Targets  []cbor.RawMessage
+}
+
+// listMode decodes arrays of any length: the usual limit on their elements also applies inside the raw entries, where
+// it would reject the whole list.
+var listMode = sync.OnceValues(cbor.DecOptions{MaxArrayElements: math.MaxInt32}.DecMode)
+
 type wireStep struct {
 	_         struct{} `cbor:",toarray"`
 	Count     int
@@ -133,25 +146,40 @@
 	return b, Error.Wrap(err)
 }
 
+// decodeTargets decodes what encodeTargets returned, without the entries that cannot be read.
 func decodeTargets(b []byte) (uint64, []targetEntry, error) {
-	var w wireTargets
-	if err := cbor.Unmarshal(b, &w); err != nil {
+	mode, err := listMode()
+	if err != nil {
+		return 0, nil, Error.Wrap(err)
+	}
+	var w wireEntries
+	if err := mode.Unmarshal(b, &w); err != nil {
 		return 0, nil, Error.Wrap(err)
 	}
 	var out []targetEntry
-	for _, t := range w.Targets {
-		address, err := netip.ParseAddrPort(t.Address)
-		if err != nil {
-			return 0, nil, Error.Wrap(err)
+	for _, raw := range w.Targets {
+		if e, err := decodeTarget(raw); err == nil {
+			out = append(out, e)
 		}
-		out = append(out, targetEntry{departed: t.Departed, target: convoy.Target{
-			ID: t.ID, Pool: t.Pool, Domain: t.Domain, Address: address, Incarnation: t.Incarnation, Sequence: t.Sequence,
-			Capacity: fromWireResources(t.Capacity), Labels: t.Labels, Leaving: t.Leaving, Expired: t.Expired,
-		}})
 	}
 	return w.Revision, out, nil
 }
 
+func decodeTarget(raw []byte) (targetEntry, error) {
+	var t wireTarget
+	if err := cbor.Unmarshal(raw, &t); err != nil {
+		return targetEntry{}, Error.Wrap(err)
+	}
+	address, err := netip.ParseAddrPort(t.Address)
+	if err != nil {
+		return targetEntry{}, Error.Wrap(err)
+	}
+	return targetEntry{departed: t.Departed, target: convoy.Target{
+		ID: t.ID, Pool: t.Pool, Domain: t.Domain, Address: address, Incarnation: t.Incarnation, Sequence: t.Sequence,
+		Capacity: fromWireResources(t.Capacity), Labels: t.Labels, Leaving: t.Leaving, Expired: t.Expired,
+	}}, nil
+}
+
 func encodeOffer(now time.Time, o offer) ([]byte, error) {
 	j := o.job
 	w := wireJob{
