Skip entries of other processes' lists that name no worker

Callers saw: nothing yet; lists and disks of processes before may hold such entries, and they spread from process to process.

Cause: only the handler checked what it was told. An entry with a start time near 2^63, once in a list or on disk, outweighs all announcements of the worker that has its id, which expires and is not used any more until every process that holds the entry has been replaced.

Evidence: TestInvalidEntryDisplacesNoWorker failed in 3 of 3 cases before and passes now.

--- a/src/wharf/codec.go
+++ b/src/wharf/codec.go
@@ -146,8 +146,8 @@
 	return b, Error.Wrap(err)
 }
 
-// decodeTargets decodes what encodeTargets returned, without the entries that cannot be read.
-func decodeTargets(b []byte) (uint64, []targetEntry, error) {
+// decodeTargets decodes what encodeTargets returned, without the entries that cannot be read or name no worker.
+func decodeTargets(now time.Time, b []byte) (uint64, []targetEntry, error) {
 	mode, err := listMode()
 	if err != nil {
 		return 0, nil, Error.Wrap(err)
@@ -158,7 +158,7 @@
 	}
 	var out []targetEntry
 	for _, raw := range w.Targets {
-		if e, err := decodeTarget(raw); err == nil {
+		if e, err := decodeTarget(raw); err == nil && e.target.Validate(now) == nil {
 			out = append(out, e)
 		}
 	}
--- a/src/wharf/follow.go
+++ b/src/wharf/follow.go
@@ -33,7 +33,7 @@
 		ev := targetsFetchedEvent{source: source}
 		out, err := p.h.RPC.Probe(ctx, m.Address, kindFetchTargets, binary.BigEndian.AppendUint64(nil, since))
 		if err == nil {
-			ev.revision, ev.entries, err = decodeTargets(out)
+			ev.revision, ev.entries, err = decodeTargets(p.h.Clock.Now(), out)
 		}
 		ev.err = err
 		p.h.Post(p, ev)
--- a/src/wharf/odd_test.go
+++ b/src/wharf/odd_test.go
@@ -1,6 +1,7 @@
 package wharf
 
 import (
+	"math"
 	"net/netip"
 	"strings"
 	"testing"
@@ -37,7 +38,7 @@
 			entries := []targetEntry{{target: newTarget("w1", 1)}, {target: odd}, {target: newTarget("w2", 1)}}
 			b, err := encodeTargets(7, entries)
 			require.NoError(t, err)
-			revision, got, err := decodeTargets(b)
+			revision, got, err := decodeTargets(time.Unix(1000, 0), b)
 			require.NoError(t, err)
 			require.Equal(t, uint64(7), revision)
 			ids := make(map[string]bool)
@@ -63,3 +64,34 @@
 		})
 	}
 }
+
+// invalidTargets are entries of the right types that cannot be workers; lists of older processes may hold them.
+func invalidTargets() map[string]convoy.Target {
+	out := make(map[string]convoy.Target)
+	for name, change := range map[string]func(t *convoy.Target){
+		"starts at the end of time": func(t *convoy.Target) { t.Incarnation = math.MaxInt64 },
+		"port 0":                    func(t *convoy.Target) { t.Address = netip.MustParseAddrPort("127.0.0.1:0") },
+		"endless capacity":          func(t *convoy.Target) { t.Capacity.Milli = math.MaxInt64 },
+	} {
+		t := newTarget("w1", 1)
+		change(&t)
+		out[name] = t
+	}
+	return out
+}
+
+// An invalid entry in another process's list, or on disk, must not displace the worker that has its id.
+func TestInvalidEntryDisplacesNoWorker(t *testing.T) {
+	for name, odd := range invalidTargets() {
+		t.Run(name, func(t *testing.T) {
+			now, folder := time.Unix(1000, 0), t.TempDir()
+			list, err := encodeTargets(1, []targetEntry{{target: odd}})
+			require.NoError(t, err)
+			require.NoError(t, archive.WriteChecksummed(folder, targetsFile, list))
+			r, _ := newTestTargets(t, folder, now)
+			r.restore(now)
+			r.announce(newTarget("w1", 1))
+			require.Equal(t, newTarget("w1", 1), r.entries["w1"].target)
+		})
+	}
+}
--- a/src/wharf/plan.go
+++ b/src/wharf/plan.go
@@ -345,7 +345,7 @@
 
 // onReleaseWorker takes a worker released by its former planner; this process may not know the worker yet.
 func (p *plan) onReleaseWorker(_ context.Context, _ netip.AddrPort, body []byte) ([]byte, error) {
-	_, entries, err := decodeTargets(body)
+	_, entries, err := decodeTargets(p.h.Clock.Now(), body)
 	if err != nil {
 		return nil, err
 	}
--- a/src/wharf/plan_test.go
+++ b/src/wharf/plan_test.go
@@ -149,7 +149,7 @@
 	f.Add(b)
 	f.Fuzz(func(_ *testing.T, data []byte) {
 		_, _ = decodeOffer(time.Unix(0, 0), data)
-		_, _, _ = decodeTargets(data)
+		_, _, _ = decodeTargets(time.Unix(0, 0), data)
 		_, _ = decodeAnswer(data)
 		_, _ = decodeCancellation(data)
 	})
--- a/src/wharf/recall.go
+++ b/src/wharf/recall.go
@@ -28,7 +28,7 @@
 	if b == nil {
 		return
 	}
-	_, entries, err := decodeTargets(b)
+	_, entries, err := decodeTargets(now, b)
 	if err != nil {
 		t.h.Log.Write(logbook.TargetsUnreadable, logbook.F("error", err.Error()))
 		return
