Let an expired entry outweigh no announcement

Callers saw: a worker that is not used any more although it answers and announces itself, until every process that holds the entry has been replaced.

Cause: one entry of another writer under a worker's id, with a later start time or a higher sequence, makes registry hosts, followers and planners ignore that worker's announcements, also after the entry has expired; such an entry is never removed.

Evidence: TestEntryUnderIDInUseDisplacesWorkerOnlyUntilItExpires (2 of 3 cases), TestExpiredEntryOfAnotherLifeDisplacesNoWorker and TestExpiredEntryDoesNotOutweighWorker failed before and pass now.

Result: such a worker is used again once the entry has expired. An entry in which the worker's present life leaves goes on to outweigh its older announcements, so that a late one starts nothing on a worker that leaves.

--- a/src/convoy/hold.go
+++ b/src/convoy/hold.go
@@ -206,7 +206,7 @@
 // updateTarget records the latest description of a worker and ignores one that is older than the recorded one.
 func (p *Planner) updateTarget(now time.Time, t Target) {
 	old, known := p.targets[t.ID]
-	if known && (t.Incarnation < old.Incarnation || (t.Incarnation == old.Incarnation && t.Sequence < old.Sequence)) {
+	if known && t.OlderThan(old) {
 		return
 	}
 	p.targets[t.ID] = t
@@ -218,15 +218,16 @@
 		}
 		return
 	}
-	if t.Incarnation != 0 && w.target.Incarnation != 0 && t.Incarnation > w.target.Incarnation {
+	if t.Incarnation < w.target.Incarnation && !w.target.Expired {
+		return
+	}
+	if t.Incarnation != 0 && w.target.Incarnation != 0 && t.Incarnation != w.target.Incarnation {
 		p.resetWorker(now, w)
 	}
-	if t.Incarnation >= w.target.Incarnation {
-		if t.Address != w.target.Address && w.phase == phaseReady {
-			w.phase = phaseNew
-		}
-		w.target = t
+	if t.Address != w.target.Address && w.phase == phaseReady {
+		w.phase = phaseNew
 	}
+	w.target = t
 }
 
 // checkAddress contacts the older worker at the address of a new one: if it has ended, the answer names another worker.
--- a/src/convoy/odd_test.go
+++ b/src/convoy/odd_test.go
@@ -1,6 +1,7 @@
 package convoy
 
 import (
+	"net/netip"
 	"testing"
 	"time"
 
@@ -54,14 +55,42 @@
 	require.Equal(t, map[string]Outcome{"a": Completed}, sim.outcomes())
 }
 
+// An entry under the id of a worker in use that has expired must not outweigh the worker's own announcements.
+func TestExpiredEntryDoesNotOutweighWorker(t *testing.T) {
+	sim := newSimulation(t, 1, 1)
+	w := sim.addWorker("w0", "d", 32_000, 1)
+	sim.step(0, PartClaimed{Part: "d", Token: 1})
+	sim.run(time.Second)
+	odd := w.target
+	odd.Incarnation, odd.Address = odd.Incarnation+100, netip.MustParseAddrPort("10.0.1.1:80")
+	sim.step(0, WorkerListed{Target: odd})
+	sim.run(time.Second)
+	odd.Expired = true
+	sim.step(0, WorkerListed{Target: odd})
+	sim.run(time.Second)
+	next := w.target
+	next.Sequence++
+	sim.step(0, WorkerListed{Target: next})
+	sim.run(time.Second)
+	sim.step(0, Submitted{Job: simJob(sim, "a", "r", 1, 60, 2*time.Second)})
+	sim.run(time.Second)
+	require.Equal(t, map[string]Outcome{"a": Completed}, sim.outcomes())
+	require.Equal(t, next, sim.planners[0].workers["w0"].target)
+}
+
 // moved reports whether another worker listens at the address to which an order goes.
 func (sim *simulation) moved(t Target) bool {
+	at := sim.workerAt(t.Address)
+	return at != nil && at.target.ID != t.ID && !at.unreachable
+}
+
+func (sim *simulation) workerAt(address netip.AddrPort) *fakeWorker {
 	for _, w := range sim.workers {
-		if w.target.Address == t.Address {
-			return w.target.ID != t.ID && !w.unreachable
+		if w.target.Address == address {
+			return w
 		}
 	}
-	return false
+	return nil
 }
 
 // withResult returns the answer to an order with another result.
--- a/src/convoy/target.go
+++ b/src/convoy/target.go
@@ -49,6 +49,20 @@
 	return nil
 }
 
+// OlderThan reports whether a description is older than another one of the same id. One that has expired does not outweigh
+// one that has not, unless the worker has announced in it that it leaves: its start time or its sequence may be wrong.
+func (t Target) OlderThan(known Target) bool {
+	sameLife := t.Incarnation == known.Incarnation
+	switch {
+	case known.Expired && !t.Expired && !(sameLife && known.Leaving):
+		return false
+	case sameLife:
+		return t.Sequence < known.Sequence
+	default:
+		return t.Incarnation < known.Incarnation || (t.Expired && !known.Expired)
+	}
+}
+
 // validID reports whether an id can be sent in the header of an order.
 func validID(id string) bool {
 	for _, c := range []byte(id) {
--- a/src/convoy/yard_test.go
+++ b/src/convoy/yard_test.go
@@ -211,7 +211,7 @@
 }
 
 func (sim *simulation) deliver(t Target, do func(w *fakeWorker, done func(Event)), reply func(Event)) {
-	if w := sim.workers[t.ID]; w != nil && !w.unreachable {
+	if w := sim.workerAt(t.Address); w != nil && w.target.ID == t.ID && !w.unreachable {
 		do(w, reply)
 	}
 }
--- a/src/wharf/odd_test.go
+++ b/src/wharf/odd_test.go
@@ -11,6 +11,7 @@
 
 	"sesamecleat/src/archive"
 	"sesamecleat/src/convoy"
+	"sesamecleat/src/tide"
 )
 
 // unreadableTargets are entries that another writer may have left in a list: they cannot be read back.
@@ -95,3 +96,54 @@
 		})
 	}
 }
+
+// An entry with a wrong start time or sequence under the id of a worker must not displace that worker for longer than until
+// the entry expires.
+func TestEntryUnderIDInUseDisplacesWorkerOnlyUntilItExpires(t *testing.T) {
+	tests := map[string]struct {
+		odd  func(t *convoy.Target)
+		want bool
+	}{
+		"a start time ahead":     {odd: func(t *convoy.Target) { t.Incarnation += 3_600_000 }, want: true},
+		"a sequence far ahead":   {odd: func(t *convoy.Target) { t.Sequence = math.MaxInt64 }, want: true},
+		"it leaves in this life": {odd: func(t *convoy.Target) { t.Sequence, t.Leaving = 100, true }},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			clock := tide.NewFakeClock(time.Unix(1000, 0))
+			registry, _ := newTestTargets(t, t.TempDir(), clock.Now())
+			registry.h.Clock, registry.h.Settings.AnnounceInterval = clock, time.Second
+			follower, _ := newTestTargets(t, t.TempDir(), clock.Now())
+			merge := func() {
+				for _, e := range registry.entries {
+					follower.merge(clock.Now(), *e)
+				}
+			}
+			registry.announce(newTarget("w1", 1))
+			merge()
+			odd := newTarget("w1", 2)
+			tt.odd(&odd)
+			registry.announce(odd)
+			merge()
+			for sequence := int64(3); sequence < 10; sequence++ {
+				now := clock.Advance(time.Second)
+				registry.announce(newTarget("w1", sequence))
+				registry.expire(now)
+				merge()
+			}
+			require.Equal(t, tt.want, registry.entries["w1"].target.Sequence == 9)
+			require.Equal(t, tt.want, follower.entries["w1"].target.Sequence == 9)
+		})
+	}
+}
+
+// An expired entry of another process's list must not displace a worker that announces itself.
+func TestExpiredEntryOfAnotherLifeDisplacesNoWorker(t *testing.T) {
+	now := time.Unix(1000, 0)
+	r, _ := newTestTargets(t, t.TempDir(), now)
+	r.announce(newTarget("w1", 1))
+	odd := newTarget("w1", 2)
+	odd.Incarnation, odd.Expired = 500_000, true
+	r.merge(now, targetEntry{target: odd})
+	require.Equal(t, newTarget("w1", 1), r.entries["w1"].target)
+}
--- a/src/wharf/targets.go
+++ b/src/wharf/targets.go
@@ -78,7 +78,8 @@
 	e, known := t.entries[target.ID]
 	if known {
 		old := e.target
-		if target.Incarnation < old.Incarnation || (target.Incarnation == old.Incarnation && target.Sequence <= old.Sequence) {
+		repeated := target.Incarnation == old.Incarnation && target.Sequence == old.Sequence
+		if repeated || target.OlderThan(old) {
 			return
 		}
 		if e.departed && target.Incarnation == old.Incarnation {
@@ -135,7 +136,7 @@
 	e, known := t.entries[update.target.ID]
 	if known {
 		old := e.target
-		if update.target.Incarnation < old.Incarnation || (update.target.Incarnation == old.Incarnation && update.target.Sequence < old.Sequence) {
+		if update.target.OlderThan(old) {
 			return
 		}
 		e.lastAnnounced = now
