--- a/src/convoy/target.go
+++ b/src/convoy/target.go
@@ -54,7 +54,7 @@
 func (t Target) OlderThan(known Target) bool {
 	sameLife := t.Incarnation == known.Incarnation
 	switch {
-	case known.Expired && !t.Expired && !(sameLife && known.Leaving):
+	case known.Expired && !t.Expired && (!sameLife || !known.Leaving):
 		return false
 	case sameLife:
 		return t.Sequence < known.Sequence
