--- a/src/convoy/odd_test.go
+++ b/src/convoy/odd_test.go
@@ -1,6 +1,7 @@
 package convoy
 
 import (
+	"fmt"
 	"net/netip"
 	"testing"
 	"time"
@@ -78,6 +79,62 @@
 	require.Equal(t, next, sim.planners[0].workers["w0"].target)
 }
 
+// TestOddEntriesInSchedules checks that entries of another writer, with the ids and addresses of workers in use and any start
+// time, sequence, pool and state, make no task run twice at once, and that the jobs are served again once they have expired.
+func TestOddEntriesInSchedules(t *testing.T) {
+	for seed := range uint64(20) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			sim := newSimulation(t, seed, 1)
+			for i := range 6 {
+				sim.addWorker(fmt.Sprint("w", i), "d", 32_000, 0.6+0.2*float64(i%4))
+			}
+			sim.step(0, PartClaimed{Part: "d", Token: 1})
+			sim.every(500*time.Millisecond, func() {
+				forEachWorker(sim, func(w *fakeWorker) {
+					w.target.Sequence++
+					sim.step(0, WorkerListed{Target: w.target})
+				})
+			})
+			sim.every(170*time.Millisecond, func() {
+				if sim.now.Before(time.Unix(1_700_000_012, 0)) {
+					sim.listOddEntry()
+				}
+			})
+			jobs := 0
+			sim.every(50*time.Millisecond, func() {
+				jobs++
+				sim.step(0, Submitted{Job: simJob(sim, fmt.Sprint(jobs), "r", 2, 150, 3*time.Second)})
+			})
+			sim.run(20 * time.Second)
+			require.Equal(t, 6, sim.planners[0].Workers()["ready"])
+			for i := jobs - 60; i < jobs-40; i++ {
+				require.Equal(t, Completed, sim.outcomes()[fmt.Sprint(i)], i)
+			}
+		})
+	}
+}
+
+// listOddEntry lists an entry with the id or the address of a worker in use, or both, which expires 2 s later.
+func (sim *simulation) listOddEntry() {
+	pick := func() Target { return sim.workers[fmt.Sprint("w", sim.rng.IntN(6))].target }
+	odd := pick()
+	switch sim.rng.IntN(3) {
+	case 0:
+		odd.ID = fmt.Sprint("odd", sim.rng.IntN(4))
+	case 1:
+		odd.Address = pick().Address
+	}
+	odd.Incarnation += int64(sim.rng.IntN(100) - 10)
+	odd.Sequence += int64(sim.rng.IntN(9) - 2)
+	odd.Leaving = sim.rng.IntN(4) == 0
+	if sim.rng.IntN(4) == 0 {
+		odd.Pool = "unknown"
+	}
+	sim.step(0, WorkerListed{Target: odd})
+	odd.Expired = true
+	sim.after(2*time.Second, func() { sim.step(0, WorkerListed{Target: odd}) })
+}
+
 // moved reports whether another worker listens at the address to which an order goes.
 func (sim *simulation) moved(t Target) bool {
 	at := sim.workerAt(t.Address)
