--- a/src/convoy/hold.go
+++ b/src/convoy/hold.go
@@ -36,7 +36,7 @@
 	case Fenced:
 		p.markFenced(now, w)
 	case WrongIncarnation:
-		p.removeWorker(now, w, "the address belongs to another worker")
+		p.handleWrongIncarnation(now, w)
 	default:
 		p.markLost(now, w, e.Result)
 	}
@@ -149,6 +149,18 @@
 	}
 }
 
+// handleWrongIncarnation handles an answer that names another worker: the incarnation that was expected has ended. Runs that were
+// started at another address than the worker has now may go on there; they end with their lease.
+func (p *Planner) handleWrongIncarnation(now time.Time, w *worker) {
+	for _, r := range w.runs {
+		if r.address != w.target.Address {
+			p.markLost(now, w, WrongIncarnation)
+			return
+		}
+	}
+	p.removeWorker(now, w, "the address belongs to another worker")
+}
+
 // removeWorker removes a worker whose incarnation has ended, so that nothing runs there.
 func (p *Planner) removeWorker(now time.Time, w *worker, reason string) {
 	for _, r := range sortedRuns(w) {
@@ -205,11 +217,11 @@
 // updateTarget records the latest description of a worker and ignores one that is older than the recorded one.
 func (p *Planner) updateTarget(now time.Time, t Target) {
 	old, known := p.targets[t.ID]
-	if known && (t.Incarnation < old.Incarnation || (t.Incarnation == old.Incarnation && t.Sequence < old.Sequence)) {
+	if known && t.OlderThan(old) {
 		return
 	}
 	p.targets[t.ID] = t
-	p.replaceAtAddress(now, t)
+	p.checkAddress(now, t)
 	w, owned := p.workers[t.ID]
 	if !owned {
 		if _, claimed := p.claims[t.Part]; claimed && (!known || !p.inHandover[t.Part]) {
@@ -218,17 +230,22 @@
 		return
 	}
 	former := w.target.Incarnation
-	if t.Incarnation >= former {
-		w.target = t
+	if t.Incarnation < former && !w.target.Expired {
+		return
 	}
-	if former != 0 && t.Incarnation > former {
+	moved := t.Address != w.target.Address
+	w.target = t
+	switch {
+	case former != 0 && t.Incarnation != 0 && t.Incarnation != former:
 		p.beginIncarnation(now, w, former)
+	case moved:
+		p.contactAnew(now, w)
 	}
 }
 
-// replaceAtAddress asks at the address of a new worker for the older one, which is removed if it is no longer there; the
-// announcement alone does not end its runs.
-func (p *Planner) replaceAtAddress(now time.Time, t Target) {
+// checkAddress contacts the older worker at the address of a new one: if it has ended, the answer names another worker.
+// An announcement alone does not prove that, as it may be late or come from anyone.
+func (p *Planner) checkAddress(now time.Time, t Target) {
 	id := p.addresses[t.Address]
 	old, listed := p.targets[id]
 	if id == t.ID || !listed || old.Address != t.Address {
@@ -239,11 +256,8 @@
 		return
 	}
 	p.addresses[t.Address] = t.ID
-	delete(p.targets, id)
-	if w, ok := p.workers[id]; ok && w.phase != phaseFenced {
-		w.phase = phaseNew
-		p.emit(CloseConnections{ID: id})
-		p.sendHold(now, w)
+	if w, ok := p.workers[id]; ok {
+		p.contactAnew(now, w)
 	}
 }
 
--- a/src/convoy/incarnation.go
+++ b/src/convoy/incarnation.go
@@ -32,11 +32,17 @@
 	w.ackedEnds, w.newClock = 0, true
 	w.speed, w.measuredAt = 1, time.Time{}
 	w.failuresInRow, w.skipUntil = 0, time.Time{}
-	if w.phase != phaseFenced {
-		w.phase = phaseNew
-		p.emit(CloseConnections{ID: w.target.ID})
-		p.sendHold(now, w)
+	p.contactAnew(now, w)
+}
+
+// contactAnew asks a worker for its runs before anything else is started there.
+func (p *Planner) contactAnew(now time.Time, w *worker) {
+	if w.phase == phaseFenced {
+		return
 	}
+	w.phase = phaseNew
+	p.emit(CloseConnections{ID: w.target.ID})
+	p.sendHold(now, w)
 }
 
 // dropOrphans forgets the runs of other planners on a worker; they have ended.
--- a/src/convoy/run.go
+++ b/src/convoy/run.go
@@ -11,7 +11,7 @@
 	step := t.job.Steps[t.step]
 	t.runNumber++
 	r := &run{
-		key: RunKey{Task: t.name, Run: t.runNumber}, task: t, job: t.job, token: w.token,
+		key: RunKey{Task: t.name, Run: t.runNumber}, task: t, job: t.job, token: w.token, address: w.target.Address,
 		startedAt: now, predicted: expected, need: step.Need,
 	}
 	t.run = r
@@ -83,7 +83,7 @@
 	case Busy:
 		w.skipUntil = now.Add(busyPause)
 	case WrongIncarnation:
-		p.removeWorker(now, w, "the address belongs to another worker")
+		p.handleWrongIncarnation(now, w)
 	case NotSent:
 		w.skipUntil = now.Add(busyPause)
 	}
--- a/src/convoy/worker.go
+++ b/src/convoy/worker.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"net/netip"
 	"slices"
 	"time"
 )
@@ -39,6 +40,8 @@
 	state runState
 	// token is the fencing token of the start order.
 	token int64
+	// address is the one that the start order was sent to.
+	address netip.AddrPort
 	// startedAt is the time of the start order, and of its answer once that has come.
 	startedAt time.Time
 	// predicted is the predicted run time on this worker.
--- a/src/convoy/yard_test.go
+++ b/src/convoy/yard_test.go
@@ -217,11 +217,17 @@
 	if sim.rng.Float64() < sim.lossRate {
 		reply = func(Event) {}
 	}
-	sim.after(networkDelay, func() { sim.deliver(t, do, reply) })
+	sim.after(networkDelay, func() {
+		if sim.moved(t) {
+			reply(withResult(timeout, WrongIncarnation))
+			return
+		}
+		sim.deliver(t, do, reply)
+	})
 }
 
 func (sim *simulation) deliver(t Target, do func(w *fakeWorker, done func(Event)), reply func(Event)) {
-	if w := sim.workers[t.ID]; w != nil && !w.unreachable {
+	if w := sim.workerAt(t.Address); w != nil && w.target.ID == t.ID && !w.unreachable {
 		do(w, reply)
 	}
 }
