convoy: remove stopped runs of an earlier incarnation

What callers saw: a job whose caller was gone was handed in again and waited until its deadline, and the worker's capacity stayed taken for ever. A run that was stopped before a hold request had listed it, at a worker that then restarted, was neither listed nor reported as ended, and nothing removed it. The fault is older than the incarnation tokens; there the stop was repeated every 100 ms as well. A run started under an earlier token that is not listed under the present one is over, whether it was listed before or not. Evidence: TestStoppedRunOfEarlierIncarnationIsRemoved fails before (one run left three seconds after the restart).

--- a/src/convoy/hold.go
+++ b/src/convoy/hold.go
@@ -107,7 +107,7 @@
 			p.removeRun(now, w, r, true)
 		case r.state == runUnconfirmed:
 			p.orderStop(now, w, r)
-		case r.state == runActive, r.state == runStopping && r.listed:
+		case r.state == runActive, r.state == runStopping && (r.listed || r.token < w.holdToken):
 			p.restartTask(now, w, r, "the worker no longer lists it")
 		}
 	}
