convoy: do not take a hold request outbid by the planner's own token for a fence

What callers saw: jobs lost with 'the worker follows another planner' after a higher token was claimed for one worker of a partition. Starts and stops already compare the order's token with the one in use; hold requests now do too. Evidence: TestHoldUnderOutbidOwnTokenIsNoFence fails before (the job is answered as lost).

--- a/src/convoy/hold.go
+++ b/src/convoy/hold.go
@@ -34,6 +34,11 @@
 	case Accepted:
 		p.handleReport(now, w, e)
 	case Fenced:
+		// An older token may have been outbid by this planner's own one.
+		if w.holdToken < w.token && w.phase != phaseFenced {
+			p.sendHold(now, w)
+			return
+		}
 		p.markFenced(now, w)
 	case WrongIncarnation:
 		p.removeWorker(now, w, "the address belongs to another worker")
