convoy: give up jobs bound to a worker that is out of reach

What callers saw: a job waited for up to 15 s, or until its deadline, while other workers were idle: its task was bound to a worker that had left, drained, was fenced, no longer answered, or came back too small. Only a run whose lease expired gave its job up; one that was removed after its acknowledged stop did not. A started job of this kind also kept a planner that hands over from releasing its other workers, until the next planner fenced them after 5 s. Every tick now gives such jobs up: lost if started, refused if not. A worker that does not answer counts as out of reach after three hold requests (under a second); on arrival one is enough, as before.

--- a/src/convoy/attack_test.go
+++ b/src/convoy/attack_test.go
@@ -18,6 +18,14 @@
 	return out
 }
 
+// resolveStop leaves the start order of a job unanswered and acknowledges its stop, and returns the worker.
+func (b *bench) resolveStop(job string) string {
+	s := b.submit(job)
+	b.step(StartResult{ID: s.Target.ID, Key: s.Key, Token: s.Token, Result: Unanswered})
+	b.step(StopResult{ID: s.Target.ID, Key: s.Key, Token: s.Token, Result: Accepted})
+	return s.Target.ID
+}
+
 func TestStoppedRunOfEarlierIncarnationIsRemoved(t *testing.T) {
 	b := newBench(t, "w0")
 	s := b.submit("a")
@@ -44,3 +52,58 @@
 	b.wait(tickInterval)
 	require.Equal(t, int64(1<<20), b.hold("w0").Token)
 }
+
+func TestJobBoundToWorkerOutOfReachIsGivenUp(t *testing.T) {
+	tests := map[string]func(b *bench, id string){
+		"a worker that does not answer": func(b *bench, id string) {
+			b.step(HoldResult{ID: id, Sent: b.p.workers[id].holdSent, Result: Unanswered})
+		},
+		"a worker that left": func(b *bench, id string) { b.step(WorkerRemoved{ID: id}) },
+		"a worker that drains": func(b *bench, id string) {
+			next := b.target(id, 1)
+			next.Leaving = true
+			b.step(WorkerListed{Target: next})
+		},
+		"a fenced worker": func(b *bench, id string) {
+			b.step(HoldResult{ID: id, Sent: b.p.workers[id].holdSent, Result: Fenced})
+		},
+		"a smaller incarnation": func(b *bench, id string) {
+			next := b.target(id, 2)
+			next.Capacity.Milli = 1000
+			b.step(WorkerListed{Target: next})
+			b.answerHold(id, Report{Incarnation: 2, Clock: 5})
+		},
+		"another worker at its address": func(b *bench, id string) {
+			b.step(HoldResult{ID: id, Sent: b.p.workers[id].holdSent, Result: WrongIncarnation})
+		},
+	}
+	for name, change := range tests {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t, "w0", "w1")
+			id := b.resolveStop("a")
+			b.p.workers[id].skipUntil = b.now.Add(time.Minute)
+			b.wait(120 * time.Millisecond)
+			require.Zero(t, b.p.Runs())
+			change(b, id)
+			for range outOfReachProbes - 1 {
+				if w := b.p.workers[id]; w != nil && w.phase == phaseLost {
+					b.wait(120 * time.Millisecond)
+					b.step(HoldResult{ID: id, Sent: w.holdSent, Result: Unanswered})
+				}
+			}
+			b.wait(100 * time.Millisecond)
+			require.Equal(t, []Outcome{Lost}, b.outcomesOf("a", 0))
+		})
+	}
+}
+
+func TestHandoverWaitsForNoTaskBoundToLostWorker(t *testing.T) {
+	b := newBench(t, "w0", "w1")
+	id := b.resolveStop("a")
+	b.p.workers[id].skipUntil = b.now.Add(time.Minute)
+	b.wait(120 * time.Millisecond)
+	b.step(HoldResult{ID: id, Sent: b.p.workers[id].holdSent, Result: Unanswered})
+	b.step(HandoverRequested{Part: "d"})
+	b.wait(2 * time.Second)
+	require.Empty(t, b.p.workers)
+}
--- a/src/convoy/incarnation.go
+++ b/src/convoy/incarnation.go
@@ -83,15 +83,16 @@
 	return u.worker, ok && now.Before(u.until)
 }
 
-// checkUnresolved refuses a job of which a task may run only on a worker that is out of reach.
-func (p *Planner) checkUnresolved(now time.Time, j *job) (refusal, bool) {
+// checkUnresolved refuses a job of which a task may run only on a worker that is out of reach, or has left as many hold
+// requests in a row unanswered.
+func (p *Planner) checkUnresolved(now time.Time, j *job, probes int) (refusal, bool) {
 	if len(p.unresolved) == 0 {
 		return refusal{}, false
 	}
-	for _, tasks := range j.tasks {
+	for i, tasks := range j.tasks {
 		for _, t := range tasks {
 			id, bound := p.boundTo(now, t)
-			if w, known := p.workers[id]; bound && (!known || w.phase == phaseLost || w.phase == phaseFenced) {
+			if bound && !t.done && t.run == nil && p.outOfReach(id, j.Steps[i], probes) {
 				reason := fmt.Sprintf("a start of task %s is unanswered at worker %s, which is out of reach", t.name, id)
 				return refusal{cause: CauseNoWorker, reason: reason, retry: maxRetryDelay, final: true}, true
 			}
@@ -100,6 +101,31 @@
 	return refusal{}, false
 }
 
+// outOfReach reports whether a worker will start no task of a step any more, or not soon.
+func (p *Planner) outOfReach(id string, s Step, probes int) bool {
+	w, known := p.workers[id]
+	if !known || w.target.Leaving || !s.Need.Fits(w.target.Capacity) || !w.hasLabel(s.Label) {
+		return true
+	}
+	return w.phase == phaseFenced || (w.phase == phaseLost && w.unanswered >= probes)
+}
+
+// giveUpBoundJobs ends the jobs that wait for a worker that is out of reach.
+func (p *Planner) giveUpBoundJobs(now time.Time) {
+	if len(p.unresolved) == 0 {
+		return
+	}
+	for _, j := range p.jobList() {
+		r, blocked := p.checkUnresolved(now, j, outOfReachProbes)
+		switch {
+		case blocked && j.started:
+			p.endJob(now, j, Lost, r.cause, r.reason, 0)
+		case blocked:
+			p.endJob(now, j, Refused, r.cause, r.reason, r.retry)
+		}
+	}
+}
+
 // probeBackoffLimit returns the longest backoff between hold requests to a worker that does not answer. A worker with
 // unresolved starts must learn the new token soon after a restart.
 func (p *Planner) probeBackoffLimit(now time.Time, w *worker) time.Duration {
--- a/src/convoy/planner.go
+++ b/src/convoy/planner.go
@@ -225,6 +225,7 @@
 		p.releaseIfIdle(now, w)
 	}
 	p.expireJobs(now)
+	p.giveUpBoundJobs(now)
 	p.sweep(now)
 }
 
--- a/src/convoy/tuning.go
+++ b/src/convoy/tuning.go
@@ -41,6 +41,8 @@
 	maxProbeBackoff = 2 * time.Second
 	// lateOrderLimit is how long after an unanswered order a worker may still carry it out.
 	lateOrderLimit = 15 * time.Second
+	// outOfReachProbes is how many hold requests in a row a worker leaves unanswered before no task waits for it.
+	outOfReachProbes = 3
 	// noRoomPause is how long a worker without free capacity gets no tasks, unless it lists an ended run earlier.
 	noRoomPause = 40 * time.Millisecond
 	// busyPause is how long a worker that reported itself unhealthy gets no tasks.
