convoy: keep a job with an unanswered start from other planners

A job handed in again whose task is bound to a busy worker was returned for another planner with free slots, which does not know of the binding and runs the task on any worker while the former start may still come. Such jobs are no longer redirected, neither from the queue nor on arrival, which replaces the refusal's mark 'final'. Evidence: TestJobBoundToBusyWorkerIsNotRedirected fails before.

--- a/src/convoy/attack_test.go
+++ b/src/convoy/attack_test.go
@@ -107,3 +107,20 @@
 	b.wait(2 * time.Second)
 	require.Empty(t, b.p.workers)
 }
+
+func TestJobBoundToBusyWorkerIsNotRedirected(t *testing.T) {
+	b := newBench(t, "w0", "w1")
+	id := b.resolveStop("a")
+	b.p.workers[id].skipUntil = b.now.Add(time.Minute)
+	b.step(JobCancelled{ID: "a", Host: "entry"})
+	b.wait(120 * time.Millisecond)
+	skip := len(b.sent)
+	b.step(Submitted{Job: Job{
+		ID: "a", Route: "r", Pool: "pool", Host: "entry", Attempts: 2, Stretch: 9, Arrived: b.now, Deadline: b.now.Add(9 * time.Second),
+		Steps: []Step{{Count: 1, Need: Resources{Milli: 14_000, Memory: 64}, Estimate: 900 * time.Millisecond}},
+	}})
+	b.now = b.now.Add(20 * time.Millisecond)
+	b.step(RemoteCapacity{Tasks: 10})
+	b.wait(200 * time.Millisecond)
+	require.NotContains(t, b.outcomesOf("a", skip), Redirected)
+}
--- a/src/convoy/incarnation.go
+++ b/src/convoy/incarnation.go
@@ -83,6 +83,21 @@
 	return u.worker, ok && now.Before(u.until)
 }
 
+// hasUnresolved reports whether a task of a job is bound to a worker. No other planner knows of that.
+func (p *Planner) hasUnresolved(now time.Time, j *job) bool {
+	if len(p.unresolved) == 0 {
+		return false
+	}
+	for _, tasks := range j.tasks {
+		for _, t := range tasks {
+			if _, bound := p.boundTo(now, t); bound {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // checkUnresolved refuses a job of which a task may run only on a worker that is out of reach, or has left as many hold
 // requests in a row unanswered.
 func (p *Planner) checkUnresolved(now time.Time, j *job, probes int) (refusal, bool) {
@@ -94,7 +109,7 @@
 			id, bound := p.boundTo(now, t)
 			if bound && !t.done && t.run == nil && p.outOfReach(id, j.Steps[i], probes) {
 				reason := fmt.Sprintf("a start of task %s is unanswered at worker %s, which is out of reach", t.name, id)
-				return refusal{cause: CauseNoWorker, reason: reason, retry: maxRetryDelay, final: true}, true
+				return refusal{cause: CauseNoWorker, reason: reason, retry: maxRetryDelay}, true
 			}
 		}
 	}
--- a/src/convoy/judge.go
+++ b/src/convoy/judge.go
@@ -12,8 +12,6 @@
 	retry  time.Duration
 	// neverFits says that none of this planner's workers can run the job; those of another planner may.
 	neverFits bool
-	// final says that no other planner may run the job either.
-	final bool
 }
 
 // checkAdmission decides on arrival whether a job can finish in time.
--- a/src/convoy/place.go
+++ b/src/convoy/place.go
@@ -135,7 +135,7 @@
 		return
 	}
 	for _, j := range append([]*job(nil), p.queue...) {
-		if j.started || j.Pinned || now.Sub(j.Arrived) < redirectDelay || j.Tasks() > p.remoteSlots {
+		if j.started || j.Pinned || now.Sub(j.Arrived) < redirectDelay || j.Tasks() > p.remoteSlots || p.hasUnresolved(now, j) {
 			continue
 		}
 		p.remoteSlots -= j.Tasks()
--- a/src/convoy/submit.go
+++ b/src/convoy/submit.go
@@ -24,7 +24,7 @@
 	p.routeStats(j.Route).addJob(now, j)
 	p.updateTypicalMilli(j)
 	refusal, ok := p.checkAdmission(now, j)
-	if !ok && !refusal.final && !j.Pinned && (p.remoteSlots >= j.Tasks() || refusal.neverFits) {
+	if !ok && !j.Pinned && !p.hasUnresolved(now, j) && (p.remoteSlots >= j.Tasks() || refusal.neverFits) {
 		p.remoteSlots = max(0, p.remoteSlots-j.Tasks())
 		p.emit(Answer{ID: in.ID, Host: in.Host, Outcome: Redirected, Cause: refusal.cause, Reason: refusal.reason})
 		return
