convoy: bind a task with an unanswered start at a fenced worker, too

What callers saw: two runs of one task at once. Runs at a worker that had accepted another planner's token were given up, and their unanswered starts forgotten. When the partition came back, the job, handed in again, ran on another worker, while the late start ran on a new incarnation of the first that no planner had contacted yet. TestUnansweredStartAtFencedWorkerIsNotForgotten fails before in both cases.

--- a/src/convoy/attack_test.go
+++ b/src/convoy/attack_test.go
@@ -124,3 +124,29 @@
 	b.wait(200 * time.Millisecond)
 	require.NotContains(t, b.outcomesOf("a", skip), Redirected)
 }
+
+func TestUnansweredStartAtFencedWorkerIsNotForgotten(t *testing.T) {
+	tests := map[string]bool{"no answer yet": false, "its answer is overdue": true}
+	for name, overdue := range tests {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t, "w0", "w1")
+			s := b.submit("a")
+			id := s.Target.ID
+			if overdue {
+				b.step(StartResult{ID: id, Key: s.Key, Token: s.Token, Result: Unanswered})
+			}
+			b.step(HoldResult{ID: id, Sent: b.p.workers[id].holdSent, Result: Fenced})
+			require.Equal(t, []Outcome{Lost}, b.outcomesOf("a", 0))
+			b.wait(1300 * time.Millisecond)
+			for _, w := range b.p.workers {
+				if w.target.ID != id {
+					w.speed = 4
+				}
+			}
+			b.step(PartClaimed{Part: "d", Token: 1 << 20})
+			b.wait(tickInterval)
+			b.answerHold(id, Report{Incarnation: 1, Clock: 901_500})
+			require.Equal(t, id, b.submit("a").Target.ID)
+		})
+	}
+}
--- a/src/convoy/claim.go
+++ b/src/convoy/claim.go
@@ -80,6 +80,9 @@
 // these runs cannot be learned.
 func (p *Planner) giveUpRuns(now time.Time, w *worker, reason string) {
 	for _, r := range sortedRuns(w) {
+		if r.state == runStarting || r.state == runUnconfirmed {
+			p.leaveUnresolved(now, w, r)
+		}
 		delete(w.runs, r.key)
 		w.used = w.used.minus(r.need)
 		t := r.task
