convoy: keep a worker fenced when an earlier hold request is answered late

What callers saw: none observed; found by reading. A worker that refused a start as fenced became ready, or lost, by the answer to the hold request that had been waiting there, got tasks under the token it refuses, and their jobs were lost. A refused one put off the claim of a higher token by another 0.4 s. Only a higher token ends the fence now; the answer that another worker has the address still removes the worker. Evidence: TestLateHoldAnswerDoesNotEndFence fails before in 3 of 3 cases.

--- a/src/convoy/attack_test.go
+++ b/src/convoy/attack_test.go
@@ -150,3 +150,20 @@
 		})
 	}
 }
+
+func TestLateHoldAnswerDoesNotEndFence(t *testing.T) {
+	for _, v := range []OrderResult{Accepted, Unanswered, Fenced} {
+		t.Run(v.String(), func(t *testing.T) {
+			b := newBench(t, "w0")
+			s := b.submit("a")
+			sent := b.p.workers["w0"].holdSent
+			b.step(StartResult{ID: "w0", Key: s.Key, Token: s.Token, Result: Fenced})
+			fenced := b.now
+			b.now = b.now.Add(100 * time.Millisecond)
+			b.step(HoldResult{ID: "w0", Sent: sent, Result: v, Report: Report{Incarnation: 1, Clock: 900_010}})
+			require.Empty(t, b.starts())
+			require.Equal(t, phaseFenced, b.p.workers["w0"].phase)
+			require.Equal(t, fenced, b.p.workers["w0"].fencedAt)
+		})
+	}
+}
--- a/src/convoy/hold.go
+++ b/src/convoy/hold.go
@@ -30,6 +30,9 @@
 		return
 	}
 	w.holdPending = false
+	if w.phase == phaseFenced && e.Result != WrongIncarnation {
+		return
+	}
 	switch e.Result {
 	case Accepted:
 		p.handleReport(now, w, e)
