convoy: keep a worker that left during a handover and is back after its partition was reclaimed

What callers saw: fewer workers until the next announcement. A claim renewed only the workers that were listed at that moment; one that had left, with runs still on it, went on being handed over, and was released to nobody once it was idle.

--- a/src/convoy/attack_test.go
+++ b/src/convoy/attack_test.go
@@ -167,3 +167,16 @@
 		})
 	}
 }
+
+func TestReclaimedWorkerThatLeftIsKeptWhenItIsBack(t *testing.T) {
+	b := newBench(t, "w0")
+	s := b.submit("a")
+	b.step(StartResult{ID: "w0", Key: s.Key, Token: s.Token, Result: Accepted})
+	b.step(HandoverRequested{Part: "d"})
+	b.step(WorkerRemoved{ID: "w0"})
+	b.step(PartClaimed{Part: "d", Token: 1 << 20})
+	b.step(WorkerListed{Target: b.target("w0", 1)})
+	b.answerHold("w0", Report{Incarnation: 1, Clock: 900_010, Ends: []EndReport{{Number: 1, Key: s.Key, Result: EndedDone}}})
+	b.wait(100 * time.Millisecond)
+	require.Equal(t, map[string]int{"ready": 1}, b.p.Workers())
+}
--- a/src/convoy/claim.go
+++ b/src/convoy/claim.go
@@ -10,16 +10,15 @@
 func (p *Planner) claimWorkers(now time.Time, e PartClaimed) {
 	p.claims[e.Part] = e.Token
 	p.inHandover[e.Part] = e.HandoverInProgress
-	for _, id := range slices.Sorted(maps.Keys(p.targets)) {
-		t := p.targets[id]
-		if t.Part != e.Part || (e.HandoverInProgress && p.workers[id] == nil) {
-			continue
-		}
-		if w, ok := p.workers[id]; ok {
+	for _, w := range p.sortedWorkers() {
+		if w.target.Part == e.Part {
 			p.renewToken(now, w, e.Token)
-			continue
 		}
-		p.addWorker(now, t)
+	}
+	for _, id := range slices.Sorted(maps.Keys(p.targets)) {
+		if t := p.targets[id]; t.Part == e.Part && !e.HandoverInProgress && p.workers[id] == nil {
+			p.addWorker(now, t)
+		}
 	}
 }
 
