--- a/src/convoy/yard_test.go
+++ b/src/convoy/yard_test.go
@@ -32,6 +32,9 @@
 	// from the defaults.
 	taskDurations map[string]float64
 	taskNeeds     map[string]int64
+	// raise carries out a request for a higher token; holds counts the hold requests to each worker since it was cleared.
+	raise func(planner int)
+	holds map[string]int
 	// history holds what happened to each task's runs, for failure messages.
 	history map[string][]string
 }
@@ -169,6 +172,9 @@
 	switch a := a.(type) {
 	case Hold:
 		sent := sim.now
+		if sim.holds != nil {
+			sim.holds[a.Target.ID]++
+		}
 		sim.sendOrder(i, a.Target, a.Wait+100*time.Millisecond, func(w *fakeWorker, done func(Event)) {
 			sim.handleHold(w, a, func(v OrderResult, r Report) { done(HoldResult{ID: a.Target.ID, Sent: sent, Result: v, Report: r}) })
 		}, HoldResult{ID: a.Target.ID, Sent: sent, Result: Unanswered})
@@ -189,6 +195,10 @@
 	case Answer:
 		sim.answers = append(sim.answers, a)
 		sim.answeredAt[a.ID] = sim.now
+	case RequestHigherToken:
+		if sim.raise != nil {
+			sim.raise(i)
+		}
 	case ReleaseWorker:
 		for k := range sim.planners {
 			if k != i {
