--- /dev/null
+++ b/src/convoy/attack_test.go
@@ -0,0 +1,182 @@
+package convoy
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// outcomesOf returns the outcomes answered for a job since the first skip actions.
+func (b *bench) outcomesOf(id string, skip int) []Outcome {
+	var out []Outcome
+	for _, a := range b.sent[skip:] {
+		if a, ok := a.(Answer); ok && a.ID == id {
+			out = append(out, a.Outcome)
+		}
+	}
+	return out
+}
+
+// resolveStop leaves the start order of a job unanswered and acknowledges its stop, and returns the worker.
+func (b *bench) resolveStop(job string) string {
+	s := b.submit(job)
+	b.step(StartResult{ID: s.Target.ID, Key: s.Key, Token: s.Token, Result: Unanswered})
+	b.step(StopResult{ID: s.Target.ID, Key: s.Key, Token: s.Token, Result: Accepted})
+	return s.Target.ID
+}
+
+func TestStoppedRunOfEarlierIncarnationIsRemoved(t *testing.T) {
+	b := newBench(t, "w0")
+	s := b.submit("a")
+	b.step(StartResult{ID: "w0", Key: s.Key, Token: s.Token, Result: Accepted})
+	b.step(JobCancelled{ID: "a", Host: "entry"})
+	b.now = b.now.Add(time.Millisecond)
+	b.step(WorkerListed{Target: b.target("w0", 2)})
+	b.answerHold("w0", Report{Incarnation: 2, Clock: 5})
+	b.answerHold("w0", Report{Incarnation: 2, Clock: 300})
+	b.wait(3 * time.Second)
+	require.Zero(t, b.p.Runs())
+	require.Empty(t, b.p.orphanCounts)
+}
+
+func TestHoldUnderOutbidOwnTokenIsNoFence(t *testing.T) {
+	b := newBench(t, "w0")
+	s := b.submit("a")
+	b.step(StartResult{ID: "w0", Key: s.Key, Token: s.Token, Result: Accepted})
+	sent := b.p.workers["w0"].holdSent
+	b.now = b.now.Add(time.Millisecond)
+	b.step(PartClaimed{Part: "d", Token: 1 << 20})
+	b.step(HoldResult{ID: "w0", Sent: sent, Result: Fenced})
+	require.Empty(t, b.outcomesOf("a", 0))
+	b.wait(tickInterval)
+	require.Equal(t, int64(1<<20), b.hold("w0").Token)
+}
+
+func TestJobBoundToWorkerOutOfReachIsGivenUp(t *testing.T) {
+	tests := map[string]func(b *bench, id string){
+		"a worker that does not answer": func(b *bench, id string) {
+			b.step(HoldResult{ID: id, Sent: b.p.workers[id].holdSent, Result: Unanswered})
+		},
+		"a worker that left": func(b *bench, id string) { b.step(WorkerRemoved{ID: id}) },
+		"a worker that drains": func(b *bench, id string) {
+			next := b.target(id, 1)
+			next.Leaving = true
+			b.step(WorkerListed{Target: next})
+		},
+		"a fenced worker": func(b *bench, id string) {
+			b.step(HoldResult{ID: id, Sent: b.p.workers[id].holdSent, Result: Fenced})
+		},
+		"a smaller incarnation": func(b *bench, id string) {
+			next := b.target(id, 2)
+			next.Capacity.Milli = 1000
+			b.step(WorkerListed{Target: next})
+			b.answerHold(id, Report{Incarnation: 2, Clock: 5})
+		},
+		"another worker at its address": func(b *bench, id string) {
+			b.step(HoldResult{ID: id, Sent: b.p.workers[id].holdSent, Result: WrongIncarnation})
+		},
+	}
+	for name, change := range tests {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t, "w0", "w1")
+			id := b.resolveStop("a")
+			b.p.workers[id].skipUntil = b.now.Add(time.Minute)
+			b.wait(120 * time.Millisecond)
+			require.Zero(t, b.p.Runs())
+			change(b, id)
+			for range outOfReachProbes - 1 {
+				if w := b.p.workers[id]; w != nil && w.phase == phaseLost {
+					b.wait(120 * time.Millisecond)
+					b.step(HoldResult{ID: id, Sent: w.holdSent, Result: Unanswered})
+				}
+			}
+			b.wait(100 * time.Millisecond)
+			require.Equal(t, []Outcome{Lost}, b.outcomesOf("a", 0))
+		})
+	}
+}
+
+func TestHandoverWaitsForNoTaskBoundToLostWorker(t *testing.T) {
+	b := newBench(t, "w0", "w1")
+	id := b.resolveStop("a")
+	b.p.workers[id].skipUntil = b.now.Add(time.Minute)
+	b.wait(120 * time.Millisecond)
+	b.step(HoldResult{ID: id, Sent: b.p.workers[id].holdSent, Result: Unanswered})
+	b.step(HandoverRequested{Part: "d"})
+	b.wait(2 * time.Second)
+	require.Empty(t, b.p.workers)
+}
+
+func TestJobBoundToBusyWorkerIsNotRedirected(t *testing.T) {
+	b := newBench(t, "w0", "w1")
+	id := b.resolveStop("a")
+	b.p.workers[id].skipUntil = b.now.Add(time.Minute)
+	b.step(JobCancelled{ID: "a", Host: "entry"})
+	b.wait(120 * time.Millisecond)
+	skip := len(b.sent)
+	b.step(Submitted{Job: Job{
+		ID: "a", Route: "r", Pool: "pool", Host: "entry", Attempts: 2, Stretch: 9, Arrived: b.now, Deadline: b.now.Add(9 * time.Second),
+		Steps: []Step{{Count: 1, Need: Resources{Milli: 14_000, Memory: 64}, Estimate: 900 * time.Millisecond}},
+	}})
+	b.now = b.now.Add(20 * time.Millisecond)
+	b.step(RemoteCapacity{Tasks: 10})
+	b.wait(200 * time.Millisecond)
+	require.NotContains(t, b.outcomesOf("a", skip), Redirected)
+}
+
+func TestUnansweredStartAtFencedWorkerIsNotForgotten(t *testing.T) {
+	tests := map[string]bool{"no answer yet": false, "its answer is overdue": true}
+	for name, overdue := range tests {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t, "w0", "w1")
+			s := b.submit("a")
+			id := s.Target.ID
+			if overdue {
+				b.step(StartResult{ID: id, Key: s.Key, Token: s.Token, Result: Unanswered})
+			}
+			b.step(HoldResult{ID: id, Sent: b.p.workers[id].holdSent, Result: Fenced})
+			require.Equal(t, []Outcome{Lost}, b.outcomesOf("a", 0))
+			b.wait(1300 * time.Millisecond)
+			for _, w := range b.p.workers {
+				if w.target.ID != id {
+					w.speed = 4
+				}
+			}
+			b.step(PartClaimed{Part: "d", Token: 1 << 20})
+			b.wait(tickInterval)
+			b.answerHold(id, Report{Incarnation: 1, Clock: 901_500})
+			require.Equal(t, id, b.submit("a").Target.ID)
+		})
+	}
+}
+
+func TestLateHoldAnswerDoesNotEndFence(t *testing.T) {
+	for _, v := range []OrderResult{Accepted, Unanswered, Fenced} {
+		t.Run(v.String(), func(t *testing.T) {
+			b := newBench(t, "w0")
+			s := b.submit("a")
+			sent := b.p.workers["w0"].holdSent
+			b.step(StartResult{ID: "w0", Key: s.Key, Token: s.Token, Result: Fenced})
+			fenced := b.now
+			b.now = b.now.Add(100 * time.Millisecond)
+			b.step(HoldResult{ID: "w0", Sent: sent, Result: v, Report: Report{Incarnation: 1, Clock: 900_010}})
+			require.Empty(t, b.starts())
+			require.Equal(t, phaseFenced, b.p.workers["w0"].phase)
+			require.Equal(t, fenced, b.p.workers["w0"].fencedAt)
+		})
+	}
+}
+
+func TestReclaimedWorkerThatLeftIsKeptWhenItIsBack(t *testing.T) {
+	b := newBench(t, "w0")
+	s := b.submit("a")
+	b.step(StartResult{ID: "w0", Key: s.Key, Token: s.Token, Result: Accepted})
+	b.step(HandoverRequested{Part: "d"})
+	b.step(WorkerRemoved{ID: "w0"})
+	b.step(PartClaimed{Part: "d", Token: 1 << 20})
+	b.step(WorkerListed{Target: b.target("w0", 1)})
+	b.answerHold("w0", Report{Incarnation: 1, Clock: 900_010, Ends: []EndReport{{Number: 1, Key: s.Key, Result: EndedDone}}})
+	b.wait(100 * time.Millisecond)
+	require.Equal(t, map[string]int{"ready": 1}, b.p.Workers())
+}
--- a/src/convoy/claim.go
+++ b/src/convoy/claim.go
@@ -10,16 +10,15 @@
 func (p *Planner) claimWorkers(now time.Time, e PartClaimed) {
 	p.claims[e.Part] = e.Token
 	p.inHandover[e.Part] = e.HandoverInProgress
-	for _, id := range slices.Sorted(maps.Keys(p.targets)) {
-		t := p.targets[id]
-		if t.Part != e.Part || (e.HandoverInProgress && p.workers[id] == nil) {
-			continue
-		}
-		if w, ok := p.workers[id]; ok {
+	for _, w := range p.sortedWorkers() {
+		if w.target.Part == e.Part {
 			p.renewToken(now, w, e.Token)
-			continue
 		}
-		p.addWorker(now, t)
+	}
+	for _, id := range slices.Sorted(maps.Keys(p.targets)) {
+		if t := p.targets[id]; t.Part == e.Part && !e.HandoverInProgress && p.workers[id] == nil {
+			p.addWorker(now, t)
+		}
 	}
 }
 
@@ -80,6 +79,9 @@
 // these runs cannot be learned.
 func (p *Planner) giveUpRuns(now time.Time, w *worker, reason string) {
 	for _, r := range sortedRuns(w) {
+		if r.state == runStarting || r.state == runUnconfirmed {
+			p.leaveUnresolved(now, w, r)
+		}
 		delete(w.runs, r.key)
 		w.used = w.used.minus(r.need)
 		t := r.task
--- a/src/convoy/hold.go
+++ b/src/convoy/hold.go
@@ -30,10 +30,18 @@
 		return
 	}
 	w.holdPending = false
+	if w.phase == phaseFenced && e.Result != WrongIncarnation {
+		return
+	}
 	switch e.Result {
 	case Accepted:
 		p.handleReport(now, w, e)
 	case Fenced:
+		// An older token may have been outbid by this planner's own one.
+		if w.holdToken < w.token && w.phase != phaseFenced {
+			p.sendHold(now, w)
+			return
+		}
 		p.markFenced(now, w)
 	case WrongIncarnation:
 		p.handleWrongIncarnation(now, w)
@@ -107,7 +115,7 @@
 			p.removeRun(now, w, r, true)
 		case r.state == runUnconfirmed:
 			p.orderStop(now, w, r)
-		case r.state == runActive, r.state == runStopping && r.listed:
+		case r.state == runActive, r.state == runStopping && (r.listed || r.token < w.holdToken):
 			p.restartTask(now, w, r, "the worker no longer lists it")
 		}
 	}
