convoy: keep the tests of bound tasks in a file of that name

One case goes: a job bound to a worker whose address is another's is not given up but unbound, which TestTaskIsNotBoundToWorkerWhoseAddressIsAnothers requires; the two rules were written at the same time.

--- a/src/convoy/attack_test.go
+++ b/src/convoy/bound_test.go
@@ -73,9 +73,6 @@
 			b.step(WorkerListed{Target: next})
 			b.answerHold(id, Report{Incarnation: 2, Clock: 5})
 		},
-		"another worker at its address": func(b *bench, id string) {
-			b.step(HoldResult{ID: id, Sent: b.p.workers[id].holdSent, Result: WrongIncarnation})
-		},
 	}
 	for name, change := range tests {
 		t.Run(name, func(t *testing.T) {
