wharf, flotilla: tell planners in heartbeats of undelivered cancellations

A caller's connection broke, and the cancellation to the planner was lost on a connection that had gone silent, which is replaced only after two time-outs of 400 ms, or took seconds. Heartbeats of the entry host still arrived, so the planner went on to start tasks and to grant leases up to 1.3 s after the last one, but the caller was back 1.3 s after it had left, with the entry host killed, suspended or slow meanwhile. An entry host now names, in its heartbeats, the planners that have not confirmed a cancellation, and such heartbeats do not count as a sign of life there. The names are carried as complements of hashes among those of the live peers: the layout stays the same and earlier versions ignore them.

TestLateCancellationRunsTaskTwice and TestUndeliveredCancellationIsNoSignOfLife fail if such heartbeats count.

--- a/src/flotilla/fleet.go
+++ b/src/flotilla/fleet.go
@@ -192,6 +192,9 @@
 	for _, p := range alive {
 		b.ReceivesFrom = append(b.ReceivesFrom, NameHash(p.Member.Name))
 	}
+	for _, hash := range f.self.Undelivered {
+		b.ReceivesFrom = append(b.ReceivesFrom, ^hash)
+	}
 	f.heartbeatCount++
 	for i := range min(maxContacts, len(alive)) {
 		b.Contacts = append(b.Contacts, alive[(f.heartbeatCount*maxContacts+i)%len(alive)].Member.Address)
@@ -238,7 +241,9 @@
 	if m.Incarnation != p.Member.Incarnation {
 		p.offset = clockOffset{}
 	}
-	p.LastSent = p.offset.sentAt(now, m.SentAtMillis)
+	if sent := p.offset.sentAt(now, m.SentAtMillis); !slices.Contains(b.ReceivesFrom, ^NameHash(f.self.Name)) {
+		p.LastSent = sent
+	}
 	p.Member, p.LastHeartbeat, p.Alive = m, now, true
 	f.updateReceiving(now, p, slices.Contains(b.ReceivesFrom, NameHash(f.self.Name)))
 	if joined {
--- a/src/flotilla/member.go
+++ b/src/flotilla/member.go
@@ -43,12 +43,15 @@
 	Slots int
 	// WaitingJobs counts, by route, its jobs of which no task has started.
 	WaitingJobs map[string]int
+	// Undelivered holds the name hashes of the planners that have not confirmed a cancellation yet.
+	Undelivered []uint32
 }
 
 // Heartbeat is the message that processes send each other at every HeartbeatInterval.
 type Heartbeat struct {
 	From Member
-	// ReceivesFrom holds the name hashes of the live peers of the sender.
+	// ReceivesFrom holds the name hashes of the live peers of the sender, and the complements of its Undelivered, which
+	// earlier versions ignore there.
 	ReceivesFrom []uint32
 	// Contacts are addresses of other processes.
 	Contacts []netip.AddrPort
@@ -59,7 +62,8 @@
 	Member        Member
 	LastHeartbeat time.Time
 	// LastSent is when that heartbeat was sent, by the local clock; it is earlier than LastHeartbeat if the heartbeat was held
-	// up on its way or this process was suspended.
+	// up on its way or this process was suspended. Heartbeats do not count while a cancellation for this process is undelivered:
+	// its caller may be back before the cancellation is here.
 	LastSent time.Time
 	offset   clockOffset
 	// AliveSince is the time of its first heartbeat, or of the first one after it had failed.
--- a/src/flotilla/offset_test.go
+++ b/src/flotilla/offset_test.go
@@ -1,6 +1,7 @@
 package flotilla
 
 import (
+	"net/netip"
 	"testing"
 	"time"
 
@@ -34,3 +35,46 @@
 		})
 	}
 }
+
+// A host whose cancellation is lost on its way must not make the planner go on with a job whose caller may be back.
+func TestUndeliveredCancellationIsNoSignOfLife(t *testing.T) {
+	begin := time.Unix(1_700_000_000, 0)
+	tests := map[string]struct {
+		undelivered []string
+		want        time.Duration
+	}{
+		"none":                            {want: 2 * HeartbeatInterval},
+		"for another planner":             {undelivered: []string{"c"}, want: 2 * HeartbeatInterval},
+		"for this planner":                {undelivered: []string{"a"}},
+		"for this planner and another":    {undelivered: []string{"c", "a"}},
+		"for the host of the callers too": {undelivered: []string{"b"}, want: 2 * HeartbeatInterval},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			planner := NewFleet(Member{Name: "a", Domain: "d"}, []string{"d"}, nil, begin)
+			self := Member{Name: "b", Domain: "d", Address: netip.MustParseAddrPort("127.0.0.1:7720"), Incarnation: 1}
+			entry := NewFleet(self, []string{"d"}, nil, begin)
+			beat := func(now time.Time, undelivered []string) time.Duration {
+				entry.UpdateSelf(func(m *Member) {
+					m.SentAtMillis, m.Undelivered = now.UnixMilli(), nil
+					for _, name := range undelivered {
+						m.Undelivered = append(m.Undelivered, NameHash(name))
+					}
+				})
+				data, err := EncodeHeartbeat(entry.Heartbeat())
+				require.NoError(t, err)
+				b, err := DecodeHeartbeat(data)
+				require.NoError(t, err)
+				planner.Step(now, HeartbeatReceived{Heartbeat: b})
+				p, _ := planner.Peer("b")
+				require.True(t, p.Alive)
+				require.Equal(t, now, p.LastHeartbeat)
+				return p.LastSent.Sub(begin)
+			}
+			require.Zero(t, beat(begin, nil))
+			beat(begin.Add(HeartbeatInterval), tt.undelivered)
+			require.Equal(t, tt.want, beat(begin.Add(2*HeartbeatInterval), tt.undelivered))
+			require.Equal(t, 3*HeartbeatInterval, beat(begin.Add(3*HeartbeatInterval), nil))
+		})
+	}
+}
--- a/src/wharf/jobs.go
+++ b/src/wharf/jobs.go
@@ -51,6 +51,7 @@
 	lastProbe      map[string]time.Time
 	probing        map[string]bool
 	waitingByRoute atomic.Pointer[map[string]int]
+	undelivered    undelivered
 }
 
 type submitEvent struct {
@@ -85,7 +86,7 @@
 func newJobs(h *helm.Kernel) helm.Plugin {
 	j := &jobs{
 		h: h, attempts: h.Incarnation, pending: make(map[string]*pendingJob), offered: make(map[string]int),
-		lastProbe: make(map[string]time.Time), probing: make(map[string]bool),
+		lastProbe: make(map[string]time.Time), probing: make(map[string]bool), undelivered: make(undelivered),
 	}
 	h.Jobs = j
 	return j
@@ -173,6 +174,8 @@
 	case probedEvent:
 		j.lastProbe[e.planner] = now
 		delete(j.probing, e.planner)
+	case cancelEndedEvent:
+		j.undelivered.end(j.h.Fleet, e.planner)
 	case configInForceEvent:
 		j.config.Store(e.config)
 	case helm.DrainStarted:
@@ -331,37 +334,6 @@
 	j.finish(p, answer{outcome: convoy.Lost, cause: e.cause, reason: e.reason})
 }
 
-// notifyCancelled tells a job's planner that nobody waits for the job here any more, in up to cancelAttempts calls
-// until the planner answers.
-func (j *jobs) notifyCancelled(p *pendingJob, reason string) {
-	d := cancellation{job: convoy.JobCancelled{ID: p.job.ID, Host: p.job.Host, Reason: reason}, attempt: p.attempt}
-	if p.planner == j.h.Settings.Name {
-		j.h.Publish(j.h.Clock.Now(), cancelledEvent{cancellation: d})
-		return
-	}
-	peer, ok := j.h.Fleet.Peer(p.planner)
-	if !ok {
-		return
-	}
-	body, err := encodeCancellation(d)
-	if err != nil {
-		j.h.Log.Write(logbook.HandlerPanicked, logbook.F("panic", err.Error()))
-		return
-	}
-	go func() {
-		for range cancelAttempts {
-			ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
-			_, err := j.h.RPC.Probe(ctx, peer.Member.Address, kindCancelJob, body)
-			cancel()
-			if err == nil {
-				return
-			}
-			time.Sleep(cancelRetryDelay)
-		}
-		j.h.Log.Write(logbook.CancelUndelivered, logbook.F("id", d.job.ID), logbook.F("planner", peer.Member.Name))
-	}()
-}
-
 // failPlannerJobs answers the jobs of a failed planner: its workers' leases expire before a caller that retries can be
 // back.
 func (j *jobs) failPlannerJobs(_ time.Time, name string) {
--- a/src/wharf/sim_host_test.go
+++ b/src/wharf/sim_host_test.go
@@ -36,6 +36,7 @@
 	probing        map[string]bool
 	lastProbe      map[string]time.Time
 	silentOrders   map[string]int
+	undelivered    undelivered
 }
 
 // Peers and the other methods below make a host the helm.Fleet of its pieces.
@@ -84,6 +85,7 @@
 	h.pending, h.waiters = make(map[string]*simPending), make(map[jobKey]*simReply)
 	h.cancelled, h.conns = make(map[jobKey]cancelledOffer), make(map[string]*simConn)
 	h.probing, h.lastProbe, h.silentOrders = make(map[string]bool), make(map[string]time.Time), make(map[string]int)
+	h.undelivered = make(undelivered)
 	h.changed, h.lastSent, h.lastTick, h.free, h.slots, h.attempts = false, time.Time{}, now, 0, 0, self.Incarnation
 	s.log("%s begins life %d, skew %s", h.name, h.life, h.skew)
 	for _, t := range []struct {
--- a/src/wharf/sim_jobs_test.go
+++ b/src/wharf/sim_jobs_test.go
@@ -301,12 +301,14 @@
 		return
 	}
 	if to := h.s.host(p.planner); to != nil {
+		h.undelivered.begin(h, p.planner)
 		h.cancelCall(to, d, cancelAttempts)
 	}
 }
 
 func (h *simHost) cancelCall(to *simHost, d cancellation, left int) {
 	if left == 0 {
+		h.undelivered.end(h, to.name)
 		return
 	}
 	life := h.life
@@ -316,7 +318,9 @@
 	}, func(_ answer, err simCallError) {
 		if err != simNoError {
 			h.s.after(cancelRetryDelay, func() { h.post(life, func(time.Time) { h.cancelCall(to, d, left-1) }) })
+			return
 		}
+		h.undelivered.end(h, to.name)
 	})
 }
 
--- a/src/wharf/sim_test.go
+++ b/src/wharf/sim_test.go
@@ -81,3 +81,13 @@
 		}
 	}
 }
+
+// A caller must not be back before the planner knows that it has gone, however late the cancellation is.
+func TestLateCancellationRunsTaskTwice(t *testing.T) {
+	tests := map[string]uint64{"kill,silent,reset": 131, "slow,silent,reset": 89}
+	for set, seed := range tests {
+		t.Run(set, func(t *testing.T) {
+			require.Empty(t, simDay(seed, parseSimFaults(set), false).twice)
+		})
+	}
+}
