flotilla: take the first heartbeat of a restarted host for late if it may be

A host lived for a tenth of a second between two kills, and its first heartbeat, held up on its way, counted as sent when it was read, as a new incarnation may have another clock. An offer of that incarnation was accepted and its task ran into the caller's next attempt. Now the former incarnation's offset is kept unless the difference is more than the failure time-out, as a step of the clock makes it.

--- a/src/flotilla/fleet.go
+++ b/src/flotilla/fleet.go
@@ -238,7 +238,7 @@
 	if joined {
 		p.AliveSince = now
 	}
-	if m.Incarnation != p.Member.Incarnation {
+	if m.Incarnation != p.Member.Incarnation && p.offset.stepped(now, m.SentAtMillis) {
 		p.offset = clockOffset{}
 	}
 	if sent := p.offset.sentAt(now, m.SentAtMillis); !slices.Contains(b.ReceivesFrom, ^NameHash(f.self.Name)) {
--- a/src/flotilla/offset.go
+++ b/src/flotilla/offset.go
@@ -13,6 +13,12 @@
 	since             time.Time
 }
 
+// stepped reports whether the first heartbeat of a new incarnation shows another clock: a smaller difference may as well be a
+// delay on its way.
+func (o *clockOffset) stepped(now time.Time, sentAtMillis int64) bool {
+	return (now.Sub(time.UnixMilli(sentAtMillis)) - min(o.current, o.previous)).Abs() > FailureTimeout
+}
+
 // sentAt returns when a heartbeat received now was sent, by the local clock.
 func (o *clockOffset) sentAt(now time.Time, sentAtMillis int64) time.Time {
 	if sentAtMillis == 0 {
--- a/src/flotilla/offset_test.go
+++ b/src/flotilla/offset_test.go
@@ -13,17 +13,28 @@
 	// The peer's clock is five minutes ahead, and a heartbeat usually takes 3 ms.
 	tests := map[string]struct {
 		sent, received time.Duration
-		want           time.Duration
+		restarted      bool
+		// step is how far the peer's clock steps with its restart.
+		step time.Duration
+		want time.Duration
 	}{
 		"on time":                      {sent: 20 * time.Second, received: 20*time.Second + 3*time.Millisecond, want: 20*time.Second + 3*time.Millisecond},
 		"held up":                      {sent: 20 * time.Second, received: 20*time.Second + 700*time.Millisecond, want: 20*time.Second + 3*time.Millisecond},
 		"held up as the window begins": {sent: 22 * time.Second, received: 22*time.Second + 700*time.Millisecond, want: 22*time.Second + 3*time.Millisecond},
+		"the first of an incarnation, held up": {
+			sent: 20 * time.Second, received: 20*time.Second + 700*time.Millisecond, restarted: true, want: 20*time.Second + 3*time.Millisecond,
+		},
+		"the first of an incarnation with another clock": {
+			sent: 20 * time.Second, received: 20*time.Second + 3*time.Millisecond, restarted: true, step: -4 * time.Second,
+			want: 20*time.Second + 3*time.Millisecond,
+		},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			fleet := NewFleet(Member{Name: "a", Domain: "d"}, []string{"d"}, nil, begin)
+			incarnation, clock := uint64(1), begin.Add(5*time.Minute)
 			beat := func(sent, received time.Duration) time.Time {
-				from := Member{Name: "b", Domain: "d", Incarnation: 1, SentAtMillis: begin.Add(5*time.Minute + sent).UnixMilli()}
+				from := Member{Name: "b", Domain: "d", Incarnation: incarnation, SentAtMillis: clock.Add(sent).UnixMilli()}
 				fleet.Step(begin.Add(received), HeartbeatReceived{Heartbeat: Heartbeat{From: from}})
 				p, _ := fleet.Peer("b")
 				return p.LastSent
@@ -31,6 +42,9 @@
 			for d := time.Duration(0); d < tt.sent; d += HeartbeatInterval {
 				beat(d, d+3*time.Millisecond)
 			}
+			if tt.restarted {
+				incarnation, clock = 2, clock.Add(tt.step)
+			}
 			require.Equal(t, tt.want, beat(tt.sent, tt.received).Sub(begin))
 		})
 	}
