--- a/src/wharf/plan.go
+++ b/src/wharf/plan.go
@@ -47,23 +47,8 @@
 	targets *targetList
 }
 
-type cancelledOffer struct {
-	attempt uint64
-	at      time.Time
-}
-
-type cancelledEvent struct{ cancellation cancellation }
-
-func (cancelledEvent) KernelEvent() {}
-
 type plannerEvent struct{ ev convoy.Event }
 
-// offeredEvent carries a job offered by this or another host; the answer is sent to done.
-type offeredEvent struct {
-	offer offer
-	done  chan answer
-}
-
 // processRun is one incarnation of a process that keeps a list of targets.
 type processRun struct {
 	name        string
@@ -78,7 +63,6 @@
 }
 
 func (plannerEvent) KernelEvent()        {}
-func (offeredEvent) KernelEvent()        {}
 func (targetsFetchedEvent) KernelEvent() {}
 
 func newPlan(h *helm.Kernel) helm.Plugin {
@@ -259,83 +243,6 @@
 	convoy.DecisionStartUnanswered: logbook.StartUnanswered,
 }
 
-// onOffer passes a job to the planner, unless it is stale or a newer configuration here no longer has its route.
-func (p *plan) onOffer(now time.Time, e offeredEvent) {
-	if p.config != nil && p.config.Version > e.offer.version && !p.hasRoute(e.offer.job) {
-		e.done <- answer{outcome: convoy.Refused, cause: convoy.CauseNoRoute, reason: "the route is no longer there", retryAfter: time.Second}
-		return
-	}
-	if age := p.offerAge(now, e.offer); age > flotilla.FailureTimeout || age < -flotilla.FailureTimeout {
-		e.done <- answer{outcome: convoy.Redirected, cause: convoy.CauseStale, reason: "the offer is older than this host's last known beat by " + age.String()}
-		return
-	}
-	key := jobKey{job: e.offer.job.ID, host: e.offer.job.Host}
-	if d, ok := p.cancelled[key]; ok && e.offer.attempt <= d.attempt {
-		e.done <- answer{outcome: convoy.Lost, cause: convoy.CauseStale, reason: "dropped before it arrived"}
-		return
-	}
-	if !p.watches(e.offer) {
-		e.done <- answer{outcome: convoy.Redirected, cause: convoy.CauseStale, reason: "this host would not notice the loss of the entry host"}
-		return
-	}
-	if previous, waits := p.waiters[key]; waits {
-		previous <- answer{outcome: convoy.Lost, cause: convoy.CauseCallerGone, reason: "asked for again by the same host"}
-	}
-	p.waiters[key] = e.done
-	p.step(now, convoy.Submitted{Job: e.offer.job})
-}
-
-// watches reports whether this process will notice that the entry host of an offer is lost, so that the job is given up
-// then: a host that counts as lost already, or an earlier incarnation of a host, is not reported again.
-func (p *plan) watches(o offer) bool {
-	if o.job.Host == p.h.Settings.Name {
-		return true
-	}
-	peer, known := p.h.Fleet.Peer(o.job.Host)
-	return known && peer.Alive && !peer.NotReceiving && o.attempt > peer.Member.Incarnation
-}
-
-// offerAge returns the age of this process's heartbeat on which another host based an offer. Beyond the failure
-// time-out the entry host may have marked this process failed and the caller may have been served elsewhere: the offer
-// was delayed on its way, or this process was suspended.
-func (p *plan) offerAge(now time.Time, o offer) time.Duration {
-	if o.job.Host == p.h.Settings.Name {
-		return 0
-	}
-	return time.Duration(now.UnixMilli()-o.plannerSentAt) * time.Millisecond
-}
-
-// onCancelled cancels a job, and its offer too if that is still in transit.
-func (p *plan) onCancelled(now time.Time, d cancellation) {
-	for key, old := range p.cancelled {
-		if now.Sub(old.at) > offerLifetime {
-			delete(p.cancelled, key)
-		}
-	}
-	key := jobKey{job: d.job.ID, host: d.job.Host}
-	p.cancelled[key] = cancelledOffer{attempt: max(d.attempt, p.cancelled[key].attempt), at: now}
-	p.step(now, d.job)
-}
-
-func (p *plan) hasRoute(j convoy.Job) bool {
-	for _, r := range p.config.Routes {
-		if r.Name == j.Route && r.Pool == j.Pool {
-			return true
-		}
-	}
-	return false
-}
-
-func (p *plan) sendAnswer(a convoy.Answer) {
-	key := jobKey{job: a.ID, host: a.Host}
-	done, ok := p.waiters[key]
-	if !ok {
-		return
-	}
-	delete(p.waiters, key)
-	done <- answer{outcome: a.Outcome, cause: a.Cause, reason: a.Reason, retryAfter: a.RetryAfter}
-}
-
 // notifyRelease tells the next planner of a part that a worker is free for it.
 func (p *plan) notifyRelease(a convoy.ReleaseWorker) {
 	successor := flotilla.Member{}
@@ -377,29 +284,5 @@
 	return nil, nil
 }
 
-func (p *plan) onOfferJob(ctx context.Context, _ netip.AddrPort, body []byte) ([]byte, error) {
-	o, err := decodeOffer(p.h.Clock.Now(), body)
-	if err != nil {
-		return nil, err
-	}
-	done := make(chan answer, 2)
-	p.h.Post(p, offeredEvent{offer: o, done: done})
-	select {
-	case a := <-done:
-		return encodeAnswer(a)
-	case <-ctx.Done():
-		return nil, ctx.Err()
-	}
-}
-
-func (p *plan) onCancelJob(_ context.Context, _ netip.AddrPort, body []byte) ([]byte, error) {
-	d, err := decodeCancellation(body)
-	if err != nil {
-		return nil, err
-	}
-	p.h.Post(p, cancelledEvent{cancellation: d})
-	return nil, nil
-}
-
 // Busy reports whether the planner has jobs of this or other hosts in progress.
 func (p *plan) Busy() bool { return p.metrics.jobs.Load() > 0 }
