convoy: start a bound task in the room of its former run

The task is now started as soon as its former run is over. Evidence: the new test fails without this.

--- a/src/convoy/bound_test.go
+++ b/src/convoy/bound_test.go
@@ -94,6 +94,23 @@
 	}
 }
 
+func TestBoundTaskGetsTheRoomOfItsFormerRun(t *testing.T) {
+	b := newBench(t, "w0")
+	id := b.resolveStop("a")
+	for _, other := range []string{"b", "c", "d"} {
+		b.step(Submitted{Job: Job{
+			ID: other, Route: "quick", Pool: "pool", Host: "entry", Attempts: 2, Priority: -1, Stretch: 99, Arrived: b.now, Deadline: b.now.Add(9 * time.Second),
+			Steps: []Step{{Count: 1, Need: Resources{Milli: 14_000, Memory: 64}, Estimate: 10 * time.Millisecond}},
+		}})
+	}
+	b.starts()
+	b.wait(200 * time.Millisecond)
+	starts := b.starts()
+	require.NotEmpty(t, starts)
+	require.Equal(t, "a.0.0.0", starts[0].Key.Task)
+	require.Equal(t, id, starts[0].Target.ID)
+}
+
 func TestHandoverWaitsForNoTaskBoundToLostWorker(t *testing.T) {
 	b := newBench(t, "w0", "w1")
 	id := b.resolveStop("a")
--- a/src/convoy/incarnation.go
+++ b/src/convoy/incarnation.go
@@ -98,6 +98,16 @@
 	return u.worker, ok && now.Before(u.until)
 }
 
+// startBound starts a task on the worker that it is bound to, if there is room. It is tried as soon as the run before has ended,
+// since the task can go nowhere else if another one takes the room.
+func (p *Planner) startBound(now time.Time, w *worker, t *task) {
+	j := t.job
+	s := j.Steps[t.step]
+	if w != nil && p.orphanCounts[j.ID] == 0 && p.isAwaited(now, j) && p.canRun(now, w, j, s, t) {
+		p.startRun(now, w, t, p.predictRunTime(now, w, j, s))
+	}
+}
+
 // hasUnresolved reports whether a task of a job is bound to a worker. No other planner knows of that.
 func (p *Planner) hasUnresolved(now time.Time, j *job) bool {
 	if len(p.unresolved) == 0 {
--- a/src/convoy/place.go
+++ b/src/convoy/place.go
@@ -48,11 +48,8 @@
 			if t.done || t.run != nil {
 				continue
 			}
-			id, bound := p.boundTo(now, t)
-			if bound {
-				if w := p.workers[id]; w != nil && p.canRun(now, w, j, s, t) {
-					p.startRun(now, w, t, p.predictRunTime(now, w, j, s))
-				}
+			if id, bound := p.boundTo(now, t); bound {
+				p.startBound(now, p.workers[id], t)
 				continue
 			}
 			w := p.pickWorker(now, j, s, t)
--- a/src/convoy/run.go
+++ b/src/convoy/run.go
@@ -170,8 +170,11 @@
 	limit := time.Duration(clockDriftFactor*float64(p.tuning.StopTime)) + leaseMargin
 	for _, r := range sortedRuns(w) {
 		if r.state == runUnconfirmed && !r.stopAckedAt.IsZero() && now.Sub(r.stopAckedAt) > limit {
-			p.leaveUnresolved(now, w, r)
+			t, bound := r.task, p.leaveUnresolved(now, w, r)
 			p.removeRun(now, w, r, true)
+			if t != nil && bound && !t.job.ended {
+				p.startBound(now, w, t)
+			}
 		}
 	}
 }
