--- a/src/convoy/event.go
+++ b/src/convoy/event.go
@@ -161,7 +161,7 @@
 // HostLost says that an entry host has failed or restarted, so that no caller waits there for its jobs.
 type HostLost struct{ Host string }
 
-// HostHeard says that another entry host was alive at a time.
+// HostHeard says that another entry host was alive at a time; it results in no actions.
 type HostHeard struct {
 	Host string
 	At   time.Time
--- a/src/convoy/hosts.go
+++ b/src/convoy/hosts.go
@@ -13,8 +13,8 @@
 	}
 }
 
-// lastHeard returns when an entry host that waits for a job was last known to be alive.
-func (p *Planner) lastHeard(now time.Time, j *job) time.Time {
+// updateHeard records and returns when an entry host that waits for a job was last known to be alive.
+func (p *Planner) updateHeard(now time.Time, j *job) time.Time {
 	for _, host := range j.hosts {
 		if host == p.tuning.Host {
 			j.heardAt = now
@@ -27,7 +27,12 @@
 
 // isAwaited reports whether an entry host that waits for a job is known to be alive, so that tasks of it may start.
 func (p *Planner) isAwaited(now time.Time, j *job) bool {
-	return p.tuning.CallerPause == 0 || now.Sub(p.lastHeard(now, j)) <= p.tuning.HostSilence
+	return p.tuning.CallerPause == 0 || now.Sub(p.updateHeard(now, j)) <= p.tuning.HostSilence
+}
+
+// pauseAfterSilence returns what is left of a caller's pause when its entry host counts as silent.
+func (p *Planner) pauseAfterSilence() time.Duration {
+	return p.tuning.CallerPause - p.tuning.HostSilence
 }
 
 // leaseLength returns the longest lease that this planner asks for.
@@ -35,7 +40,7 @@
 	if p.tuning.CallerPause == 0 {
 		return p.tuning.MaxLease
 	}
-	return min(p.tuning.MaxLease, leaseWithin(p.tuning.CallerPause-p.tuning.HostSilence))
+	return min(p.tuning.MaxLease, leaseWithin(p.pauseAfterSilence()))
 }
 
 // leaseFor returns the longest lease that ends before a caller of any run on the worker can be back.
@@ -45,15 +50,23 @@
 		return length
 	}
 	for _, r := range w.runs {
-		left := p.lastHeard(now, r.job).Add(p.tuning.CallerPause).Sub(now)
+		left := p.updateHeard(now, r.job).Add(p.tuning.CallerPause).Sub(now)
 		if r.job.ended {
-			left = min(left, r.job.endedAt.Add(p.tuning.CallerPause-p.tuning.HostSilence).Sub(now))
+			left = min(left, r.job.endedAt.Add(p.pauseAfterSilence()).Sub(now))
 		}
 		length = min(length, leaseWithin(left))
 	}
 	return length.Truncate(time.Millisecond)
 }
 
+// leaseTooShort reports whether a worker runs tasks for a host that may be dead, so that a new task would hardly get a lease.
+func (p *Planner) leaseTooShort(now time.Time, w *worker) bool {
+	if !w.leaseCheckedAt.Equal(now) {
+		w.leaseCheckedAt, w.shortLease = now, len(w.runs) > 0 && p.leaseFor(now, w) < minStartLease
+	}
+	return w.shortLease
+}
+
 // leaseWithin returns the lease that certainly ends within d on a worker's clock.
 func leaseWithin(d time.Duration) time.Duration {
 	return time.Duration(float64(d-leaseMargin) / clockDriftFactor)
--- a/src/convoy/place.go
+++ b/src/convoy/place.go
@@ -111,14 +111,14 @@
 	if w.handingOver && !j.started {
 		return false
 	}
-	if len(w.runs) > 0 && p.leaseFor(now, w) < minStartLease {
-		return false
-	}
 
 	if w.failuresInRow >= failureThreshold && len(w.runs) > 0 {
 		return false
 	}
-	return s.Spread <= 0 || w.runsOfStep(t) < s.Spread
+	if s.Spread > 0 && w.runsOfStep(t) >= s.Spread {
+		return false
+	}
+	return !p.leaseTooShort(now, w)
 }
 
 // excludes reports whether a task avoids a worker on which it failed or was too slow.
--- a/src/convoy/planner.go
+++ b/src/convoy/planner.go
@@ -91,6 +91,10 @@
 // Step processes one event and returns the resulting actions.
 func (p *Planner) Step(now time.Time, ev Event) []Action {
 	p.actions = nil
+	if e, ok := ev.(HostHeard); ok {
+		p.hostHeard(e)
+		return nil
+	}
 	p.checkSuspension(now)
 	switch e := ev.(type) {
 	case PartClaimed:
@@ -115,9 +119,6 @@
 		p.detachHost(now, e)
 	case HostLost:
 		p.hostLost(now, e.Host)
-	case HostHeard:
-		p.hostHeard(e)
-		return p.actions
 	case RemoteCapacity:
 		p.remoteSlots = e.Tasks
 	case Stopping:
--- a/src/convoy/run.go
+++ b/src/convoy/run.go
@@ -51,7 +51,7 @@
 		r.state = runUnconfirmed
 		r.startedAt = now
 		p.logDecision(DecisionStartUnanswered, jobID(r.key), w.target.ID, fmt.Sprintf(
-			"%s run %d under token %d to incarnation %d", r.key.Task, r.key.Run, w.token, w.target.Incarnation))
+			"%s run %d under token %d", r.key.Task, r.key.Run, r.token))
 		p.orderStop(now, w, r)
 		return
 	case Outdated:
--- a/src/convoy/submit.go
+++ b/src/convoy/submit.go
@@ -8,7 +8,9 @@
 // submit accepts a job, attaches the caller to the pending job of the same id, or refuses the job at once.
 func (p *Planner) submit(now time.Time, in Job) {
 	if pending, ok := p.jobs[in.ID]; ok {
-		pending.hosts = append(pending.hosts, in.Host)
+		if !slices.Contains(pending.hosts, in.Host) {
+			pending.hosts = append(pending.hosts, in.Host)
+		}
 		pending.Deadline = later(pending.Deadline, in.Deadline)
 		return
 	}
@@ -107,7 +109,7 @@
 	if j.ended {
 		return
 	}
-	p.lastHeard(now, j)
+	p.updateHeard(now, j)
 	j.ended, j.endedAt = true, now
 	delete(p.jobs, j.ID)
 	p.queue = slices.DeleteFunc(p.queue, func(q *job) bool { return q == j })
@@ -137,7 +139,7 @@
 	if !ok {
 		return
 	}
-	p.lastHeard(now, j)
+	p.updateHeard(now, j)
 	if i := slices.Index(j.hosts, e.Host); i >= 0 {
 		j.hosts = slices.Delete(j.hosts, i, i+1)
 	}
@@ -151,7 +153,7 @@
 func (p *Planner) hostLost(now time.Time, host string) {
 	for _, j := range p.jobList() {
 		if slices.Contains(j.hosts, host) {
-			p.lastHeard(now, j)
+			p.updateHeard(now, j)
 			j.hosts = slices.DeleteFunc(j.hosts, func(h string) bool { return h == host })
 			if len(j.hosts) == 0 {
 				p.logDecision(DecisionJobAbandoned, j.ID, "", "its entry host has failed")
--- a/src/convoy/worker.go
+++ b/src/convoy/worker.go
@@ -80,6 +80,9 @@
 	// orphans are active runs of other planners, with the time of the last stop order.
 	orphans map[RunKey]time.Time
 	used    Resources
+	// shortLease is what leaseTooShort found at leaseCheckedAt.
+	leaseCheckedAt time.Time
+	shortLease     bool
 	// speed is the measured speed relative to the usual 1; measuredAt is the time of the last measurement.
 	speed      float64
 	measuredAt time.Time
--- a/src/flotilla/fleet.go
+++ b/src/flotilla/fleet.go
@@ -129,6 +129,9 @@
 	return f.out
 }
 
+// SetUndelivered sets the planners that have not confirmed a cancellation yet; the next heartbeats tell them.
+func (f *Fleet) SetUndelivered(u []Undelivered) { f.self.Undelivered = u }
+
 // SetContacts replaces the addresses to contact first.
 func (f *Fleet) SetContacts(contacts []netip.AddrPort) { f.contacts = contacts }
 
@@ -192,8 +195,9 @@
 	for _, p := range alive {
 		b.ReceivesFrom = append(b.ReceivesFrom, NameHash(p.Member.Name))
 	}
-	for _, hash := range f.self.Undelivered {
-		b.ReceivesFrom = append(b.ReceivesFrom, ^hash)
+	for _, u := range f.self.Undelivered {
+		age := time.Duration(f.self.SentAtMillis-u.SinceMillis) * time.Millisecond
+		b.ReceivesFrom = append(b.ReceivesFrom, ^(u.Planner + uint32(min(max(0, age/undeliveredStep), undeliveredSteps-1))))
 	}
 	f.heartbeatCount++
 	for i := range min(maxContacts, len(alive)) {
@@ -241,9 +245,7 @@
 	if m.Incarnation != p.Member.Incarnation && p.offset.stepped(now, m.SentAtMillis) {
 		p.offset = clockOffset{}
 	}
-	if sent := p.offset.sentAt(now, m.SentAtMillis); !slices.Contains(b.ReceivesFrom, ^NameHash(f.self.Name)) {
-		p.LastSent = sent
-	}
+	p.LastSent = p.offset.sentAt(now, m.SentAtMillis).Add(-undeliveredAge(b.ReceivesFrom, f.self.Name))
 	p.Member, p.LastHeartbeat, p.Alive = m, now, true
 	f.updateReceiving(now, p, slices.Contains(b.ReceivesFrom, NameHash(f.self.Name)))
 	if joined {
--- a/src/flotilla/member.go
+++ b/src/flotilla/member.go
@@ -43,15 +43,22 @@
 	Slots int
 	// WaitingJobs counts, by route, its jobs of which no task has started.
 	WaitingJobs map[string]int
-	// Undelivered holds the name hashes of the planners that have not confirmed a cancellation yet.
-	Undelivered []uint32
+	// Undelivered holds the planners that have not confirmed a cancellation yet.
+	Undelivered []Undelivered
+}
+
+// Undelivered is a planner, by the hash of its name, and the time of the oldest cancellation that it has not confirmed, in
+// milliseconds since 1970 on the sender's clock.
+type Undelivered struct {
+	Planner     uint32
+	SinceMillis int64
 }
 
 // Heartbeat is the message that processes send each other at every HeartbeatInterval.
 type Heartbeat struct {
 	From Member
-	// ReceivesFrom holds the name hashes of the live peers of the sender, and the complements of its Undelivered, which
-	// earlier versions ignore there.
+	// ReceivesFrom holds the name hashes of the live peers of the sender. Its Undelivered are there too, each as the
+	// complement of the hash plus the age in steps of undeliveredStep, as earlier versions ignore unknown hashes but no fields.
 	ReceivesFrom []uint32
 	// Contacts are addresses of other processes.
 	Contacts []netip.AddrPort
@@ -62,8 +69,8 @@
 	Member        Member
 	LastHeartbeat time.Time
 	// LastSent is when that heartbeat was sent, by the local clock; it is earlier than LastHeartbeat if the heartbeat was held
-	// up on its way or this process was suspended. Heartbeats do not count while a cancellation for this process is undelivered:
-	// its caller may be back before the cancellation is here.
+	// up on its way or this process was suspended. It is no later than the oldest cancellation for this process that is
+	// undelivered, as its caller may be back before the cancellation is here.
 	LastSent time.Time
 	offset   clockOffset
 	// AliveSince is the time of its first heartbeat, or of the first one after it had failed.
--- a/src/flotilla/offset_test.go
+++ b/src/flotilla/offset_test.go
@@ -59,8 +59,8 @@
 	}{
 		"none":                            {want: 2 * HeartbeatInterval},
 		"for another planner":             {undelivered: []string{"c"}, want: 2 * HeartbeatInterval},
-		"for this planner":                {undelivered: []string{"a"}},
-		"for this planner and another":    {undelivered: []string{"c", "a"}},
+		"for this planner":                {undelivered: []string{"a"}, want: -undeliveredStep},
+		"for this planner and another":    {undelivered: []string{"c", "a"}, want: -undeliveredStep},
 		"for the host of the callers too": {undelivered: []string{"b"}, want: 2 * HeartbeatInterval},
 	}
 	for name, tt := range tests {
@@ -72,7 +72,7 @@
 				entry.UpdateSelf(func(m *Member) {
 					m.SentAtMillis, m.Undelivered = now.UnixMilli(), nil
 					for _, name := range undelivered {
-						m.Undelivered = append(m.Undelivered, NameHash(name))
+						m.Undelivered = append(m.Undelivered, Undelivered{Planner: NameHash(name), SinceMillis: begin.UnixMilli()})
 					}
 				})
 				data, err := EncodeHeartbeat(entry.Heartbeat())
--- a/src/wharf/cancel_test.go
+++ b/src/wharf/cancel_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -11,21 +12,29 @@
 func TestUndeliveredCancellationsAreAnnouncedUntilTheLastEnds(t *testing.T) {
 	f := &singleFleet{}
 	u := make(undelivered)
-	a, b := flotilla.NameHash("a"), flotilla.NameHash("b")
+	begin := time.Unix(1_700_000_000, 0)
+	at := func(n int) time.Time { return begin.Add(time.Duration(n) * time.Millisecond) }
+	told := func(name string, n int) flotilla.Undelivered {
+		return flotilla.Undelivered{Planner: flotilla.NameHash(name), SinceMillis: at(n).UnixMilli()}
+	}
 	steps := []struct {
-		change  func(planner string)
-		planner string
-		want    []uint32
+		begin, end string
+		n          int
+		want       []flotilla.Undelivered
 	}{
-		{change: func(p string) { u.begin(f, p) }, planner: "a", want: []uint32{a}},
-		{change: func(p string) { u.begin(f, p) }, planner: "a", want: []uint32{a}},
-		{change: func(p string) { u.begin(f, p) }, planner: "b", want: []uint32{a, b}},
-		{change: func(p string) { u.end(f, p) }, planner: "a", want: []uint32{a, b}},
-		{change: func(p string) { u.end(f, p) }, planner: "a", want: []uint32{b}},
-		{change: func(p string) { u.end(f, p) }, planner: "b"},
+		{begin: "a", n: 1, want: []flotilla.Undelivered{told("a", 1)}},
+		{begin: "a", n: 2, want: []flotilla.Undelivered{told("a", 1)}},
+		{begin: "b", n: 3, want: []flotilla.Undelivered{told("a", 1), told("b", 3)}},
+		{end: "a", n: 1, want: []flotilla.Undelivered{told("a", 2), told("b", 3)}},
+		{end: "a", n: 2, want: []flotilla.Undelivered{told("b", 3)}},
+		{end: "b", n: 3},
 	}
 	for _, s := range steps {
-		s.change(s.planner)
+		if s.begin != "" {
+			u.begin(f, at(s.n), s.begin)
+		} else {
+			u.end(f, s.end, at(s.n))
+		}
 		require.Equal(t, s.want, f.self.Undelivered)
 	}
 }
--- a/src/wharf/fleet.go
+++ b/src/wharf/fleet.go
@@ -143,6 +143,9 @@
 	f.changed = true
 }
 
+// SetUndelivered sets the planners that have not confirmed a cancellation yet.
+func (f *fleet) SetUndelivered(u []flotilla.Undelivered) { f.fleet.SetUndelivered(u) }
+
 // SetWorkerCounts sets the number of known workers of each domain.
 func (f *fleet) SetWorkerCounts(workers map[string]int) { f.fleet.SetWorkerCounts(workers) }
 
--- a/src/wharf/jobs.go
+++ b/src/wharf/jobs.go
@@ -175,7 +175,7 @@
 		j.lastProbe[e.planner] = now
 		delete(j.probing, e.planner)
 	case cancelEndedEvent:
-		j.undelivered.end(j.h.Fleet, e.planner)
+		j.undelivered.end(j.h.Fleet, e.planner, e.since)
 	case configInForceEvent:
 		j.config.Store(e.config)
 	case helm.DrainStarted:
--- a/src/wharf/kinds.go
+++ b/src/wharf/kinds.go
@@ -66,6 +66,9 @@
 	stopMargin = 200 * time.Millisecond
 	// maxOffers bounds how many planners a job is offered to.
 	maxOffers = 4
+	// minCallerPause is the least pause of callers that leases are fitted into; within a shorter one they would lapse between
+	// two hold requests.
+	minCallerPause = time.Second
 	// extraHeartbeatInterval is the least time between a heartbeat and one that is sent ahead of schedule to announce a
 	// change. It grows by extraHeartbeatStep for each peer beyond manyPeers, which keeps the total traffic about
 	// constant.
--- a/src/wharf/measures_test.go
+++ b/src/wharf/measures_test.go
@@ -73,7 +73,7 @@
 	}
 	o, done := newOffer(now, 1, 1)
 	o.offer.job.Arrived, o.offer.job.TargetLatency = now.Add(-100*time.Millisecond), time.Second
-	p.waiters[jobKey{job: "a", host: "entry"}] = done
+	p.waiters[jobKey{job: "a", host: "entry"}] = waiter{done: done}
 	key := convoy.RunKey{Task: "a.0.0.0", Run: 1}
 	count := func(now time.Time, ev convoy.Event) {
 		for _, a := range p.planner.Step(now, ev) {
--- a/src/wharf/offers.go
+++ b/src/wharf/offers.go
@@ -9,6 +9,12 @@
 	"sesamecleat/src/flotilla"
 )
 
+// waiter is the call of an entry host that waits for the answer to an offer.
+type waiter struct {
+	attempt uint64
+	done    chan answer
+}
+
 type cancelledOffer struct {
 	attempt uint64
 	at      time.Time
@@ -46,9 +52,9 @@
 		return
 	}
 	if previous, waits := p.waiters[key]; waits {
-		previous <- answer{outcome: convoy.Lost, cause: convoy.CauseCallerGone, reason: "asked for again by the same host"}
+		previous.done <- answer{outcome: convoy.Lost, cause: convoy.CauseCallerGone, reason: "asked for again by the same host"}
 	}
-	p.waiters[key] = e.done
+	p.waiters[key] = waiter{attempt: e.offer.attempt, done: e.done}
 	p.step(now, convoy.Submitted{Job: e.offer.job})
 }
 
@@ -72,7 +78,7 @@
 	return time.Duration(now.UnixMilli()-o.plannerSentAt) * time.Millisecond
 }
 
-// onCancelled cancels a job, and its offer too if that is still in transit.
+// onCancelled cancels a job, and its offer too if that is still in transit; a later offer of the job goes on.
 func (p *plan) onCancelled(now time.Time, d cancellation) {
 	for key, old := range p.cancelled {
 		if now.Sub(old.at) > offerLifetime {
@@ -81,6 +87,9 @@
 	}
 	key := jobKey{job: d.job.ID, host: d.job.Host}
 	p.cancelled[key] = cancelledOffer{attempt: max(d.attempt, p.cancelled[key].attempt), at: now}
+	if p.waiters[key].attempt > d.attempt {
+		return
+	}
 	p.step(now, d.job)
 }
 
@@ -119,10 +128,10 @@
 
 func (p *plan) sendAnswer(a convoy.Answer) {
 	key := jobKey{job: a.ID, host: a.Host}
-	done, ok := p.waiters[key]
+	w, ok := p.waiters[key]
 	if !ok {
 		return
 	}
 	delete(p.waiters, key)
-	done <- answer{outcome: a.Outcome, cause: a.Cause, reason: a.Reason, retryAfter: a.RetryAfter}
+	w.done <- answer{outcome: a.Outcome, cause: a.Cause, reason: a.Reason, retryAfter: a.RetryAfter}
 }
--- a/src/wharf/pause_test.go
+++ b/src/wharf/pause_test.go
@@ -12,8 +12,8 @@
 	"sesamecleat/src/flotilla"
 )
 
-// callerPause is how long a caller without an answer waits before it submits its job again, to any host.
-const callerPause = 1300 * time.Millisecond
+// testPause is how long a caller without an answer waits before it submits its job again, to any host.
+const testPause = 1300 * time.Millisecond
 
 // fallenHost simulates a planner with one worker, and an entry host that is killed. It returns how long after that the
 // last run of the entry host's job is active. The first stops are lost, as many as lostStops; every hold is answered.
@@ -23,7 +23,7 @@
 	entry := flotilla.Member{Name: "entry", Domain: "d", Incarnation: 1, Dispatcher: true, Address: netip.MustParseAddrPort("10.0.0.2:7000")}
 	p := convoy.NewPlanner(convoy.Tuning{
 		MaxLease: time.Second, StopTime: 50 * time.Millisecond, Host: "planner", SuspensionLimit: suspensionThreshold,
-		CallerPause: callerPause, HostSilence: overdueAfter,
+		CallerPause: testPause, HostSilence: overdueAfter,
 	})
 	start := killed.Add(-100 * time.Millisecond)
 	w := convoy.Target{ID: "w", Pool: "pool", Domain: "d", Part: "d#0", Incarnation: 1, Capacity: convoy.Resources{Milli: 16_000, Memory: 1000}}
@@ -112,7 +112,7 @@
 }
 
 // TestRunsOfFailedHostEndBeforeCallersReturn guards against a second run of a task of a host that was killed: its caller
-// submits the job again after callerPause, and another planner may get it.
+// submits the job again after testPause, and another planner may get it.
 func TestRunsOfFailedHostEndBeforeCallersReturn(t *testing.T) {
 	tests := map[string]struct {
 		lostStops int
@@ -128,7 +128,7 @@
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			worst, worstAt := time.Duration(0), time.Duration(0)
-			for at := time.Duration(0); at < callerPause; at += 50 * time.Millisecond {
+			for at := time.Duration(0); at < testPause; at += 50 * time.Millisecond {
 				for phase := time.Duration(0); phase < flotilla.HeartbeatInterval; phase += 20 * time.Millisecond {
 					runs := func(since time.Duration) bool { return since < at || since > at+tt.away }
 					if d := fallenHost(phase, tt.lostStops, runs); d > worst {
@@ -136,7 +136,7 @@
 					}
 				}
 			}
-			require.Less(t, worst, callerPause, fmt.Sprintf("the last run ends %s after the host, with the planner away from %s", worst, worstAt))
+			require.Less(t, worst, testPause, fmt.Sprintf("the last run ends %s after the host, with the planner away from %s", worst, worstAt))
 		})
 	}
 }
--- a/src/wharf/plan.go
+++ b/src/wharf/plan.go
@@ -30,7 +30,7 @@
 	h       *helm.Kernel
 	planner *convoy.Planner
 	orders  pond.Pool
-	waiters map[jobKey]chan answer
+	waiters map[jobKey]waiter
 	// cancelled holds the last cancelled attempt of a job until its offer can no longer arrive.
 	cancelled map[jobKey]cancelledOffer
 	config    *charter.Config
@@ -69,15 +69,23 @@
 	return &plan{
 		h: h, planner: convoy.NewPlanner(convoy.Tuning{
 			MaxLease: h.Settings.Lease, StopTime: h.Settings.StopTimeout, Host: h.Settings.Name, SuspensionLimit: suspensionThreshold,
-			TokenStep: flotilla.TokenStep, CallerPause: h.Settings.CallerPause, HostSilence: overdueAfter,
+			TokenStep: flotilla.TokenStep, CallerPause: callerPause(h.Settings), HostSilence: overdueAfter,
 		}),
-		orders: pond.NewPool(maxOrders), waiters: make(map[jobKey]chan answer), cancelled: make(map[jobKey]cancelledOffer),
+		orders: pond.NewPool(maxOrders), waiters: make(map[jobKey]waiter), cancelled: make(map[jobKey]cancelledOffer),
 		revisions: make(map[processRun]uint64), fetching: make(map[processRun]bool),
 		lastFetch: make(map[processRun]time.Time), metrics: newPlannerMetrics(h.Metrics),
 		targets: newTargetList(h),
 	}
 }
 
+// callerPause returns the pause of callers that leases are fitted into, 0 if the settings name none.
+func callerPause(s manifest.Settings) time.Duration {
+	if s.CallerPause == 0 {
+		return 0
+	}
+	return max(minCallerPause, s.CallerPause)
+}
+
 // Start registers the handlers for other processes' calls and starts the planner's timer.
 func (p *plan) Start() error {
 	p.h.RPC.Handle(kindOfferJob, p.onOfferJob)
--- a/src/wharf/plan_test.go
+++ b/src/wharf/plan_test.go
@@ -36,6 +36,7 @@
 func (l *singleFleet) UpdateSelf(change func(m *flotilla.Member)) { change(&l.self) }
 func (l *singleFleet) RequestHigherToken(string)                  {}
 func (l *singleFleet) SetWorkerCounts(map[string]int)             {}
+func (l *singleFleet) SetUndelivered(u []flotilla.Undelivered)    { l.self.Undelivered = u }
 
 func newTestKernel(now time.Time) *helm.Kernel {
 	h := &helm.Kernel{
@@ -84,6 +85,30 @@
 	require.Equal(t, convoy.Lost, (<-done).outcome)
 }
 
+// A repeated cancellation of an earlier attempt must not end a later one of the same host.
+func TestRepeatedCancellationDoesNotEndLaterAttempt(t *testing.T) {
+	now := time.Unix(1000, 0)
+	p := newPlan(newTestKernel(now)).(*plan)
+	p.planner.Step(now, convoy.PartClaimed{Part: "d", Token: 1})
+	p.planner.Step(now, convoy.WorkerListed{Target: convoy.Target{ID: "w", Pool: "pool", Part: "d", Capacity: convoy.Resources{Milli: 1000}}})
+	cancel := func(attempt uint64) {
+		p.Handle(now, cancelledEvent{cancellation: cancellation{job: convoy.JobCancelled{ID: "a", Host: "entry"}, attempt: attempt}})
+	}
+	offered := func(attempt uint64) {
+		e, _ := newOffer(now, attempt, 1)
+		e.offer.job.Pool, e.offer.job.Deadline = "pool", now.Add(time.Minute)
+		e.offer.job.Steps = []convoy.Step{{Count: 1, Need: convoy.Resources{Milli: 1}}}
+		p.Handle(now, e)
+	}
+	offered(7)
+	require.Equal(t, 1, p.planner.Jobs())
+	offered(8)
+	cancel(7)
+	require.Equal(t, 1, p.planner.Jobs(), "attempt 8 goes on")
+	cancel(8)
+	require.Zero(t, p.planner.Jobs(), "nobody waits")
+}
+
 // An offer that was delayed in transit, or by the suspension of its planner, must not start anything once its entry
 // host may have marked the planner failed.
 func TestDelayedOfferIsDeclined(t *testing.T) {
--- a/src/wharf/sim_host_test.go
+++ b/src/wharf/sim_host_test.go
@@ -49,7 +49,8 @@
 	h.fleet.UpdateSelf(change)
 	h.changed = true
 }
-func (h *simHost) SetWorkerCounts(w map[string]int) { h.fleet.SetWorkerCounts(w) }
+func (h *simHost) SetWorkerCounts(w map[string]int)        { h.fleet.SetWorkerCounts(w) }
+func (h *simHost) SetUndelivered(u []flotilla.Undelivered) { h.fleet.SetUndelivered(u) }
 func (h *simHost) RequestHigherToken(part string) {
 	h.fleetStep(h.now(), flotilla.RequestHigherToken{Part: part})
 }
--- a/src/wharf/sim_jobs_test.go
+++ b/src/wharf/sim_jobs_test.go
@@ -301,14 +301,15 @@
 		return
 	}
 	if to := h.s.host(p.planner); to != nil {
-		h.undelivered.begin(h, p.planner)
-		h.cancelCall(to, d, cancelAttempts)
+		since := h.now()
+		h.undelivered.begin(h, since, p.planner)
+		h.cancelCall(to, d, since, p.job.Deadline, cancelAttempts)
 	}
 }
 
-func (h *simHost) cancelCall(to *simHost, d cancellation, left int) {
-	if left == 0 {
-		h.undelivered.end(h, to.name)
+func (h *simHost) cancelCall(to *simHost, d cancellation, since, deadline time.Time, left int) {
+	if left <= 0 && !h.now().Before(deadline) {
+		h.undelivered.end(h, to.name, since)
 		return
 	}
 	life := h.life
@@ -317,10 +318,10 @@
 		done.answer(answer{})
 	}, func(_ answer, err simCallError) {
 		if err != simNoError {
-			h.s.after(cancelRetryDelay, func() { h.post(life, func(time.Time) { h.cancelCall(to, d, left-1) }) })
+			h.s.after(cancelRetryDelay, func() { h.post(life, func(time.Time) { h.cancelCall(to, d, since, deadline, left-1) }) })
 			return
 		}
-		h.undelivered.end(h, to.name)
+		h.undelivered.end(h, to.name, since)
 	})
 }
 
