--- a/src/wharf/sim_faults_test.go
+++ b/src/wharf/sim_faults_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"time"
 
 	"sesamecleat/src/convoy"
@@ -264,7 +266,7 @@
 		s.silence()
 	case faultReset:
 		s.log("callers of %s are reset", h.name)
-		for _, id := range sortedKeys(h.pending) {
+		for _, id := range slices.Sorted(maps.Keys(h.pending)) {
 			for _, c := range h.pending[id].callers {
 				c.broken()
 			}
@@ -343,7 +345,7 @@
 func (s *simWorld) silence() {
 	s.log("open connections go silent")
 	for _, h := range s.hosts {
-		for _, name := range sortedKeys(h.conns) {
+		for _, name := range slices.Sorted(maps.Keys(h.conns)) {
 			h.conns[name].silent = true
 		}
 		for _, w := range s.workers {
--- a/src/wharf/sim_host_test.go
+++ b/src/wharf/sim_host_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"net/netip"
+	"slices"
 	"time"
 
 	"sesamecleat/src/convoy"
@@ -148,7 +150,7 @@
 	}
 	h.s.log("%s is killed", h.name)
 	h.up, h.backlog = false, nil
-	for _, id := range sortedKeys(h.pending) {
+	for _, id := range slices.Sorted(maps.Keys(h.pending)) {
 		for _, c := range h.pending[id].callers {
 			c.broken()
 		}
--- a/src/wharf/sim_jobs_test.go
+++ b/src/wharf/sim_jobs_test.go
@@ -1,8 +1,8 @@
 package wharf
 
 import (
-	"cmp"
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -40,15 +40,6 @@
 	ended  bool
 }
 
-func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K {
-	var out []K
-	for k := range m {
-		out = append(out, k)
-	}
-	slices.Sort(out)
-	return out
-}
-
 func (h *simHost) closeConn(name string) {
 	c := h.conns[name]
 	if c == nil {
@@ -326,7 +317,7 @@
 }
 
 func (h *simHost) failPlanner(_ time.Time, name string) {
-	for _, id := range sortedKeys(h.pending) {
+	for _, id := range slices.Sorted(maps.Keys(h.pending)) {
 		if p := h.pending[id]; p.planner == name {
 			h.notifyCancelled(p)
 			h.finish(p, answer{outcome: convoy.Lost})
@@ -335,7 +326,7 @@
 }
 
 func (h *simHost) jobsTick(now time.Time) {
-	for _, id := range sortedKeys(h.pending) {
+	for _, id := range slices.Sorted(maps.Keys(h.pending)) {
 		p := h.pending[id]
 		if p.planner == "" {
 			h.offer(now, p)
