--- a/src/radio/radio_test.go
+++ b/src/radio/radio_test.go
@@ -16,7 +16,9 @@
 const (
 	kindEcho  Kind = 7
 	kindError Kind = 8
-	testKey        = "a key for tests, no secret"
+	// kindSlow calls are answered once the endpoint's release is closed.
+	kindSlow Kind = 9
+	testKey       = "a key for tests, no secret"
 )
 
 var loopback = netip.MustParseAddrPort("127.0.0.1:0")
@@ -27,10 +29,11 @@
 	replaced atomic.Int32
 	refused  atomic.Int32
 	handled  atomic.Int32
+	release  chan struct{}
 }
 
 func newTestEndpoint(t *testing.T, local netip.AddrPort, listen Listen, keys ...string) *testEndpoint {
-	e := &testEndpoint{}
+	e := &testEndpoint{release: make(chan struct{})}
 	var err error
 	e.Endpoint, err = NewEndpoint(local, keys, listen, Callbacks{
 		ConnReplaced: func(netip.AddrPort) { e.replaced.Add(1) },
@@ -42,6 +45,10 @@
 		return b, nil
 	})
 	e.Handle(kindError, func(context.Context, netip.AddrPort, []byte) ([]byte, error) { return nil, Error.New("broken") })
+	e.Handle(kindSlow, func(context.Context, netip.AddrPort, []byte) ([]byte, error) {
+		<-e.release
+		return []byte("done"), nil
+	})
 	require.NoError(t, e.Start())
 	t.Cleanup(e.Stop)
 	return e
@@ -155,12 +162,6 @@
 func TestConcurrentMissedProbesCountOnce(t *testing.T) {
 	a := newTestEndpoint(t, loopback, ListenUDP, testKey)
 	b := newTestEndpoint(t, loopback, ListenUDP, testKey)
-	const kindSlow Kind = 9
-	release := make(chan struct{})
-	b.handlers[kindSlow] = func(context.Context, netip.AddrPort, []byte) ([]byte, error) {
-		<-release
-		return []byte("done"), nil
-	}
 	_, err := call(t, a, b.addr(), kindEcho, "", 5*time.Second)
 	require.NoError(t, err)
 	worked := make(chan error, 1)
@@ -179,7 +180,7 @@
 	}
 	probes.Wait()
 	require.Zero(t, a.replaced.Load())
-	close(release)
+	close(b.release)
 	require.NoError(t, <-worked)
 }
 
