--- a/src/convoy/hold.go
+++ b/src/convoy/hold.go
@@ -157,8 +157,8 @@
 	}
 }
 
-// handleWrongIncarnation handles an answer that names another worker: the incarnation that was expected has ended. Runs that were
-// started at another address than the worker has now may go on there; they end with their lease.
+// handleWrongIncarnation handles an answer that names another worker: the incarnation that was expected has ended. Runs that
+// were started at another address than the worker has now may go on there; they end with their lease.
 func (p *Planner) handleWrongIncarnation(now time.Time, w *worker) {
 	for _, r := range w.runs {
 		if r.address != w.target.Address {
--- a/src/convoy/place.go
+++ b/src/convoy/place.go
@@ -111,7 +111,6 @@
 	if w.handingOver && !j.started {
 		return false
 	}
-
 	if w.failuresInRow >= failureThreshold && len(w.runs) > 0 {
 		return false
 	}
