convoy: repeat an unanswered start under its number

Cause: an order that may come late was answered by another one with another number, which a worker that starts anew cannot tell from the first.

Now the order is repeated under the same number, at most twice; the worker begins a run once. A worker that is not ready, or refuses the repetition, is stopped as before. A run keeps count of its orders without an answer: while one of them may come late the task stays bound to its worker, whatever way the run ends, as a caller may submit a finished job again.

Ruled out: a shorter binding by the order's deadline. The clock of a new incarnation may begin anywhere, so no deadline of the old one bounds it.

Tests: TestUnansweredStartIsRepeatedUnderItsNumber, TestTaskStaysBoundAfterRepeatedStart, red before.

--- a/src/convoy/bound_test.go
+++ b/src/convoy/bound_test.go
@@ -21,7 +21,7 @@
 // resolveStop leaves the start order of a job unanswered and acknowledges its stop, and returns the worker.
 func (b *bench) resolveStop(job string) string {
 	s := b.submit(job)
-	b.step(StartResult{ID: s.Target.ID, Key: s.Key, Token: s.Token, Result: Unanswered})
+	b.leaveUnanswered(s)
 	b.step(StopResult{ID: s.Target.ID, Key: s.Key, Token: s.Token, Result: Accepted})
 	return s.Target.ID
 }
@@ -147,7 +147,7 @@
 			s := b.submit("a")
 			id := s.Target.ID
 			if overdue {
-				b.step(StartResult{ID: id, Key: s.Key, Token: s.Token, Result: Unanswered})
+				b.leaveUnanswered(s)
 			}
 			b.step(HoldResult{ID: id, Sent: b.p.workers[id].holdSent, Result: Fenced})
 			require.Equal(t, []Outcome{Lost}, b.outcomesOf("a", 0))
--- a/src/convoy/claim.go
+++ b/src/convoy/claim.go
@@ -78,10 +78,11 @@
 // giveUpRuns ends the jobs that have a run on a worker that no longer reports to this planner, as the outcome of
 // these runs cannot be learned.
 func (p *Planner) giveUpRuns(now time.Time, w *worker, reason string) {
-	for _, r := range sortedRuns(w) {
-		if r.state == runStarting || r.state == runUnconfirmed {
-			p.leaveUnresolved(now, w, r)
-		}
+	runs := sortedRuns(w)
+	for _, r := range runs {
+		p.leaveUnresolved(now, w, r)
+	}
+	for _, r := range runs {
 		delete(w.runs, r.key)
 		w.used = w.used.minus(r.need)
 		t := r.task
--- a/src/convoy/hold.go
+++ b/src/convoy/hold.go
@@ -216,7 +216,7 @@
 		}
 		t := r.task
 		p.restartTask(now, w, r, "its lease expired")
-		if (r.state == runUnconfirmed || r.state == runStarting) && p.leaveUnresolved(now, w, r) && t != nil {
+		if t != nil && r.mayComeLate() {
 			p.endJob(now, t.job, Lost, CauseNoWorker, "a start is unanswered at a worker that is out of reach", 0)
 		}
 	}
--- a/src/convoy/incarnation.go
+++ b/src/convoy/incarnation.go
@@ -73,7 +73,7 @@
 // leaveUnresolved records that the start order of a run may still be carried out by a later incarnation of its worker, and
 // reports whether that is so.
 func (p *Planner) leaveUnresolved(now time.Time, w *worker, r *run) bool {
-	if r.listed {
+	if !r.mayComeLate() {
 		return false
 	}
 	p.unresolved[r.key.Task] = unresolvedStart{worker: w.target.ID, until: now.Add(lateOrderLimit)}
--- a/src/convoy/incarnation_test.go
+++ b/src/convoy/incarnation_test.go
@@ -84,6 +84,14 @@
 	return starts[0]
 }
 
+// leaveUnanswered leaves a start order and its repetitions without an answer.
+func (b *bench) leaveUnanswered(s Start) {
+	for range maxStartRepeats + 1 {
+		b.step(StartResult{ID: s.Target.ID, Key: s.Key, Token: s.Token, Result: Unanswered})
+	}
+	b.starts()
+}
+
 func TestOrdersToEarlierIncarnationAreFenced(t *testing.T) {
 	tests := map[string]func(b *bench){
 		"a listed restart":   func(b *bench) { b.step(WorkerListed{Target: b.target("w0", 2)}) },
@@ -117,7 +125,7 @@
 		t.Run(name, func(t *testing.T) {
 			b := newBench(t, "w0", "w1")
 			s := b.submit("a")
-			b.step(StartResult{ID: s.Target.ID, Key: s.Key, Token: s.Token, Result: Unanswered})
+			b.leaveUnanswered(s)
 			ack := StopResult{ID: s.Target.ID, Key: s.Key, Token: s.Token, Result: Accepted}
 			if tt.before {
 				b.step(ack)
@@ -153,7 +161,7 @@
 			w.speed = 4
 		}
 	}
-	b.step(StartResult{ID: id, Key: s.Key, Token: s.Token, Result: Unanswered})
+	b.leaveUnanswered(s)
 	b.step(StopResult{ID: id, Key: s.Key, Token: s.Token, Result: Accepted})
 	b.wait(200 * time.Millisecond)
 	again := b.starts()
@@ -174,7 +182,7 @@
 	b := newBench(t, "w0", "w1")
 	s := b.submit("a")
 	id := s.Target.ID
-	b.step(StartResult{ID: id, Key: s.Key, Token: s.Token, Result: Unanswered})
+	b.leaveUnanswered(s)
 	b.step(StopResult{ID: id, Key: s.Key, Token: s.Token, Result: Accepted})
 	b.p.workers[id].skipUntil = b.now.Add(time.Hour)
 	b.wait(200 * time.Millisecond)
@@ -187,7 +195,7 @@
 	b := newBench(t, "w0", "w1")
 	s := b.submit("a")
 	id := s.Target.ID
-	b.step(StartResult{ID: id, Key: s.Key, Token: s.Token, Result: Unanswered})
+	b.leaveUnanswered(s)
 	b.step(HoldResult{ID: id, Sent: b.p.workers[id].holdSent, Result: Unanswered})
 	b.wait(1500 * time.Millisecond)
 	b.seen = len(b.sent)
--- /dev/null
+++ b/src/convoy/repeat_test.go
@@ -0,0 +1,73 @@
+package convoy
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// An unanswered start must not cost its caller the time of a stop, nor leave two numbers of one task that may come late.
+func TestUnansweredStartIsRepeatedUnderItsNumber(t *testing.T) {
+	b := newBench(t, "w0", "w1")
+	s := b.submit("a")
+	b.step(StartResult{ID: s.Target.ID, Key: s.Key, Token: s.Token, Result: Unanswered})
+	repeated := b.starts()
+	require.Len(t, repeated, 1)
+	require.Equal(t, s.Key, repeated[0].Key)
+	require.Equal(t, s.Target.ID, repeated[0].Target.ID)
+	b.step(StartResult{ID: s.Target.ID, Key: s.Key, Token: s.Token, Result: Accepted})
+	b.answerHold(s.Target.ID, Report{Incarnation: 1, Clock: 900_500, Ends: []EndReport{{Number: 1, Key: s.Key}}})
+	require.Equal(t, []Outcome{Completed}, b.outcomesOf("a", 0))
+	for _, a := range b.sent {
+		_, stop := a.(Stop)
+		require.False(t, stop)
+	}
+}
+
+// The first of two orders may come late although the second was answered: wherever its run ends, the task stays bound.
+func TestTaskStaysBoundAfterRepeatedStart(t *testing.T) {
+	tests := map[string]struct {
+		end RunResult
+		// resubmitted says that the job is lost after the end, and submitted again.
+		resubmitted bool
+	}{
+		"stopped":                              {end: EndedStopped},
+		"lapsed":                               {end: EndedLeaseExpired},
+		"failed":                               {end: EndedFailed},
+		"done, and the job is submitted again": {end: EndedDone, resubmitted: true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t, "w0", "w1")
+			submit := func() {
+				b.step(Submitted{Job: Job{
+					ID: "a", Route: "r", Pool: "pool", Host: "entry", Attempts: 2, Stretch: 9, Arrived: b.now, Deadline: b.now.Add(9 * time.Second),
+					Steps: []Step{
+						{Count: 1, Need: Resources{Milli: 14_000, Memory: 64}, Estimate: 900 * time.Millisecond},
+						{Count: 1, Need: Resources{Milli: 14_000, Memory: 64}, Estimate: 900 * time.Millisecond, After: []int{0}},
+					},
+				}})
+			}
+			submit()
+			s := b.starts()[0]
+			b.step(StartResult{ID: s.Target.ID, Key: s.Key, Token: s.Token, Result: Unanswered})
+			b.step(StartResult{ID: s.Target.ID, Key: s.Key, Token: s.Token, Result: Accepted})
+			b.starts()
+			b.answerHold(s.Target.ID, Report{Incarnation: 1, Clock: 900_500, Ends: []EndReport{{Number: 1, Key: s.Key, Result: tt.end}}})
+			if tt.resubmitted {
+				b.step(JobCancelled{ID: "a", Host: "entry"})
+				b.starts()
+				submit()
+			}
+			for _, next := range b.starts() {
+				if next.Key.Task == s.Key.Task {
+					require.Equal(t, s.Target.ID, next.Target.ID)
+				}
+			}
+			id, bound := b.p.boundTo(b.now, &task{name: s.Key.Task})
+			require.True(t, bound)
+			require.Equal(t, s.Target.ID, id)
+		})
+	}
+}
--- a/src/convoy/run.go
+++ b/src/convoy/run.go
@@ -41,7 +41,7 @@
 	}
 	switch e.Result {
 	case Accepted:
-		r.state = runActive
+		r.state, r.accepted = runActive, true
 		r.startedAt = now
 		if r.task == nil {
 			p.orderStop(now, w, r)
@@ -50,10 +50,20 @@
 	case Unanswered:
 		r.state = runUnconfirmed
 		r.startedAt = now
+		r.unanswered++
 		p.logDecision(DecisionStartUnanswered, jobID(r.key), w.target.ID, fmt.Sprintf(
 			"%s run %d under token %d", r.key.Task, r.key.Run, r.token))
+		p.repeatStart(now, w, r)
+		return
+	}
+	if r.unanswered > 0 && e.Result != Invalid {
+		// The order before may still be carried out, or has been.
+		r.state = runUnconfirmed
 		p.orderStop(now, w, r)
+		p.handleRefusal(now, w, e.Token, e.Result)
 		return
+	}
+	switch e.Result {
 	case Outdated:
 		if r.task != nil {
 			r.task.runNumber = r.task.runNumber*2 + 1
@@ -69,6 +79,18 @@
 	p.handleRefusal(now, w, e.Token, e.Result)
 }
 
+// repeatStart orders a run again whose start was not answered. The worker begins a run only once, so the task has one run that may
+// be carried out late, and is at work without the time that a stop takes.
+func (p *Planner) repeatStart(now time.Time, w *worker, r *run) {
+	lease := p.leaseFor(now, w)
+	if r.task == nil || r.unanswered > maxStartRepeats || w.phase != phaseReady || r.token != w.token || lease < minStartLease {
+		p.orderStop(now, w, r)
+		return
+	}
+	r.state = runStarting
+	p.emit(Start{Target: w.target, Token: w.token, Key: r.key, Spec: r.task.job.Spec, Lease: w.grantLease(now, lease)})
+}
+
 // handleRefusal updates the state of a worker after it refused an order that was sent under a token.
 func (p *Planner) handleRefusal(now time.Time, w *worker, token int64, v OrderResult) {
 	if token < w.token {
@@ -117,6 +139,7 @@
 
 // restartTask restarts a task whose run can no longer be active although the worker did not list its end.
 func (p *Planner) restartTask(now time.Time, w *worker, r *run, reason string) {
+	p.leaveUnresolved(now, w, r)
 	if r.task != nil {
 		p.logDecision(DecisionRestarted, r.task.job.ID, w.target.ID, fmt.Sprintf("%s run %d: %s", r.key.Task, r.key.Run, reason))
 	}
@@ -190,6 +213,7 @@
 		return
 	}
 	t := r.task
+	p.leaveUnresolved(now, w, r)
 	p.removeRun(now, w, r, false)
 	if t != nil {
 		p.emit(RunEnded{Route: t.job.Route, Result: end.Result, Took: now.Sub(r.startedAt), Expected: r.predicted})
--- a/src/convoy/tuning.go
+++ b/src/convoy/tuning.go
@@ -36,6 +36,9 @@
 	leaseMargin = 30 * time.Millisecond
 	// stopRetryInterval is the interval at which a stop order is repeated: four round trips and the time that a stop takes.
 	stopRetryInterval = 100 * time.Millisecond
+	// maxStartRepeats is how often a start without an answer is repeated before it is stopped. Two orders in a row rarely get
+	// lost but on a worker that is about to be lost.
+	maxStartRepeats = 2
 	// minProbeBackoff and maxProbeBackoff bound the backoff between hold requests to a worker that does not answer.
 	minProbeBackoff = 100 * time.Millisecond
 	maxProbeBackoff = 2 * time.Second
--- a/src/convoy/worker.go
+++ b/src/convoy/worker.go
@@ -26,7 +26,7 @@
 const (
 	runStarting runState = iota
 	runActive
-	// runUnconfirmed runs may or may not begin: the start order was not answered.
+	// runUnconfirmed runs may or may not begin: a start order was not answered, and the last repetition neither.
 	runUnconfirmed
 	runStopping
 )
@@ -44,6 +44,9 @@
 	address netip.AddrPort
 	// startedAt is the time of the start order, and of its answer once that has come.
 	startedAt time.Time
+	// unanswered counts the start orders without an answer, accepted says that one was answered.
+	unanswered int
+	accepted   bool
 	// predicted is the predicted run time on this worker.
 	predicted time.Duration
 	// listed says that the worker has listed the run as active.
@@ -54,6 +57,19 @@
 	need        Resources
 }
 
+// mayComeLate reports whether a start order of the run may still be carried out. A worker that lists a run has carried out one of
+// its orders.
+func (r *run) mayComeLate() bool {
+	open := r.unanswered
+	if r.state == runStarting {
+		open++
+	}
+	if r.listed && !r.accepted {
+		open--
+	}
+	return open > 0
+}
+
 // worker is the planner's state of one target.
 type worker struct {
 	target Target
