convoy: tell other planners of starts that may come late

A start of one planner without an answer is carried out by an incarnation of its worker that the planner has not met, while another planner runs the task, as the caller came back there.

Cause: only the planner that ordered the start knew of it.

Test: TestJobWithLateStartElsewhereIsNotStarted, red before.

--- a/src/convoy/cause.go
+++ b/src/convoy/cause.go
@@ -39,11 +39,13 @@
 	CauseFenced
 	// CauseProcessSuspended means that the planner was suspended for so long that other hosts may have marked it as failed.
 	CauseProcessSuspended
+	// CauseLateStart means that a start of the job that another planner ordered may still be carried out.
+	CauseLateStart
 )
 
 var causeNames = [...]string{
 	"none", "backlog", "waited", "misfit", "no-worker", "no-planner", "no-route", "stopping", "moved", "stale", "task",
-	"deadline", "caller-gone", "host-lost", "planner-lost", "fenced", "standstill",
+	"deadline", "caller-gone", "host-lost", "planner-lost", "fenced", "standstill", "late-start",
 }
 
 // String returns the cause's name.
--- a/src/convoy/event.go
+++ b/src/convoy/event.go
@@ -167,6 +167,10 @@
 	At   time.Time
 }
 
+// LateStartsReported carries the jobs, by JobHash, that another planner has given up while a start of them may still be carried
+// out.
+type LateStartsReported struct{ Jobs []uint32 }
+
 // RemoteCapacity carries how many tasks of typical size other planners could start at once.
 type RemoteCapacity struct{ Tasks int }
 
@@ -179,22 +183,23 @@
 // Tick triggers the periodic checks.
 type Tick struct{}
 
-func (PartClaimed) event()       {}
-func (HandoverRequested) event() {}
-func (WorkerReleased) event()    {}
-func (WorkerListed) event()      {}
-func (WorkerRemoved) event()     {}
-func (HoldResult) event()        {}
-func (StartResult) event()       {}
-func (StopResult) event()        {}
-func (Submitted) event()         {}
-func (JobCancelled) event()      {}
-func (HostLost) event()          {}
-func (HostHeard) event()         {}
-func (RemoteCapacity) event()    {}
-func (Stopping) event()          {}
-func (ProcessResumed) event()    {}
-func (Tick) event()              {}
+func (PartClaimed) event()        {}
+func (HandoverRequested) event()  {}
+func (WorkerReleased) event()     {}
+func (WorkerListed) event()       {}
+func (WorkerRemoved) event()      {}
+func (HoldResult) event()         {}
+func (StartResult) event()        {}
+func (StopResult) event()         {}
+func (Submitted) event()          {}
+func (JobCancelled) event()       {}
+func (HostLost) event()           {}
+func (HostHeard) event()          {}
+func (LateStartsReported) event() {}
+func (RemoteCapacity) event()     {}
+func (Stopping) event()           {}
+func (ProcessResumed) event()     {}
+func (Tick) event()               {}
 
 // Action is an output of a Planner; it is one of the types below.
 type Action interface{ action() }
--- a/src/convoy/planner.go
+++ b/src/convoy/planner.go
@@ -57,9 +57,14 @@
 	usedTokens map[string]usedToken
 	// unresolved holds, by task, the unanswered starts that may still be carried out.
 	unresolved map[string]unresolvedStart
-	jobs       map[string]*job
-	queue      []*job
-	routes     map[string]*routeStats
+	// lateStarts holds, by hash, the jobs given up here of which a start may still be carried out, and until when;
+	// remoteLateStarts those that other planners report, lateReport what this one reports.
+	lateStarts       map[uint32]time.Time
+	remoteLateStarts map[uint32]time.Time
+	lateReport       []uint32
+	jobs             map[string]*job
+	queue            []*job
+	routes           map[string]*routeStats
 	// orphanCounts counts, by job, the runs of ended jobs and of other planners that may still be active.
 	orphanCounts map[string]int
 	results      map[string]result
@@ -85,6 +90,7 @@
 		jobs: make(map[string]*job), routes: make(map[string]*routeStats),
 		orphanCounts: make(map[string]int), results: make(map[string]result),
 		usedTokens: make(map[string]usedToken), heard: make(map[string]time.Time), unresolved: make(map[string]unresolvedStart),
+		lateStarts: make(map[uint32]time.Time), remoteLateStarts: make(map[uint32]time.Time),
 	}
 }
 
@@ -119,6 +125,8 @@
 		p.detachHost(now, e)
 	case HostLost:
 		p.hostLost(now, e.Host)
+	case LateStartsReported:
+		p.noteLateStarts(now, e)
 	case RemoteCapacity:
 		p.remoteSlots = e.Tasks
 	case Stopping:
@@ -242,6 +250,7 @@
 		}
 	}
 	p.forgetIncarnations(now)
+	p.forgetLateStarts(now)
 	for host, at := range p.heard {
 		if now.Sub(at) > resultRetention {
 			delete(p.heard, host)
--- a/src/convoy/submit.go
+++ b/src/convoy/submit.go
@@ -22,6 +22,11 @@
 		p.emit(Answer{ID: in.ID, Host: in.Host, Outcome: Redirected, Cause: CauseNoWorker, Reason: "this host plans no domain"})
 		return
 	}
+	if late, ok := p.startsElsewhere(now, in); ok {
+		// The caller's former attempt may run, so this is no refusal.
+		p.emit(Answer{ID: in.ID, Host: in.Host, Outcome: Lost, Cause: late.cause, Reason: late.reason})
+		return
+	}
 	j := newJob(in)
 	p.routeStats(j.Route).addJob(now, j)
 	p.updateTypicalMilli(j)
@@ -110,6 +115,9 @@
 		return
 	}
 	p.updateHeard(now, j)
+	if o != Completed {
+		p.recordLateStarts(now, j)
+	}
 	j.ended, j.endedAt = true, now
 	delete(p.jobs, j.ID)
 	p.queue = slices.DeleteFunc(p.queue, func(q *job) bool { return q == j })
--- a/src/convoy/yard_test.go
+++ b/src/convoy/yard_test.go
@@ -15,15 +15,18 @@
 
 // simulation simulates workers and the network between them and planners, in virtual time.
 type simulation struct {
-	t          *testing.T
-	rng        *rand.Rand
-	now        time.Time
-	events     eventQueue
-	seq        int
-	workers    map[string]*fakeWorker
-	planners   []*Planner
-	answers    []Answer
-	answeredAt map[string]time.Time
+	t        *testing.T
+	rng      *rand.Rand
+	now      time.Time
+	events   eventQueue
+	seq      int
+	workers  map[string]*fakeWorker
+	planners []*Planner
+	// lateStarts holds what each planner has last reported of late starts, which takes up to two heartbeats to arrive.
+	lateStarts        map[int][]uint32
+	heartbeatInterval time.Duration
+	answers           []Answer
+	answeredAt        map[string]time.Time
 	// lossRate is the share of orders whose answer is lost; lateRate is the share of orders that are carried out seconds late
 	// and never answered.
 	lossRate, lateRate float64
@@ -102,6 +105,7 @@
 	sim := &simulation{
 		t: t, rng: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1_700_000_000, 0),
 		workers: make(map[string]*fakeWorker), answeredAt: make(map[string]time.Time), history: make(map[string][]string),
+		lateStarts: make(map[int][]uint32), heartbeatInterval: 200 * time.Millisecond,
 	}
 	for i := range planners {
 		p := NewPlanner(Tuning{MaxLease: time.Second, StopTime: 50 * time.Millisecond, TokenStep: tokenStep})
@@ -161,6 +165,21 @@
 	for _, a := range sim.planners[i].Step(sim.now, ev) {
 		sim.execute(i, a)
 	}
+	sim.reportLateStarts(i)
+}
+
+// reportLateStarts tells the other planners of new late starts, as the next heartbeats do.
+func (sim *simulation) reportLateStarts(i int) {
+	jobs := sim.planners[i].LateStarts()
+	if slices.Equal(jobs, sim.lateStarts[i]) {
+		return
+	}
+	sim.lateStarts[i] = jobs
+	for k := range sim.planners {
+		if k != i {
+			sim.after(networkDelay+sim.upTo(2*sim.heartbeatInterval), func() { sim.step(k, LateStartsReported{Jobs: jobs}) })
+		}
+	}
 }
 
 // note adds a line to a task's history.
