flotilla: frequent heartbeats only for pairs that have work with each other

Cause: every process sent 800 bytes to each other one five times a second, 500 of them the list of all processes that it hears.

Processes of one domain, planners, hosts with jobs of others and registry hosts exchange heartbeats as before. All other pairs do once a second. Who begins or ceases to plan tells everybody for a second, and is answered at once. Whether the recipient is heard, and the age of undelivered cancellations, is told to the recipient alone, in two bytes. Addresses of others are listed in full only within 3 s of a join. Late starts of planners travel with heartbeats.

A foreign domain is planned by a host that plans already, and idle hosts whose heartbeat is overdue do not count as its own: nobody has to wait for the longer time-out of distant peers.

Ruled out: relays with digests. They save more at full size, but whoever offers a job needs first-hand news of the planner, and two planners a domain are few enough to be heard by all.

Tests: TestTrafficBetweenDomainsOfLargeFleet (red before), TestLossInLargeFleetIsDetected, TestNewPlannerOfLargeFleetHearsAllHosts, TestDomainWithoutEntryHostsIsPlannedFromOutside, TestLargeFleetSchedules. The simulations of several hosts carry the notices.

--- a/src/flotilla/codec.go
+++ b/src/flotilla/codec.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/zeebo/errs"
@@ -33,13 +34,18 @@
 	FreeSlots       int
 	WaitingJobs     map[string]int
 	Contacts        []byte
-	ReceivesFrom    []uint32
 	Slots           int
 	CPUMillis       int
 	SentAtMillis    int64
+	Frequent        bool
+	LateStarts      []uint32
 }
 
-// EncodeHeartbeat encodes a heartbeat as CBOR.
+// noticeSize is the length of an encoded notice in bytes: a flag, and an age in steps.
+const noticeSize = 2
+
+// EncodeHeartbeat encodes a heartbeat: its notice, then all else as CBOR. A heartbeat to many recipients is encoded once;
+// ReplaceNotice adapts it to each.
 func EncodeHeartbeat(b Heartbeat) ([]byte, error) {
 	m := b.From
 	address, err := m.Address.MarshalBinary()
@@ -50,7 +56,7 @@
 		Name: m.Name, Domain: m.Domain, Address: address, Incarnation: m.Incarnation,
 		Dispatcher: m.Dispatcher, Registry: m.Registry, Disk: m.Disk, Leaving: m.Leaving, ConfigVersion: m.ConfigVersion,
 		TargetsRevision: m.TargetsRevision, FreeSlots: m.FreeSlots, WaitingJobs: m.WaitingJobs,
-		ReceivesFrom: b.ReceivesFrom, Slots: m.Slots, CPUMillis: m.CPUMillis, SentAtMillis: m.SentAtMillis,
+		Slots: m.Slots, CPUMillis: m.CPUMillis, SentAtMillis: m.SentAtMillis, Frequent: m.Frequent, LateStarts: m.LateStarts,
 	}
 	for _, c := range m.Claims {
 		w.Claims = append(w.Claims, wireClaim{Part: c.Part, Token: c.Token})
@@ -59,23 +65,43 @@
 		return nil, Error.Wrap(err)
 	}
 	out, err := cbor.Marshal(w)
-	return out, Error.Wrap(err)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	return append(encodeNotice(b.Notice), out...), nil
+}
+
+// ReplaceNotice returns an encoded heartbeat with another notice.
+func ReplaceNotice(data []byte, n Notice) []byte {
+	return append(encodeNotice(n), data[noticeSize:]...)
+}
+
+func encodeNotice(n Notice) []byte {
+	receives := byte(0)
+	if n.Receives {
+		receives = 1
+	}
+	return []byte{receives, byte(n.Undelivered / undeliveredStep)}
 }
 
 // DecodeHeartbeat decodes what EncodeHeartbeat returned; it fails if the name or the address is missing.
 func DecodeHeartbeat(data []byte) (Heartbeat, error) {
+	if len(data) < noticeSize {
+		return Heartbeat{}, Error.New("heartbeat of %d bytes has no notice", len(data))
+	}
 	var w wireHeartbeat
-	if err := cbor.Unmarshal(data, &w); err != nil {
+	if err := cbor.Unmarshal(data[noticeSize:], &w); err != nil {
 		return Heartbeat{}, Error.Wrap(err)
 	}
 	var address netip.AddrPort
 	if err := address.UnmarshalBinary(w.Address); err != nil || w.Name == "" {
 		return Heartbeat{}, Error.New("heartbeat has no name or no valid address")
 	}
-	b := Heartbeat{ReceivesFrom: w.ReceivesFrom, From: Member{
+	notice := Notice{Receives: data[0] == 1, Undelivered: time.Duration(data[1]) * undeliveredStep}
+	b := Heartbeat{Notice: notice, From: Member{
 		Name: w.Name, Domain: w.Domain, Address: address, Incarnation: w.Incarnation,
 		Dispatcher: w.Dispatcher, Registry: w.Registry, Disk: w.Disk, Leaving: w.Leaving, ConfigVersion: w.ConfigVersion,
-		TargetsRevision: w.TargetsRevision, FreeSlots: w.FreeSlots, WaitingJobs: w.WaitingJobs, Slots: w.Slots, CPUMillis: w.CPUMillis, SentAtMillis: w.SentAtMillis,
+		TargetsRevision: w.TargetsRevision, FreeSlots: w.FreeSlots, WaitingJobs: w.WaitingJobs, Slots: w.Slots, CPUMillis: w.CPUMillis, SentAtMillis: w.SentAtMillis, Frequent: w.Frequent, LateStarts: w.LateStarts,
 	}}
 	for _, c := range w.Claims {
 		b.From.Claims = append(b.From.Claims, Claim{Part: c.Part, Token: c.Token})
--- a/src/flotilla/fleet.go
+++ b/src/flotilla/fleet.go
@@ -9,12 +9,15 @@
 	"github.com/zeebo/xxh3"
 )
 
-// Event is an input of a Fleet: Tick, HeartbeatReceived or RequestHigherToken.
+// Event is an input of a Fleet: Tick, SelfChanged, HeartbeatReceived or RequestHigherToken.
 type Event interface{ event() }
 
 // Tick is the timer event; it is due once per HeartbeatInterval.
 type Tick struct{}
 
+// SelfChanged tells that this process's member entry has changed, so that the peers it has work with get a heartbeat now.
+type SelfChanged struct{}
+
 // HeartbeatReceived carries a heartbeat of another process.
 type HeartbeatReceived struct{ Heartbeat Heartbeat }
 
@@ -22,14 +25,18 @@
 type RequestHigherToken struct{ Part string }
 
 func (Tick) event()               {}
+func (SelfChanged) event()        {}
 func (HeartbeatReceived) event()  {}
 func (RequestHigherToken) event() {}
 
 // Action is an output of a Fleet; it is one of the types below.
 type Action interface{ action() }
 
-// SendHeartbeat asks for a heartbeat to an address.
-type SendHeartbeat struct{ To netip.AddrPort }
+// SendHeartbeat asks for a heartbeat with a notice to an address.
+type SendHeartbeat struct {
+	To     netip.AddrPort
+	Notice Notice
+}
 
 // PeerJoined tells that a peer is alive for the first time, or again.
 type PeerJoined struct{ Peer Peer }
@@ -97,10 +104,17 @@
 	// view is the state of the peers as of the last round of claims.
 	view      peerView
 	startedAt time.Time
-	// heartbeatCount counts heartbeats, including those ahead of schedule; ticks counts the regular ones.
-	heartbeatCount int
-	ticks          int
-	out            []Action
+	// busy says that jobs of other hosts are in progress here.
+	busy bool
+	// announceUntil is until when all peers get frequent heartbeats, because this process has begun or ceased to plan.
+	announceUntil time.Time
+	// lastJoin is when a peer joined last.
+	lastJoin time.Time
+	// nextContact is the peer at which the next heartbeat's contacts begin; ticks counts the regular heartbeats.
+	nextContact int
+	ticks       int
+	undelivered []Undelivered
+	out         []Action
 }
 
 // NewFleet returns a fleet that knows only its own process and the addresses to contact first.
@@ -120,7 +134,11 @@
 	case Tick:
 		f.expirePeers(now)
 		f.updateClaims(now)
+		f.updateFrequent(now)
 		f.sendHeartbeats(now)
+	case SelfChanged:
+		f.updateFrequent(now)
+		f.sendExtraHeartbeats(now)
 	case HeartbeatReceived:
 		f.applyHeartbeat(now, e.Heartbeat)
 	case RequestHigherToken:
@@ -130,7 +148,10 @@
 }
 
 // SetUndelivered sets the planners that have not confirmed a cancellation yet; the next heartbeats tell them.
-func (f *Fleet) SetUndelivered(u []Undelivered) { f.self.Undelivered = u }
+func (f *Fleet) SetUndelivered(u []Undelivered) { f.undelivered = u }
+
+// SetBusy sets whether jobs of other hosts are in progress here, also after this process has ceased to plan.
+func (f *Fleet) SetBusy(busy bool) { f.busy = busy }
 
 // SetContacts replaces the addresses to contact first.
 func (f *Fleet) SetContacts(contacts []netip.AddrPort) { f.contacts = contacts }
@@ -167,17 +188,6 @@
 	return len(f.sorted), registries
 }
 
-// AliveAddresses returns the addresses of the live peers, sorted by name.
-func (f *Fleet) AliveAddresses() []netip.AddrPort {
-	out := make([]netip.AddrPort, 0, len(f.sorted))
-	for _, p := range f.sorted {
-		if p.Alive {
-			out = append(out, p.Member.Address)
-		}
-	}
-	return out
-}
-
 // Peer returns what is known of a process.
 func (f *Fleet) Peer(name string) (Peer, bool) {
 	p, ok := f.peers[name]
@@ -187,25 +197,34 @@
 	return *p, true
 }
 
-// Heartbeat returns the heartbeat to send; it lists the live peers' addresses in rotation, at most maxContacts at a
-// time.
-func (f *Fleet) Heartbeat() Heartbeat {
+// Heartbeat returns the heartbeat to send, without its notice; it lists the live peers' addresses in rotation. Processes that
+// join need all of them soon, so the list is longer for a while.
+func (f *Fleet) Heartbeat(now time.Time) Heartbeat {
 	b := Heartbeat{From: f.self}
 	alive := f.alivePeers()
-	for _, p := range alive {
-		b.ReceivesFrom = append(b.ReceivesFrom, NameHash(p.Member.Name))
-	}
-	for _, u := range f.self.Undelivered {
-		age := time.Duration(f.self.SentAtMillis-u.SinceMillis) * time.Millisecond
-		b.ReceivesFrom = append(b.ReceivesFrom, ^(u.Planner + uint32(min(max(0, age/undeliveredStep), undeliveredSteps-1))))
+	n := min(steadyContacts, len(alive))
+	if now.Sub(f.lastJoin) < joinPeriod {
+		n = min(maxContacts, len(alive))
 	}
-	f.heartbeatCount++
-	for i := range min(maxContacts, len(alive)) {
-		b.Contacts = append(b.Contacts, alive[(f.heartbeatCount*maxContacts+i)%len(alive)].Member.Address)
+	for i := range n {
+		b.Contacts = append(b.Contacts, alive[(f.nextContact+i)%len(alive)].Member.Address)
 	}
+	f.nextContact += n
 	return b
 }
 
+// notice returns what the next heartbeat tells a peer alone.
+func (f *Fleet) notice(now time.Time, p *Peer) Notice {
+	n := Notice{Receives: p.Alive}
+	hash := NameHash(p.Member.Name)
+	for _, u := range f.undelivered {
+		if u.Planner == hash {
+			n.Undelivered = max(n.Undelivered, undeliveredAge(now, u))
+		}
+	}
+	return n
+}
+
 func (f *Fleet) emit(a Action) { f.out = append(f.out, a) }
 
 func (f *Fleet) applyHeartbeat(now time.Time, b Heartbeat) {
@@ -240,17 +259,21 @@
 	f.nameByAddress[m.Address] = m.Name
 	joined := !p.Alive
 	if joined {
-		p.AliveSince = now
+		p.AliveSince, f.lastJoin = now, now
 	}
+	wasFrequent := f.isFrequent(p.Member)
 	if m.Incarnation != p.Member.Incarnation && p.offset.stepped(now, m.SentAtMillis) {
 		p.offset = clockOffset{}
 	}
-	p.LastSent = p.offset.sentAt(now, m.SentAtMillis).Add(-undeliveredAge(b.ReceivesFrom, f.self.Name))
+	p.LastSent = p.offset.sentAt(now, m.SentAtMillis).Add(-b.Notice.Undelivered)
 	p.Member, p.LastHeartbeat, p.Alive = m, now, true
-	f.updateReceiving(now, p, slices.Contains(b.ReceivesFrom, NameHash(f.self.Name)))
+	f.updateReceiving(now, p, b.Notice.Receives)
 	if joined {
 		f.emit(PeerJoined{Peer: *p})
-		f.emit(SendHeartbeat{To: m.Address})
+	}
+	// A planner needs a recent sign of life before it starts anything for this process.
+	if joined || !wasFrequent && f.isFrequent(m) {
+		f.emit(SendHeartbeat{To: m.Address, Notice: f.notice(now, p)})
 	}
 	f.emit(PeerUpdated{Peer: *p})
 }
@@ -296,8 +319,8 @@
 		return true
 	})
 	for _, p := range f.sorted {
-		silent := now.Sub(p.LastHeartbeat)
-		if p.Alive && silent > FailureTimeout {
+		silent, limit := f.silence(now, p)
+		if p.Alive && silent > limit {
 			p.Alive = false
 			f.emit(PeerFailed{Peer: *p, Reason: "silent"})
 		}
@@ -308,14 +331,10 @@
 	f.ticks++
 	sent := map[netip.AddrPort]bool{f.self.Address: true}
 	for _, p := range f.sorted {
-		// A failed peer may be back without any contacts, or only this direction may work again.
-		if !p.Alive && f.ticks%failedPeerTicks != 0 {
-			continue
-		}
-		if !sent[p.Member.Address] {
-			sent[p.Member.Address] = true
-			f.emit(SendHeartbeat{To: p.Member.Address})
+		if !sent[p.Member.Address] && f.isDue(now, p) {
+			f.emit(SendHeartbeat{To: p.Member.Address, Notice: f.notice(now, p)})
 		}
+		sent[p.Member.Address] = true
 	}
 	for _, a := range f.contacts {
 		if !sent[a] {
@@ -325,6 +344,14 @@
 	}
 }
 
+func (f *Fleet) sendExtraHeartbeats(now time.Time) {
+	for _, p := range f.sorted {
+		if p.Alive && (f.isFrequent(p.Member) || now.Before(f.announceUntil)) {
+			f.emit(SendHeartbeat{To: p.Member.Address, Notice: f.notice(now, p)})
+		}
+	}
+}
+
 func (f *Fleet) alivePeers() []*Peer {
 	out := make([]*Peer, 0, len(f.sorted))
 	for _, p := range f.sorted {
--- a/src/flotilla/fleet_test.go
+++ b/src/flotilla/fleet_test.go
@@ -23,19 +23,23 @@
 	// blocked reports whether heartbeats from one process to another are lost.
 	blocked func(from, to string) bool
 	events  map[string][]Action
+	domains []string
+	// received counts the heartbeats that arrived, and their bytes, by whether they crossed a domain.
+	received, bytes map[bool]int
 }
 
 func newSimulation() *simulation {
 	return &simulation{
 		now: time.Unix(1_700_000_000, 0), fleets: make(map[string]*Fleet), nameByAddress: make(map[netip.AddrPort]string),
 		down: make(map[string]bool), blocked: func(string, string) bool { return false }, events: make(map[string][]Action),
+		domains: simulatedDomains, received: make(map[bool]int), bytes: make(map[bool]int),
 	}
 }
 
 var simulatedDomains = []string{"north", "south"}
 
 func (s *simulation) add(name, domain string, dispatcher bool) {
-	addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(len(s.names) + 1)}), 7000)
+	addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte((len(s.names) + 1) >> 8), byte(len(s.names) + 1)}), 7000)
 	if _, known := s.fleets[name]; known {
 		addr = s.fleets[name].Self().Address
 	} else {
@@ -46,7 +50,7 @@
 	s.fleets[name] = NewFleet(Member{
 		Name: name, Domain: domain, Address: addr, Incarnation: uint64(s.now.UnixMilli()),
 		Dispatcher: dispatcher, Registry: !dispatcher,
-	}, simulatedDomains, []netip.AddrPort{seed}, s.now)
+	}, s.domains, []netip.AddrPort{seed}, s.now)
 }
 
 func (s *simulation) run(d time.Duration) {
@@ -71,7 +75,9 @@
 		if !known || s.down[to] || s.blocked(from, to) {
 			continue
 		}
-		data, err := EncodeHeartbeat(s.fleets[from].Heartbeat())
+		b := s.fleets[from].Heartbeat(s.now)
+		b.Notice = send.Notice
+		data, err := EncodeHeartbeat(b)
 		if err != nil {
 			panic(err)
 		}
@@ -79,6 +85,9 @@
 		if err != nil {
 			panic(err)
 		}
+		crosses := s.fleets[from].Self().Domain != s.fleets[to].Self().Domain
+		s.received[crosses]++
+		s.bytes[crosses] += len(data)
 		s.deliver(to, s.fleets[to].Step(s.now, HeartbeatReceived{Heartbeat: heartbeat}))
 	}
 }
@@ -335,7 +344,7 @@
 			s.events = make(map[string][]Action)
 			for range 15 {
 				for range outOfTurn {
-					s.fleets["entry-s1"].Heartbeat()
+					s.fleets["entry-s1"].Heartbeat(s.now)
 				}
 				s.run(HeartbeatInterval)
 			}
@@ -356,10 +365,10 @@
 			From: Member{
 				Name: "b", Domain: "north", Address: netip.MustParseAddrPort("[fd00::1]:7000"), Incarnation: 7,
 				Dispatcher: true, ConfigVersion: 3, TargetsRevision: 9, Claims: []Claim{{Part: "north#3", Token: 1 << 50}},
-				FreeSlots: -4, Slots: 12, WaitingJobs: map[string]int{"r": 2},
+				FreeSlots: -4, Slots: 12, WaitingJobs: map[string]int{"r": 2}, Frequent: true, LateStarts: []uint32{1, 1 << 31},
 			},
-			ReceivesFrom: []uint32{1, 2},
-			Contacts:     []netip.AddrPort{netip.MustParseAddrPort("10.0.0.2:7000"), netip.MustParseAddrPort("[fd00::2]:7000")},
+			Notice:   Notice{Receives: true, Undelivered: 3 * undeliveredStep},
+			Contacts: []netip.AddrPort{netip.MustParseAddrPort("10.0.0.2:7000"), netip.MustParseAddrPort("[fd00::2]:7000")},
 		},
 	}
 	for name, want := range tests {
--- a/src/flotilla/govern.go
+++ b/src/flotilla/govern.go
@@ -18,6 +18,7 @@
 // other hosts in this round, by host and domain. Every host computes the same assignment and claims its own parts at
 // once; assigning one part after the other would take a heartbeat each.
 type peerView struct {
+	now      time.Time
 	alive    []*Peer
 	holders  map[string]holder
 	hosts    map[string][]Member
@@ -26,9 +27,9 @@
 
 type assignment struct{ host, domain string }
 
-func (f *Fleet) collectView() peerView {
+func (f *Fleet) collectView(now time.Time) peerView {
 	view := peerView{
-		alive: f.alivePeers(), holders: make(map[string]holder), hosts: make(map[string][]Member),
+		now: now, alive: f.alivePeers(), holders: make(map[string]holder), hosts: make(map[string][]Member),
 		assigned: make(map[assignment]int),
 	}
 	for _, p := range view.alive {
@@ -46,7 +47,7 @@
 	if !f.self.Dispatcher {
 		return
 	}
-	f.view = f.collectView()
+	f.view = f.collectView(now)
 	for _, part := range f.parts {
 		f.finishHandover(now, part)
 		f.updateClaim(now, part)
@@ -172,7 +173,8 @@
 }
 
 // eligibleHosts returns a domain's entry hosts that are not leaving, the strongest first, then by name; if any of them
-// know the targets and the configuration, only those.
+// know the targets and the configuration, only those. Distant hosts whose heartbeat is overdue are left out: were they alive, they
+// would have claimed their domain's vacant parts by the time that another domain's host asks for them.
 func (f *Fleet) eligibleHosts(domain string) []Member {
 	if known, ok := f.view.hosts[domain]; ok {
 		return known
@@ -195,7 +197,9 @@
 	}
 	add(f.self)
 	for _, p := range f.view.alive {
-		add(p.Member)
+		if f.isFrequent(p.Member) || f.view.now.Sub(p.LastHeartbeat) <= distantOverdue {
+			add(p.Member)
+		}
 	}
 	if len(informed) > 0 {
 		all = informed
@@ -209,20 +213,16 @@
 // choosePlanner returns the host that should plan a part which has no planner, or whose planner is leaving or
 // overloaded: among as many of the domain's entry hosts as its workers need, strongest first, the one with the fewest
 // parts for its processor time. A host of another domain is chosen only if the domain is reachable but has no entry
-// host, and the part has been vacant for foreignClaimDelay.
+// host, and the part has been vacant for foreignClaimDelay; then it is one that plans already, as far as there are any, because
+// everybody knows whether these are alive.
 func (f *Fleet) choosePlanner(now time.Time, part string) string {
 	domain, _ := DomainOf(part)
 	if hosts := f.planningHosts(domain); len(hosts) > 0 {
 		return f.leastLoaded(hosts, domain)
 	}
-	var foreign []string
-	if !f.self.Leaving {
-		foreign = append(foreign, f.self.Name)
-	}
-	for _, p := range f.view.alive {
-		if p.Member.Dispatcher && !p.Member.Leaving {
-			foreign = append(foreign, p.Member.Name)
-		}
+	foreign := f.foreignHosts(func(m Member) bool { return len(m.Claims) > 0 })
+	if len(foreign) == 0 {
+		foreign = f.foreignHosts(func(Member) bool { return true })
 	}
 	since, vacant := f.vacantSince[part]
 	if !vacant || now.Sub(since) < foreignClaimDelay || len(foreign) == 0 {
@@ -231,6 +231,20 @@
 	return slices.Min(foreign)
 }
 
+// foreignHosts returns the names of the entry hosts of any domain that are not leaving and fulfil a condition.
+func (f *Fleet) foreignHosts(suits func(m Member) bool) []string {
+	var out []string
+	if !f.self.Leaving && suits(f.self) {
+		out = append(out, f.self.Name)
+	}
+	for _, p := range f.view.alive {
+		if p.Member.Dispatcher && !p.Member.Leaving && suits(p.Member) {
+			out = append(out, p.Member.Name)
+		}
+	}
+	return out
+}
+
 // finishHandover takes over all workers not yet handed over once the predecessor has ended or handoverTimeout has
 // passed.
 func (f *Fleet) finishHandover(now time.Time, part string) {
--- a/src/flotilla/member.go
+++ b/src/flotilla/member.go
@@ -43,8 +43,10 @@
 	Slots int
 	// WaitingJobs counts, by route, its jobs of which no task has started.
 	WaitingJobs map[string]int
-	// Undelivered holds the planners that have not confirmed a cancellation yet.
-	Undelivered []Undelivered
+	// LateStarts holds the hashes of the jobs that its planner has given up while a start of them may still be carried out.
+	LateStarts []uint32
+	// Frequent says that the process exchanges heartbeats with all others at every HeartbeatInterval.
+	Frequent bool
 }
 
 // Undelivered is a planner, by the hash of its name, and the time of the oldest cancellation that it has not confirmed, in
@@ -54,16 +56,23 @@
 	SinceMillis int64
 }
 
-// Heartbeat is the message that processes send each other at every HeartbeatInterval.
+// Heartbeat is the message that processes send each other.
 type Heartbeat struct {
-	From Member
-	// ReceivesFrom holds the name hashes of the live peers of the sender. Its Undelivered are there too, each as the
-	// complement of the hash plus the age in steps of undeliveredStep, as earlier versions ignore unknown hashes but no fields.
-	ReceivesFrom []uint32
+	From   Member
+	Notice Notice
 	// Contacts are addresses of other processes.
 	Contacts []netip.AddrPort
 }
 
+// Notice is the part of a heartbeat that is meant for its recipient alone.
+type Notice struct {
+	// Receives says that the sender receives the recipient's heartbeats.
+	Receives bool
+	// Undelivered is a bound on the age of the sender's oldest cancellation that the recipient has not confirmed, a multiple of
+	// undeliveredStep; 0 if there is none.
+	Undelivered time.Duration
+}
+
 // Peer is what this process knows of another one.
 type Peer struct {
 	Member        Member
@@ -73,6 +82,8 @@
 	// undelivered, as its caller may be back before the cancellation is here.
 	LastSent time.Time
 	offset   clockOffset
+	// frequentSince is when this process began to exchange frequent heartbeats with it; zero if that was with its first one.
+	frequentSince time.Time
 	// AliveSince is the time of its first heartbeat, or of the first one after it had failed.
 	AliveSince time.Time
 	Alive      bool
@@ -105,8 +116,10 @@
 	reclaimDelay = 1500 * time.Millisecond
 	// handoverTimeout bounds how long a leaving predecessor may hand over its workers one by one.
 	handoverTimeout = 5 * time.Second
-	// maxContacts bounds the addresses in one heartbeat.
-	maxContacts = 24
+	// maxContacts is the number of addresses in a heartbeat within joinPeriod of a join, steadyContacts later.
+	maxContacts    = 24
+	steadyContacts = 2
+	joinPeriod     = 3 * time.Second
 	// TokenStep is the difference between two consecutive tokens of one process.
 	TokenStep = 1 << tokenShift
 	// tokenShift is the number of low bits of a token that hold a hash of the process's name; the rest is a time in
--- a/src/flotilla/offset_test.go
+++ b/src/flotilla/offset_test.go
@@ -68,16 +68,19 @@
 			planner := NewFleet(Member{Name: "a", Domain: "d"}, []string{"d"}, nil, begin)
 			self := Member{Name: "b", Domain: "d", Address: netip.MustParseAddrPort("127.0.0.1:7720"), Incarnation: 1}
 			entry := NewFleet(self, []string{"d"}, nil, begin)
-			beat := func(now time.Time, undelivered []string) time.Duration {
-				entry.UpdateSelf(func(m *Member) {
-					m.SentAtMillis, m.Undelivered = now.UnixMilli(), nil
-					for _, name := range undelivered {
-						m.Undelivered = append(m.Undelivered, Undelivered{Planner: NameHash(name), SinceMillis: begin.UnixMilli()})
-					}
-				})
-				data, err := EncodeHeartbeat(entry.Heartbeat())
+			entry.Step(begin, HeartbeatReceived{Heartbeat: planner.Heartbeat(begin)})
+			beat := func(now time.Time, names []string) time.Duration {
+				var undelivered []Undelivered
+				for _, name := range names {
+					undelivered = append(undelivered, Undelivered{Planner: NameHash(name), SinceMillis: begin.UnixMilli()})
+				}
+				entry.SetUndelivered(undelivered)
+				entry.UpdateSelf(func(m *Member) { m.SentAtMillis = now.UnixMilli() })
+				b := entry.Heartbeat(now)
+				b.Notice = entry.notice(now, entry.peers["a"])
+				data, err := EncodeHeartbeat(b)
 				require.NoError(t, err)
-				b, err := DecodeHeartbeat(data)
+				b, err = DecodeHeartbeat(data)
 				require.NoError(t, err)
 				planner.Step(now, HeartbeatReceived{Heartbeat: b})
 				p, _ := planner.Peer("b")
--- a/src/helm/services.go
+++ b/src/helm/services.go
@@ -107,6 +107,8 @@
 	UpdateSelf(change func(m *flotilla.Member))
 	// SetWorkerCounts sets the number of known workers per failure domain, which this process reports to the others.
 	SetWorkerCounts(workers map[string]int)
+	// SetBusy sets whether jobs of other hosts are in progress at this process's planner.
+	SetBusy(busy bool)
 	// SetUndelivered sets the planners that have not confirmed a cancellation yet, for the next regular heartbeats.
 	SetUndelivered(u []flotilla.Undelivered)
 	// RequestHigherToken requests a higher fencing token for a part that this process plans.
--- a/src/wharf/cancel_test.go
+++ b/src/wharf/cancel_test.go
@@ -35,6 +35,6 @@
 		} else {
 			u.end(f, s.end, at(s.n))
 		}
-		require.Equal(t, s.want, f.self.Undelivered)
+		require.Equal(t, s.want, f.undelivered)
 	}
 }
--- a/src/wharf/fleet.go
+++ b/src/wharf/fleet.go
@@ -146,6 +146,9 @@
 // SetUndelivered sets the planners that have not confirmed a cancellation yet.
 func (f *fleet) SetUndelivered(u []flotilla.Undelivered) { f.fleet.SetUndelivered(u) }
 
+// SetBusy sets whether jobs of other hosts are in progress here.
+func (f *fleet) SetBusy(busy bool) { f.fleet.SetBusy(busy) }
+
 // SetWorkerCounts sets the number of known workers of each domain.
 func (f *fleet) SetWorkerCounts(workers map[string]int) { f.fleet.SetWorkerCounts(workers) }
 
@@ -183,28 +186,26 @@
 	}
 	f.changed = false
 	f.lastSent = now
-	data, ok := f.signedHeartbeat()
-	if !ok {
-		return
-	}
-	for _, to := range f.fleet.AliveAddresses() {
-		f.send(to, data)
-	}
+	f.step(now, flotilla.SelfChanged{})
 }
 
 func (f *fleet) step(now time.Time, ev flotilla.Event) {
 	actions := f.fleet.Step(now, ev)
 	var data []byte
+	signed := make(map[flotilla.Notice][]byte)
 	for _, a := range actions {
 		switch a := a.(type) {
 		case flotilla.SendHeartbeat:
 			if data == nil {
 				var ok bool
-				if data, ok = f.signedHeartbeat(); !ok {
+				if data, ok = f.encodeHeartbeat(now); !ok {
 					return
 				}
 			}
-			f.send(a.To, data)
+			if signed[a.Notice] == nil {
+				signed[a.Notice] = f.sign(flotilla.ReplaceNotice(data, a.Notice))
+			}
+			f.send(a.To, signed[a.Notice])
 		default:
 			f.logAction(a)
 			f.renewConnections(now, a)
@@ -245,18 +246,20 @@
 	}
 }
 
-// signedHeartbeat encodes the heartbeat and authenticates it with the first key.
-func (f *fleet) signedHeartbeat() ([]byte, bool) {
-	sentAt := f.h.Clock.Now().UnixMilli()
-	f.fleet.UpdateSelf(func(m *flotilla.Member) { m.SentAtMillis = sentAt })
-	b, err := flotilla.EncodeHeartbeat(f.fleet.Heartbeat())
+// encodeHeartbeat returns a heartbeat that counts as sent at now, when its content was determined.
+func (f *fleet) encodeHeartbeat(now time.Time) ([]byte, bool) {
+	f.fleet.UpdateSelf(func(m *flotilla.Member) { m.SentAtMillis = now.UnixMilli() })
+	b, err := flotilla.EncodeHeartbeat(f.fleet.Heartbeat(now))
 	if err != nil {
 		f.h.Log.Write(logbook.HandlerPanicked, logbook.F("panic", err.Error()))
 		return nil, false
 	}
-	return append(mac(f.h.Settings.Keys[0], b), b...), true
+	return b, true
 }
 
+// sign authenticates an encoded heartbeat with the first key.
+func (f *fleet) sign(b []byte) []byte { return append(mac(f.h.Settings.Keys[0], b), b...) }
+
 func mac(key string, b []byte) []byte {
 	m := hmac.New(sha256.New, []byte(key))
 	m.Write(b)
--- a/src/wharf/pause_test.go
+++ b/src/wharf/pause_test.go
@@ -68,7 +68,7 @@
 	for now := start; ; now = now.Add(time.Millisecond) {
 		if !now.After(killed) && now.Sub(start)%(25*time.Millisecond) == 0 {
 			entry.SentAtMillis = now.UnixMilli()
-			beat := flotilla.Heartbeat{From: entry, ReceivesFrom: []uint32{flotilla.NameHash("planner")}}
+			beat := flotilla.Heartbeat{From: entry, Notice: flotilla.Notice{Receives: true}}
 			for _, a := range fleet.Step(now, flotilla.HeartbeatReceived{Heartbeat: beat}) {
 				if u, ok := a.(flotilla.PeerUpdated); ok {
 					step(now, convoy.HostHeard{Host: u.Peer.Member.Name, At: u.Peer.LastSent})
--- a/src/wharf/plan.go
+++ b/src/wharf/plan.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/alitto/pond/v2"
@@ -41,7 +42,10 @@
 	freeSlots int
 	slots     int
 	waiting   map[string]int
-	metrics   *plannerMetrics
+	// lateStarts is what this process tells of its planner's late starts, remoteLateStarts what each other one has told.
+	lateStarts       []uint32
+	remoteLateStarts map[string][]uint32
+	metrics          *plannerMetrics
 	// targets is what this process has learned of targets, for processes that start while no registry host is
 	// reachable.
 	targets *targetList
@@ -74,7 +78,7 @@
 		orders: pond.NewPool(maxOrders), waiters: make(map[jobKey]waiter), cancelled: make(map[jobKey]cancelledOffer),
 		revisions: make(map[processRun]uint64), fetching: make(map[processRun]bool),
 		lastFetch: make(map[processRun]time.Time), metrics: newPlannerMetrics(h.Metrics),
-		targets: newTargetList(h),
+		targets: newTargetList(h), remoteLateStarts: make(map[string][]uint32),
 	}
 }
 
@@ -95,6 +99,7 @@
 	p.h.Timers.Every(p.h.Clock.Now(), plannerTick, func(now time.Time) {
 		p.step(now, convoy.RemoteCapacity{Tasks: p.otherPlannerSlots(now)})
 		p.step(now, convoy.Tick{})
+		p.h.Fleet.SetBusy(p.planner.Jobs() > 0)
 		p.metrics.update(p.planner)
 	})
 	return nil
@@ -134,11 +139,13 @@
 	case flotilla.PartYielded:
 		p.step(now, convoy.HandoverRequested{Part: a.Part})
 	case flotilla.PeerFailed:
+		delete(p.remoteLateStarts, a.Peer.Member.Name)
 		p.step(now, convoy.HostLost{Host: a.Peer.Member.Name})
 	case flotilla.PeerNotReceiving:
 		p.step(now, convoy.HostLost{Host: a.Peer.Member.Name})
 	case flotilla.PeerUpdated:
 		p.planner.Step(now, convoy.HostHeard{Host: a.Peer.Member.Name, At: a.Peer.LastSent})
+		p.noteLateStarts(now, a.Peer.Member)
 		p.fetchTargets(a.Peer.Member)
 	}
 }
@@ -155,11 +162,31 @@
 	return best
 }
 
+// noteLateStarts passes another planner's late starts to this one when they have changed.
+func (p *plan) noteLateStarts(now time.Time, m flotilla.Member) {
+	if slices.Equal(m.LateStarts, p.remoteLateStarts[m.Name]) {
+		return
+	}
+	p.remoteLateStarts[m.Name] = m.LateStarts
+	p.step(now, convoy.LateStartsReported{Jobs: m.LateStarts})
+}
+
 func (p *plan) step(now time.Time, ev convoy.Event) {
 	for _, a := range p.planner.Step(now, ev) {
 		p.execute(now, a)
 	}
 	p.publishLoad()
+	p.publishLateStarts()
+}
+
+// publishLateStarts announces the planner's late starts to the other planners, well within the pause of a caller that comes back.
+func (p *plan) publishLateStarts() {
+	late := p.planner.LateStarts()
+	if slices.Equal(late, p.lateStarts) {
+		return
+	}
+	p.lateStarts = late
+	p.h.Fleet.UpdateSelf(func(m *flotilla.Member) { m.LateStarts = late })
 }
 
 // publishLoad updates the metrics and announces this planner's free slots to the entry hosts.
--- a/src/wharf/plan_test.go
+++ b/src/wharf/plan_test.go
@@ -19,8 +19,9 @@
 
 // singleFleet is a fleet of one process, or of one that hears a few peers.
 type singleFleet struct {
-	self  flotilla.Member
-	peers map[string]flotilla.Peer
+	self        flotilla.Member
+	peers       map[string]flotilla.Peer
+	undelivered []flotilla.Undelivered
 }
 
 func (l *singleFleet) Peers() []flotilla.Peer { return nil }
@@ -36,7 +37,8 @@
 func (l *singleFleet) UpdateSelf(change func(m *flotilla.Member)) { change(&l.self) }
 func (l *singleFleet) RequestHigherToken(string)                  {}
 func (l *singleFleet) SetWorkerCounts(map[string]int)             {}
-func (l *singleFleet) SetUndelivered(u []flotilla.Undelivered)    { l.self.Undelivered = u }
+func (l *singleFleet) SetBusy(bool)                               {}
+func (l *singleFleet) SetUndelivered(u []flotilla.Undelivered)    { l.undelivered = u }
 
 func newTestKernel(now time.Time) *helm.Kernel {
 	h := &helm.Kernel{
--- a/src/wharf/sim_host_test.go
+++ b/src/wharf/sim_host_test.go
@@ -27,6 +27,7 @@
 	known          map[string]bool
 	changed        bool
 	free, slots    int
+	late           []uint32
 	lastSent       time.Time
 	lastTick       time.Time
 	pending        map[string]*simPending
@@ -51,6 +52,7 @@
 	h.fleet.UpdateSelf(change)
 	h.changed = true
 }
+func (h *simHost) SetBusy(busy bool)                       { h.fleet.SetBusy(busy) }
 func (h *simHost) SetWorkerCounts(w map[string]int)        { h.fleet.SetWorkerCounts(w) }
 func (h *simHost) SetUndelivered(u []flotilla.Undelivered) { h.fleet.SetUndelivered(u) }
 func (h *simHost) RequestHigherToken(part string) {
@@ -89,7 +91,7 @@
 	h.cancelled, h.conns = make(map[jobKey]cancelledOffer), make(map[string]*simConn)
 	h.probing, h.lastProbe, h.silentOrders = make(map[string]bool), make(map[string]time.Time), make(map[string]int)
 	h.undelivered = make(undelivered)
-	h.changed, h.lastSent, h.lastTick, h.free, h.slots, h.attempts = false, time.Time{}, now, 0, 0, self.Incarnation
+	h.changed, h.lastSent, h.lastTick, h.free, h.slots, h.late, h.attempts = false, time.Time{}, now, 0, 0, nil, self.Incarnation
 	s.log("%s begins life %d, skew %s", h.name, h.life, h.skew)
 	for _, t := range []struct {
 		every time.Duration
@@ -167,6 +169,7 @@
 	}
 	h.step(now, convoy.RemoteCapacity{Tasks: best})
 	h.step(now, convoy.Tick{})
+	h.SetBusy(h.planner.Jobs() > 0)
 }
 
 func (h *simHost) fleetTick(now time.Time) {
@@ -184,17 +187,15 @@
 		return
 	}
 	h.changed, h.lastSent = false, now
-	for _, to := range h.fleet.AliveAddresses() {
-		h.sendHeartbeat(to)
-	}
+	h.fleetStep(now, flotilla.SelfChanged{})
 }
 
-func (h *simHost) sendHeartbeat(to netip.AddrPort) {
-	sentAt := h.now().UnixMilli()
-	h.fleet.UpdateSelf(func(m *flotilla.Member) { m.SentAtMillis = sentAt })
-	b := h.fleet.Heartbeat()
+func (h *simHost) sendHeartbeat(now time.Time, a flotilla.SendHeartbeat) {
+	h.fleet.UpdateSelf(func(m *flotilla.Member) { m.SentAtMillis = now.UnixMilli() })
+	b := h.fleet.Heartbeat(now)
+	b.Notice = a.Notice
 	for _, o := range h.s.hosts {
-		if o.addr != to || o == h {
+		if o.addr != a.To || o == h {
 			continue
 		}
 		h.s.packet(h, o, "beat", func() {
@@ -225,7 +226,7 @@
 	for _, a := range h.fleet.Step(now, ev) {
 		switch a := a.(type) {
 		case flotilla.SendHeartbeat:
-			h.sendHeartbeat(a.To)
+			h.sendHeartbeat(now, a)
 		case flotilla.PartClaimed:
 			h.changed = true
 			h.s.log("%s claims %s token %d handover %v", h.name, a.Part, a.Token, a.HandoverInProgress)
@@ -245,6 +246,9 @@
 			h.step(now, convoy.HostLost{Host: a.Peer.Member.Name})
 		case flotilla.PeerUpdated:
 			h.step(now, convoy.HostHeard{Host: a.Peer.Member.Name, At: a.Peer.LastSent})
+			if len(a.Peer.Member.LateStarts) > 0 {
+				h.step(now, convoy.LateStartsReported{Jobs: a.Peer.Member.LateStarts})
+			}
 			delete(h.offered, a.Peer.Member.Name)
 		}
 	}
@@ -259,6 +263,10 @@
 		h.free, h.slots = free, slots
 		h.UpdateSelf(func(m *flotilla.Member) { m.FreeSlots, m.Slots = free, slots })
 	}
+	if late := h.planner.LateStarts(); !slices.Equal(late, h.late) {
+		h.late = late
+		h.UpdateSelf(func(m *flotilla.Member) { m.LateStarts = late })
+	}
 }
 
 func (h *simHost) execute(now time.Time, a convoy.Action) {
