wharf: count a caller's pause from when it may have left

A caller's connection broke, its entry host noticed after 100 ms, and the cancellation did not arrive. The planner started the task again 378 ms after the host's last sign of life, with a lease that ended 1.3 s after that; the caller was back 1.3 s after it had left.

The age now counts from the last look at the caller's connection at which it may have been there.

Ruled out: a shorter lease for all, which costs every run hold requests.

--- a/src/helm/services.go
+++ b/src/helm/services.go
@@ -115,6 +115,9 @@
 	RequestHigherToken(part string)
 }
 
+// PresenceInterval is how often the connection of a waiting caller is looked at: it may have left that long before it is noticed.
+const PresenceInterval = 100 * time.Millisecond
+
 // Jobs accepts jobs of clients; it is safe for concurrent use.
 type Jobs interface {
 	// Config returns the configuration in force here, or nil before the first one arrives.
--- a/src/wharf/sim_jobs_test.go
+++ b/src/wharf/sim_jobs_test.go
@@ -8,6 +8,7 @@
 
 	"sesamecleat/src/convoy"
 	"sesamecleat/src/flotilla"
+	"sesamecleat/src/helm"
 )
 
 // simPending is a job that an entry host has not answered yet.
@@ -292,7 +293,7 @@
 		return
 	}
 	if to := h.s.host(p.planner); to != nil {
-		since := h.now()
+		since := h.now().Add(-helm.PresenceInterval)
 		h.undelivered.begin(h, since, p.planner)
 		h.cancelCall(to, d, since, p.job.Deadline, cancelAttempts)
 	}
