wharf: idle planners and distant peers take less processor time

A planner without workers and jobs is stepped every 400 ms, and pairs without work exchange heartbeats every 2 s.

Ruled out: slower heartbeats within a domain, on which the choice of a planner's successor rests.

--- a/src/flotilla/schedule.go
+++ b/src/flotilla/schedule.go
@@ -13,7 +13,7 @@
 
 const (
 	// distantTicks is the interval, in regular heartbeats, between processes that have no work with each other.
-	distantTicks = 5
+	distantTicks = 10
 	// distantFailureTimeout is the silence after which such a peer is marked failed: as many of its heartbeats may be lost as of
 	// any other peer's.
 	distantFailureTimeout = distantTicks * FailureTimeout
--- a/src/wharf/kinds.go
+++ b/src/wharf/kinds.go
@@ -38,6 +38,8 @@
 	// consensusTick and plannerTick are the timer intervals of the Raft node and of the planner.
 	consensusTick = 25 * time.Millisecond
 	plannerTick   = 20 * time.Millisecond
+	// idlePlannerTick is the least time between two steps of a planner without workers and jobs, half of suspensionThreshold.
+	idlePlannerTick = 400 * time.Millisecond
 	// consensusHeartbeat and electionTimeout bound how long operators are without a leader; the election time-out
 	// covers several heartbeats, or forty syncs of an ordinary disk.
 	consensusHeartbeat = 100 * time.Millisecond
--- a/src/wharf/plan.go
+++ b/src/wharf/plan.go
@@ -39,6 +39,7 @@
 	revisions map[processRun]uint64
 	fetching  map[processRun]bool
 	lastFetch map[processRun]time.Time
+	lastTick  time.Time
 	freeSlots int
 	slots     int
 	waiting   map[string]int
@@ -96,15 +97,22 @@
 	p.h.RPC.Handle(kindCancelJob, p.onCancelJob)
 	p.h.RPC.Handle(kindReleaseWorker, p.onReleaseWorker)
 	p.h.RPC.Handle(kindFetchTargets, p.targets.onFetchTargets)
-	p.h.Timers.Every(p.h.Clock.Now(), plannerTick, func(now time.Time) {
-		p.step(now, convoy.RemoteCapacity{Tasks: p.otherPlannerSlots(now)})
-		p.step(now, convoy.Tick{})
-		p.h.Fleet.SetBusy(p.planner.Jobs() > 0)
-		p.metrics.update(p.planner)
-	})
+	p.h.Timers.Every(p.h.Clock.Now(), plannerTick, p.tick)
 	return nil
 }
 
+// tick steps the planner; one without workers and jobs needs that less often.
+func (p *plan) tick(now time.Time) {
+	if p.planner.HasNoWorkers() && p.planner.Jobs() == 0 && now.Sub(p.lastTick) < idlePlannerTick {
+		return
+	}
+	p.lastTick = now
+	p.step(now, convoy.RemoteCapacity{Tasks: p.otherPlannerSlots(now)})
+	p.step(now, convoy.Tick{})
+	p.h.Fleet.SetBusy(p.planner.Jobs() > 0)
+	p.metrics.update(p.planner)
+}
+
 // Stop has nothing to release; orders in flight end on their own.
 func (p *plan) Stop() {}
 
