wharf: a target that has left is not listed again by a restarted registry host

Could happen here (report of other operators): a registry host saves its register once a second. Killed before that, it lists a target as staying that had told it was leaving, or had left; a planner that had removed the target took it up again as new.

Cause: the save was not tied to what was acknowledged, and planners kept no memory of targets that left.

Leaving and departure are saved at once, and a dispatch process does not pass on an entry of an incarnation that has left.

Ruled out: holding the acknowledgement until the disk has it; disks stall for seconds, and the target would go elsewhere with its next announcement.

Tests: TestLeavingTargetIsSavedAtOnce, TestTargetThatLeftIsNotUsedAfter- RegistryRestart, red before.

--- a/src/wharf/follow.go
+++ b/src/wharf/follow.go
@@ -57,7 +57,9 @@
 	p.revisions[e.source] = max(p.revisions[e.source], e.revision)
 	for _, entry := range e.entries {
 		entry.target.Part = flotilla.PartOf(entry.target.Domain, entry.target.ID)
-		p.targets.merge(now, entry)
+		if !p.targets.merge(now, entry) {
+			continue
+		}
 		if entry.departed {
 			p.step(now, convoy.WorkerRemoved{ID: entry.target.ID})
 			continue
--- a/src/wharf/recall_test.go
+++ b/src/wharf/recall_test.go
@@ -12,6 +12,7 @@
 
 	"sesamecleat/src/archive"
 	"sesamecleat/src/convoy"
+	"sesamecleat/src/flotilla"
 	"sesamecleat/src/logbook"
 )
 
@@ -89,3 +90,65 @@
 		})
 	}
 }
+
+// A registry host that restarts must not list a target as staying that it was told is leaving, nor one that has left.
+func TestLeavingTargetIsSavedAtOnce(t *testing.T) {
+	now := time.Unix(1000, 0)
+	tests := map[string]func(l *targetList){
+		"leaving": func(l *targetList) {
+			leaving := newTarget("w1", 6)
+			leaving.Leaving = true
+			l.announce(leaving)
+		},
+		"gone": func(l *targetList) { l.markDeparted("w1") },
+	}
+	for name, leave := range tests {
+		t.Run(name, func(t *testing.T) {
+			folder := t.TempDir()
+			before, _ := newTestTargets(t, folder, now)
+			before.announce(newTarget("w1", 5))
+			leave(before)
+			after, _ := newTestTargets(t, folder, now)
+			require.Eventually(t, func() bool {
+				before.mu.Lock()
+				defer before.mu.Unlock()
+				return before.savedChanges == before.changes
+			}, 5*time.Second, time.Millisecond)
+			after.restore(now)
+			if e, listed := after.entries["w1"]; listed {
+				require.True(t, e.target.Leaving)
+			}
+		})
+	}
+}
+
+// A planner must not use a target again that has left because a restarted registry host lists it as of its last save.
+func TestTargetThatLeftIsNotUsedAfterRegistryRestart(t *testing.T) {
+	now := time.Unix(1000, 0)
+	p := newPlan(newTestKernel(now)).(*plan)
+	target := newTarget("w1", 5)
+	target.Domain = "d"
+	p.planner.Step(now, convoy.PartClaimed{Part: flotilla.PartOf("d", "w1"), Token: 1})
+	list := func(departed bool, incarnation int64) int {
+		update := target
+		update.Incarnation = incarnation
+		source := processRun{name: "registry", incarnation: 1}
+		p.onTargetsFetched(now, targetsFetchedEvent{source: source, entries: []targetEntry{{target: update, departed: departed}}})
+		return p.planner.Workers()["new"]
+	}
+	p.h.Workers = silentWorkers{}
+	require.Equal(t, 1, list(false, 7))
+	require.Zero(t, list(true, 7))
+	require.Zero(t, list(false, 7), "the same incarnation is gone for good")
+	require.Equal(t, 1, list(false, 8), "a new incarnation is another matter")
+}
+
+// silentWorkers answers no order.
+type silentWorkers struct{}
+
+func (silentWorkers) Hold(convoy.Hold) (convoy.Report, convoy.OrderResult) {
+	return convoy.Report{}, convoy.Unanswered
+}
+func (silentWorkers) Start(convoy.Start) convoy.OrderResult { return convoy.Unanswered }
+func (silentWorkers) Stop(convoy.Stop) convoy.OrderResult   { return convoy.Unanswered }
+func (silentWorkers) CloseConnections(string)               {}
--- a/src/wharf/targets.go
+++ b/src/wharf/targets.go
@@ -94,6 +94,9 @@
 			t.changes++
 			t.logListed(target)
 		}
+		if target.Leaving && !old.Leaving {
+			go t.save(now) // this host must not list it as staying after a restart
+		}
 	} else {
 		e = &targetEntry{}
 		t.entries[target.ID] = e
@@ -127,22 +130,27 @@
 	t.changes++
 	t.h.Log.Write(logbook.TargetDeparted, logbook.F("target", id))
 	t.markChanged(now, e)
+	go t.save(now)
 }
 
-// merge records an entry of another process's list, unless it is older than the entry held.
-func (t *targetList) merge(now time.Time, update targetEntry) {
+// merge records an entry of another process's list, unless it is older than the entry held. It reports false for a target that has
+// left: a registry host that has restarted may list it again, as of its last save.
+func (t *targetList) merge(now time.Time, update targetEntry) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e, known := t.entries[update.target.ID]
 	if known {
 		old := e.target
+		if e.departed && !update.departed && update.target.Incarnation == old.Incarnation {
+			return false
+		}
 		if update.target.OlderThan(old) {
-			return
+			return true
 		}
 		e.lastAnnounced = now
 		e.target.Sequence = update.target.Sequence
 		if sameState(old, update.target) && e.departed == update.departed && !update.target.Expired {
-			return
+			return true
 		}
 	} else {
 		e = &targetEntry{}
@@ -150,6 +158,7 @@
 	}
 	*e = targetEntry{target: update.target, lastAnnounced: now, departed: update.departed}
 	t.markChanged(now, e)
+	return true
 }
 
 // countPerDomain returns the number of targets by domain, without those that left or expired.
