--- a/src/convoy/repeat_test.go
+++ b/src/convoy/repeat_test.go
@@ -71,3 +71,38 @@
 		})
 	}
 }
+
+// A worker that was only slow to report must keep its running work: nothing of it may start elsewhere, or be given up, while its
+// lease may last.
+func TestSilentWorkerKeepsItsRuns(t *testing.T) {
+	tests := map[string]struct {
+		// lost is how many hold requests in a row get no answer, each after 100 ms.
+		lost int
+	}{
+		"one request is lost":     {lost: 1},
+		"two requests are lost":   {lost: 2},
+		"four requests are lost":  {lost: 4},
+		"seven requests are lost": {lost: 7},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t, "w0", "w1")
+			s := b.submit("a")
+			id := s.Target.ID
+			b.step(StartResult{ID: id, Key: s.Key, Token: s.Token, Result: Accepted})
+			active := Report{Incarnation: 1, Clock: 900_000, Runs: []RunReport{{Key: s.Key, Percent: 20}}}
+			b.answerHold(id, active)
+			for range tt.lost {
+				b.wait(100 * time.Millisecond)
+				b.step(HoldResult{ID: id, Sent: b.p.workers[id].holdSent, Result: Unanswered})
+			}
+			b.wait(tickInterval)
+			active.Clock += int64(100 * tt.lost)
+			b.answerHold(id, active)
+			require.Empty(t, b.starts())
+			require.Empty(t, b.outcomesOf("a", 0))
+			b.answerHold(id, Report{Incarnation: 1, Clock: active.Clock + 500, Ends: []EndReport{{Number: 1, Key: s.Key}}})
+			require.Equal(t, []Outcome{Completed}, b.outcomesOf("a", 0))
+		})
+	}
+}
