--- a/src/flotilla/fleet.go
+++ b/src/flotilla/fleet.go
@@ -248,15 +248,9 @@
 		f.emit(PeerFailed{Peer: *p, Reason: "restarted"})
 	}
 	if !known {
-		p = &Peer{}
-		f.peers[m.Name] = p
-		index, _ := slices.BinarySearchFunc(f.sorted, m.Name, byName)
-		f.sorted = slices.Insert(f.sorted, index, p)
+		p = f.addPeer(m.Name)
 	}
-	if known && p.Member.Address != m.Address {
-		f.forgetAddress(p)
-	}
-	f.nameByAddress[m.Address] = m.Name
+	f.setAddress(p, m)
 	joined := !p.Alive
 	if joined {
 		p.AliveSince, f.lastJoin = now, now
@@ -278,6 +272,22 @@
 	f.emit(PeerUpdated{Peer: *p})
 }
 
+func (f *Fleet) addPeer(name string) *Peer {
+	p := &Peer{}
+	f.peers[name] = p
+	index, _ := slices.BinarySearchFunc(f.sorted, name, byName)
+	f.sorted = slices.Insert(f.sorted, index, p)
+	return p
+}
+
+// setAddress records the address of a peer that has sent the entry m.
+func (f *Fleet) setAddress(p *Peer, m Member) {
+	if p.Member.Address != m.Address {
+		f.forgetAddress(p)
+	}
+	f.nameByAddress[m.Address] = m.Name
+}
+
 func byName(p *Peer, name string) int { return strings.Compare(p.Member.Name, name) }
 
 func (f *Fleet) forgetAddress(p *Peer) {
