wharf: save a leaving target from the control goroutine

In the product the same goroutine could run beside a stop.

Cause: the immediate save of a leaving target began wherever the announcement was handled. It now begins where the change is published, as the periodic one does.

Ruled out: a folder that outlives the test, which would hide it.

--- a/src/wharf/recall.go
+++ b/src/wharf/recall.go
@@ -59,7 +59,7 @@
 		t.h.Log.Write(logbook.HandlerPanicked, logbook.F("panic", err.Error()))
 		return
 	}
-	t.saving = true
+	t.saving, t.leavingUnsaved = true, false
 	changes := t.changes
 	go func() {
 		err := archive.WriteChecksummed(t.h.Settings.DataDir, targetsFile, body)
--- a/src/wharf/recall_test.go
+++ b/src/wharf/recall_test.go
@@ -108,6 +108,7 @@
 			before, _ := newTestTargets(t, folder, now)
 			before.announce(newTarget("w1", 5))
 			leave(before)
+			before.Handle(now, targetsChangedEvent{})
 			after, _ := newTestTargets(t, folder, now)
 			require.Eventually(t, func() bool {
 				before.mu.Lock()
--- a/src/wharf/targets.go
+++ b/src/wharf/targets.go
@@ -38,6 +38,9 @@
 	// changes counts the changes other than renewed announcements; savedChanges is that count at the last save.
 	changes, savedChanges uint64
 	saving                bool
+	// leavingUnsaved says that a target has left, or announced that it leaves, since the last save. After a restart this host must
+	// not list it as staying, so the list is saved at once.
+	leavingUnsaved bool
 }
 
 type targetsChangedEvent struct{ revision uint64 }
@@ -63,9 +66,12 @@
 // Stop has nothing to release.
 func (t *targetList) Stop() {}
 
-// Handle publishes the revision of the list after a change.
-func (t *targetList) Handle(_ time.Time, ev helm.Event) {
+// Handle publishes the revision of the list after a change, and saves it if a target leaves.
+func (t *targetList) Handle(now time.Time, ev helm.Event) {
 	if e, ok := ev.(targetsChangedEvent); ok {
+		if t.hasLeavingUnsaved() {
+			t.save(now)
+		}
 		t.h.Fleet.UpdateSelf(func(m *flotilla.Member) { m.TargetsRevision = max(m.TargetsRevision, e.revision) })
 	}
 }
@@ -95,7 +101,7 @@
 			t.logListed(target)
 		}
 		if target.Leaving && !old.Leaving {
-			go t.save(now) // this host must not list it as staying after a restart
+			t.leavingUnsaved = true
 		}
 	} else {
 		e = &targetEntry{}
@@ -107,6 +113,12 @@
 	t.markChanged(now, e)
 }
 
+func (t *targetList) hasLeavingUnsaved() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.leavingUnsaved
+}
+
 func (t *targetList) logListed(target convoy.Target) {
 	t.h.Log.Write(logbook.TargetListed, logbook.F("target", target.ID), logbook.F("domain", target.Domain),
 		logbook.F("address", target.Address.String()), logbook.F("leaving", target.Leaving),
@@ -129,8 +141,8 @@
 	e.departed = true
 	t.changes++
 	t.h.Log.Write(logbook.TargetDeparted, logbook.F("target", id))
+	t.leavingUnsaved = true
 	t.markChanged(now, e)
-	go t.save(now)
 }
 
 // merge records an entry of another process's list, unless it is older than the entry held. It reports false for a target that has
