--- /dev/null
+++ b/src/convoy/start.go
@@ -0,0 +1,141 @@
+package convoy
+
+import (
+	"fmt"
+	"time"
+)
+
+// startRun orders the start of a task on a worker.
+func (p *Planner) startRun(now time.Time, w *worker, t *task, expected time.Duration) {
+	step := t.job.Steps[t.step]
+	t.runNumber++
+	r := &run{
+		key: RunKey{Task: t.name, Run: t.runNumber}, task: t, job: t.job, token: w.token, address: w.target.Address,
+		startedAt: now, orderedAt: now, orders: 1, predicted: expected, need: step.Need,
+	}
+	t.run = r
+	w.runs[r.key] = r
+	w.used = w.used.plus(step.Need)
+	if !t.job.started {
+		t.job.started = true
+		p.emit(JobStarted{Route: t.job.Route, Waited: now.Sub(t.job.Arrived)})
+	}
+	t.job.waiting--
+	p.logDecision(DecisionPlaced, t.job.ID, w.target.ID, fmt.Sprintf(
+		"task %d.%d run %d started after %s, predicted run time %s at speed %.2f, %d other runs on the worker, token %d",
+		t.step, t.index, t.runNumber, now.Sub(t.job.Arrived).Round(time.Millisecond), expected.Round(time.Millisecond),
+		w.speedAt(now), len(w.runs)-1, w.token))
+	p.emit(Start{Target: w.target, Token: w.token, Key: r.key, Spec: t.job.Spec, Lease: w.grantLease(now, p.leaseFor(now, w))})
+}
+
+func (p *Planner) handleStart(now time.Time, e StartResult) {
+	w, ok := p.workers[e.ID]
+	if !ok {
+		return
+	}
+	if e.Result == Unanswered {
+		w.silentAt = now
+	}
+	r, ok := w.runs[e.Key]
+	if ok {
+		r.countAnswer(e.Result)
+	}
+	if !ok || r.state != runStarting {
+		p.handleRefusal(now, w, e.Token, e.Result)
+		return
+	}
+	switch e.Result {
+	case Accepted:
+		r.state = runActive
+		r.startedAt = now
+		if r.task == nil {
+			p.orderStop(now, w, r)
+		}
+		return
+	case Unanswered:
+		r.startedAt = now
+		p.logDecision(DecisionStartUnanswered, jobID(r.key), w.target.ID, fmt.Sprintf(
+			"%s run %d under token %d", r.key.Task, r.key.Run, r.token))
+		p.repeatStart(now, w, r)
+		return
+	}
+	if r.mayComeLate() && e.Result != Invalid {
+		// The order before may still be carried out, or has been.
+		r.state = runUnconfirmed
+		p.orderStop(now, w, r)
+		p.handleRefusal(now, w, e.Token, e.Result)
+		return
+	}
+	switch e.Result {
+	case Outdated:
+		if r.task != nil {
+			r.task.runNumber = r.task.runNumber*2 + 1
+		}
+	case Invalid:
+		p.removeRun(now, w, r, false)
+		if r.task != nil {
+			p.endJob(now, r.task.job, Failed, CauseTask, "the worker cannot read the task", 0)
+		}
+		return
+	}
+	p.removeRun(now, w, r, true)
+	p.handleRefusal(now, w, e.Token, e.Result)
+}
+
+// countAnswer counts the answer to a start order, or that none came.
+func (r *run) countAnswer(v OrderResult) {
+	if v == Unanswered {
+		r.unanswered++
+		return
+	}
+	r.answered++
+	r.accepted = r.accepted || v == Accepted
+}
+
+// repeatStart orders a run again whose start was not answered. The worker begins a run only once, so the task has one run that may
+// be carried out late, and is at work without the time that a stop takes. A run whose orders are all unanswered is stopped.
+func (p *Planner) repeatStart(now time.Time, w *worker, r *run) {
+	lease := p.leaseFor(now, w)
+	if r.task != nil && r.orders <= maxStartRepeats && w.phase == phaseReady && r.token == w.token && lease >= minStartLease {
+		r.orders++
+		r.orderedAt = now
+		p.emit(Start{Target: w.target, Token: w.token, Key: r.key, Spec: r.task.job.Spec, Lease: w.grantLease(now, lease)})
+		return
+	}
+	if r.answered+r.unanswered == r.orders || r.task == nil {
+		r.state = runUnconfirmed
+		p.orderStop(now, w, r)
+	}
+}
+
+// repeatOverdueStarts repeats the starts at a worker that loses orders before they are given up.
+func (p *Planner) repeatOverdueStarts(now time.Time, w *worker) {
+	if !w.losesOrders(now) || w.phase != phaseReady {
+		return
+	}
+	for _, r := range sortedRuns(w) {
+		if r.state == runStarting && r.task != nil && r.orders <= maxStartRepeats && now.Sub(r.orderedAt) >= overdueOrder {
+			p.repeatStart(now, w, r)
+		}
+	}
+}
+
+// handleRefusal updates the state of a worker after it refused an order that was sent under a token.
+func (p *Planner) handleRefusal(now time.Time, w *worker, token int64, v OrderResult) {
+	if token < w.token {
+		// The refusal is of an order to an earlier incarnation, or this planner's own newer token caused it.
+		return
+	}
+	switch v {
+	case Fenced:
+		p.markFenced(now, w)
+	case NoRoom, TooLate:
+		w.skipUntil = now.Add(noRoomPause)
+	case Busy:
+		w.skipUntil = now.Add(busyPause)
+	case WrongIncarnation:
+		p.handleWrongIncarnation(now, w)
+	case NotSent:
+		w.skipUntil = now.Add(busyPause)
+	}
+}
--- a/src/flotilla/fleet.go
+++ b/src/flotilla/fleet.go
@@ -197,34 +197,6 @@
 	return *p, true
 }
 
-// Heartbeat returns the heartbeat to send, without its notice; it lists the live peers' addresses in rotation. Processes that
-// join need all of them soon, so the list is longer for a while.
-func (f *Fleet) Heartbeat(now time.Time) Heartbeat {
-	b := Heartbeat{From: f.self}
-	alive := f.alivePeers()
-	n := min(steadyContacts, len(alive))
-	if now.Sub(f.lastJoin) < joinPeriod {
-		n = min(maxContacts, len(alive))
-	}
-	for i := range n {
-		b.Contacts = append(b.Contacts, alive[(f.nextContact+i)%len(alive)].Member.Address)
-	}
-	f.nextContact += n
-	return b
-}
-
-// notice returns what the next heartbeat tells a peer alone.
-func (f *Fleet) notice(now time.Time, p *Peer) Notice {
-	n := Notice{Receives: p.Alive}
-	hash := NameHash(p.Member.Name)
-	for _, u := range f.undelivered {
-		if u.Planner == hash {
-			n.Undelivered = max(n.Undelivered, undeliveredAge(now, u))
-		}
-	}
-	return n
-}
-
 func (f *Fleet) emit(a Action) { f.out = append(f.out, a) }
 
 func (f *Fleet) applyHeartbeat(now time.Time, b Heartbeat) {
@@ -337,31 +309,6 @@
 	}
 }
 
-func (f *Fleet) sendHeartbeats(now time.Time) {
-	f.ticks++
-	sent := map[netip.AddrPort]bool{f.self.Address: true}
-	for _, p := range f.sorted {
-		if !sent[p.Member.Address] && f.isDue(now, p) {
-			f.emit(SendHeartbeat{To: p.Member.Address, Notice: f.notice(now, p)})
-		}
-		sent[p.Member.Address] = true
-	}
-	for _, a := range f.contacts {
-		if !sent[a] {
-			sent[a] = true
-			f.emit(SendHeartbeat{To: a})
-		}
-	}
-}
-
-func (f *Fleet) sendExtraHeartbeats(now time.Time) {
-	for _, p := range f.sorted {
-		if p.Alive && (f.isFrequent(p.Member) || now.Before(f.announceUntil)) {
-			f.emit(SendHeartbeat{To: p.Member.Address, Notice: f.notice(now, p)})
-		}
-	}
-}
-
 func (f *Fleet) alivePeers() []*Peer {
 	out := make([]*Peer, 0, len(f.sorted))
 	for _, p := range f.sorted {
