convoy: start orders that may come late have one number

Cause: a start that stayed unanswered after three repetitions was stopped, and its task got another number on the same worker; a run with an unanswered order that was stopped, failed or lapsed got another number, too, and so did a job that was given up and handed in again. An incarnation of the worker that no planner has contacted knows no stop and no token: it carries out the old orders of both numbers.

Why it works: a worker begins one number once, whatever orders of it come. An unanswered start is repeated under its number as long as its worker is in use. If its run ends otherwise, the job is answered as lost at once, and nobody starts it again for 15 s, at this planner as at the others. The other planners are told from the first unanswered start on, not only when the job is given up, as a planner may die before that; a report prolongs what they note, as orders go on being sent.

Tests that described the binding of a task to its worker under a new number are replaced: they now ask that no other number is started anywhere, for as long as an order may come. TestBoundTaskGetsTheRoomOfItsFormerRun becomes TestTaskKeepsItsRoomWhileItsStartIsRepeated, TestJobWithUnansweredStartAtLostWorkerIsRefusedAtOnce asks for lost instead of refused, since the worker may run the task.

--- a/src/convoy/bound_test.go
+++ b/src/convoy/bound_test.go
@@ -19,11 +19,10 @@
 	return out
 }
 
-// resolveStop leaves the start order of a job unanswered and acknowledges its stop, and returns the worker.
-func (b *bench) resolveStop(job string) string {
+// repeatStart leaves the start orders of a job of one task unanswered, and returns the worker that is still ordered to start it.
+func (b *bench) repeatStart(job string) string {
 	s := b.submit(job)
 	b.leaveUnanswered(s)
-	b.step(StopResult{ID: s.Target.ID, Key: s.Key, Token: s.Token, Result: Accepted})
 	return s.Target.ID
 }
 
@@ -55,15 +54,27 @@
 }
 
 func TestJobBoundToWorkerOutOfReachIsGivenUp(t *testing.T) {
+	// list lets the worker answer that it runs nothing, as the same incarnation or another one.
+	list := func(b *bench, id string, incarnation int64) {
+		b.wait(2 * overdueOrder)
+		for range 2 {
+			b.answerHold(id, Report{Incarnation: incarnation, Clock: 900_200})
+		}
+	}
 	tests := map[string]func(b *bench, id string){
 		"a worker that does not answer": func(b *bench, id string) {
 			b.loseHold(id)
+			b.wait(1200 * time.Millisecond)
+		},
+		"a worker that left": func(b *bench, id string) {
+			b.step(WorkerRemoved{ID: id})
+			list(b, id, 1)
 		},
-		"a worker that left": func(b *bench, id string) { b.step(WorkerRemoved{ID: id}) },
 		"a worker that drains": func(b *bench, id string) {
 			next := b.target(id, 1)
 			next.Leaving = true
 			b.step(WorkerListed{Target: next})
+			list(b, id, 1)
 		},
 		"a fenced worker": func(b *bench, id string) {
 			b.step(HoldResult{ID: id, Sent: b.p.workers[id].holdSent, Result: Fenced})
@@ -72,32 +83,25 @@
 			next := b.target(id, 2)
 			next.Capacity.Milli = 1000
 			b.step(WorkerListed{Target: next})
-			b.answerHold(id, Report{Incarnation: 2, Clock: 5})
+			list(b, id, 2)
 		},
 	}
 	for name, change := range tests {
 		t.Run(name, func(t *testing.T) {
 			b := newBench(t, "w0", "w1")
-			id := b.resolveStop("a")
-			b.p.workers[id].skipUntil = b.now.Add(time.Minute)
-			b.wait(120 * time.Millisecond)
-			require.Zero(t, b.p.Runs())
+			id := b.repeatStart("a")
+			b.step(StartResult{ID: id, Key: RunKey{Task: "a.0.0.0", Run: 1}, Token: 1, Result: Unanswered})
+			b.starts()
 			change(b, id)
-			for range outOfReachProbes - 2 {
-				if w := b.p.workers[id]; w != nil && w.phase == phaseLost {
-					b.wait(120 * time.Millisecond)
-					b.step(HoldResult{ID: id, Sent: w.holdSent, Result: Unanswered})
-				}
-			}
-			b.wait(100 * time.Millisecond)
-			require.Equal(t, []Outcome{Lost}, b.outcomesOf("a", 0))
+			require.Empty(t, b.starts())
+			b.requireLost("a")
 		})
 	}
 }
 
-func TestBoundTaskGetsTheRoomOfItsFormerRun(t *testing.T) {
+func TestTaskKeepsItsRoomWhileItsStartIsRepeated(t *testing.T) {
 	b := newBench(t, "w0")
-	id := b.resolveStop("a")
+	id := b.repeatStart("a")
 	for _, other := range []string{"b", "c", "d"} {
 		b.step(Submitted{Job: Job{
 			ID: other, Route: "quick", Pool: "pool", Host: "entry", Attempts: 2, Priority: -1, Stretch: 99, Arrived: b.now, Deadline: b.now.Add(9 * time.Second),
@@ -105,40 +109,37 @@
 		}})
 	}
 	require.Len(t, b.starts(), 1)
+	b.step(StartResult{ID: id, Key: RunKey{Task: "a.0.0.0", Run: 1}, Token: 1, Result: Unanswered})
 	b.waitAnswered(200 * time.Millisecond)
 	// The start of b is repeated, as it is not answered.
 	starts := slices.DeleteFunc(b.starts(), func(s Start) bool { return s.Key.Task == "b.0.0.0" })
 	require.NotEmpty(t, starts)
-	require.Equal(t, "a.0.0.0", starts[0].Key.Task)
-	require.Equal(t, id, starts[0].Target.ID)
+	for _, s := range starts {
+		require.Equal(t, RunKey{Task: "a.0.0.0", Run: 1}, s.Key)
+		require.Equal(t, id, s.Target.ID)
+	}
 }
 
 func TestHandoverWaitsForNoTaskBoundToLostWorker(t *testing.T) {
 	b := newBench(t, "w0", "w1")
-	id := b.resolveStop("a")
-	b.p.workers[id].skipUntil = b.now.Add(time.Minute)
-	b.wait(120 * time.Millisecond)
+	id := b.repeatStart("a")
 	b.loseHold(id)
 	b.step(HandoverRequested{Part: "d"})
 	b.wait(2 * time.Second)
 	require.Empty(t, b.p.workers)
 }
 
-func TestJobBoundToBusyWorkerIsNotRedirected(t *testing.T) {
+func TestJobWithLateStartIsNotRedirected(t *testing.T) {
 	b := newBench(t, "w0", "w1")
-	id := b.resolveStop("a")
-	b.p.workers[id].skipUntil = b.now.Add(time.Minute)
+	b.repeatStart("a")
 	b.step(JobCancelled{ID: "a", Host: "entry"})
 	b.wait(120 * time.Millisecond)
-	skip := len(b.sent)
-	b.step(Submitted{Job: Job{
-		ID: "a", Route: "r", Pool: "pool", Host: "entry", Attempts: 2, Stretch: 9, Arrived: b.now, Deadline: b.now.Add(9 * time.Second),
-		Steps: []Step{{Count: 1, Need: Resources{Milli: 14_000, Memory: 64}, Estimate: 900 * time.Millisecond}},
-	}})
-	b.now = b.now.Add(20 * time.Millisecond)
+	b.starts()
 	b.step(RemoteCapacity{Tasks: 10})
+	require.Equal(t, []Outcome{Lost}, b.resubmit("a"))
 	b.wait(200 * time.Millisecond)
-	require.NotContains(t, b.outcomesOf("a", skip), Redirected)
+	require.Empty(t, b.starts())
+	require.NotContains(t, b.outcomesOf("a", 0), Redirected)
 }
 
 func TestUnansweredStartAtFencedWorkerIsNotForgotten(t *testing.T) {
@@ -154,15 +155,10 @@
 			b.step(HoldResult{ID: id, Sent: b.p.workers[id].holdSent, Result: Fenced})
 			require.Equal(t, []Outcome{Lost}, b.outcomesOf("a", 0))
 			b.wait(1300 * time.Millisecond)
-			for _, w := range b.p.workers {
-				if w.target.ID != id {
-					w.speed = 4
-				}
-			}
 			b.step(PartClaimed{Part: "d", Token: 1 << 20})
 			b.wait(tickInterval)
 			b.answerHold(id, Report{Incarnation: 1, Clock: 901_500})
-			require.Equal(t, id, b.submit("a").Target.ID)
+			b.requireLost("a")
 		})
 	}
 }
--- a/src/convoy/cause.go
+++ b/src/convoy/cause.go
@@ -39,7 +39,7 @@
 	CauseFenced
 	// CauseProcessSuspended means that the planner was suspended for so long that other hosts may have marked it as failed.
 	CauseProcessSuspended
-	// CauseLateStart means that a start of the job that another planner ordered may still be carried out.
+	// CauseLateStart means that a start of the job may still be carried out, so that it cannot be started anew.
 	CauseLateStart
 )
 
--- a/src/convoy/claim.go
+++ b/src/convoy/claim.go
@@ -80,7 +80,9 @@
 func (p *Planner) giveUpRuns(now time.Time, w *worker, reason string) {
 	runs := sortedRuns(w)
 	for _, r := range runs {
-		p.leaveUnresolved(now, w, r)
+		if r.mayComeLate() {
+			p.noteLateStart(now, r.job)
+		}
 	}
 	for _, r := range runs {
 		delete(w.runs, r.key)
--- a/src/convoy/event.go
+++ b/src/convoy/event.go
@@ -167,8 +167,8 @@
 	At   time.Time
 }
 
-// LateStartsReported carries the jobs, by JobHash, that another planner has given up while a start of them may still be carried
-// out.
+// LateStartsReported carries the jobs, by JobHash, of which another planner reports that a start may still be carried out; it
+// results in no actions.
 type LateStartsReported struct{ Jobs []uint32 }
 
 // RemoteCapacity carries how many tasks of typical size other planners could start at once.
--- a/src/convoy/handover_test.go
+++ b/src/convoy/handover_test.go
@@ -173,7 +173,8 @@
 	sim.run(5 * time.Second)
 	require.Equal(t, raised, c.raised, "tokens still rise")
 	for i, p := range sim.planners {
-		require.Empty(t, p.unresolved)
+		require.Empty(t, p.lateStarts)
+		require.Empty(t, p.remoteLateStarts)
 		require.Empty(t, p.usedTokens)
 		require.Empty(t, p.orphanCounts, "planner %d", i)
 		require.Zero(t, p.Runs(), "planner %d", i)
--- a/src/convoy/hold.go
+++ b/src/convoy/hold.go
@@ -129,9 +129,10 @@
 			continue
 		}
 		switch {
-		case r.state == runUnconfirmed && r.token < w.holdToken:
-			p.leaveUnresolved(now, w, r)
+		case r.state == runUnconfirmed && (r.token < w.holdToken || !r.mayComeLate()):
 			p.removeRun(now, w, r, true)
+		case r.state == runUnconfirmed && r.task != nil:
+			p.loseLateStart(now, w, r, r.task)
 		case r.state == runUnconfirmed:
 			p.orderStop(now, w, r)
 		case r.state == runActive, r.state == runStopping && (r.listed || r.token < w.holdToken):
@@ -191,10 +192,11 @@
 // removeWorker removes a worker whose incarnation has ended, so that nothing runs there.
 func (p *Planner) removeWorker(now time.Time, w *worker, reason string) {
 	for _, r := range sortedRuns(w) {
+		// The other worker refuses the orders that are still to come.
+		r.answered = r.orders
 		p.restartTask(now, w, r, reason)
 	}
 	p.forgetWorker(now, w)
-	p.resolveStarts(w)
 	delete(p.targets, w.target.ID)
 	p.logDecision(DecisionWorkerLost, "", w.target.ID, reason)
 }
@@ -208,7 +210,7 @@
 	w.unanswered++
 	w.nextHold = now
 	if w.unanswered > 1 {
-		w.nextHold = now.Add(min(p.probeBackoffLimit(now, w), minProbeBackoff<<min(w.unanswered-2, 10)))
+		w.nextHold = now.Add(min(w.probeBackoffLimit(), minProbeBackoff<<min(w.unanswered-2, 10)))
 	}
 	p.forgetIfGone(now, w)
 }
@@ -233,11 +235,7 @@
 		if now.Sub(r.startedAt) <= leaseBound(p.tuning.MaxLease) {
 			continue
 		}
-		t := r.task
 		p.restartTask(now, w, r, "its lease expired")
-		if t != nil && r.mayComeLate() {
-			p.endJob(now, t.job, Lost, CauseNoWorker, "a start is unanswered at a worker that is out of reach", 0)
-		}
 	}
 }
 
--- a/src/convoy/incarnation_test.go
+++ b/src/convoy/incarnation_test.go
@@ -84,14 +84,41 @@
 	return starts[0]
 }
 
-// leaveUnanswered leaves a start order and its repetitions without an answer.
+// leaveUnanswered leaves a start order and three repetitions without an answer; another one is on its way.
 func (b *bench) leaveUnanswered(s Start) {
-	for range maxStartRepeats + 1 {
+	for range 4 {
 		b.step(StartResult{ID: s.Target.ID, Key: s.Key, Token: s.Token, Result: Unanswered})
 	}
 	b.starts()
 }
 
+// resubmit hands a job in again and returns the outcomes answered at once.
+func (b *bench) resubmit(id string) []Outcome {
+	skip := len(b.sent)
+	b.step(Submitted{Job: Job{
+		ID: id, Route: "r", Pool: "pool", Host: "entry", Attempts: 2, Stretch: 9, Arrived: b.now, Deadline: b.now.Add(9 * time.Second),
+		Steps: []Step{{Count: 1, Need: Resources{Milli: 14_000, Memory: 64}, Estimate: 900 * time.Millisecond}},
+	}})
+	return b.outcomesOf(id, skip)
+}
+
+// requireLost checks that a job was lost and is not started again.
+func (b *bench) requireLost(id string) {
+	require.Equal(b.t, []Outcome{Lost}, b.outcomesOf(id, 0))
+	b.requireNoNewStart(id)
+}
+
+// requireNoNewStart checks that no planner, if it is told, starts a job again while an order for it may come late.
+func (b *bench) requireNoNewStart(id string) {
+	require.Contains(b.t, b.p.LateStarts(), JobHash(id))
+	b.starts()
+	for range 6 {
+		b.now = b.now.Add(lateOrderLimit / 7)
+		require.Equal(b.t, []Outcome{Lost}, b.resubmit(id))
+	}
+	require.Empty(b.t, b.starts())
+}
+
 // loseHold leaves a hold request and its repetition without an answer.
 func (b *bench) loseHold(id string) {
 	for range 2 {
@@ -144,6 +171,8 @@
 			b := newBench(t, "w0", "w1")
 			s := b.submit("a")
 			b.leaveUnanswered(s)
+			b.step(JobCancelled{ID: "a", Host: "entry"})
+			b.step(StartResult{ID: s.Target.ID, Key: s.Key, Token: s.Token, Result: Unanswered})
 			ack := StopResult{ID: s.Target.ID, Key: s.Key, Token: s.Token, Result: Accepted}
 			if tt.before {
 				b.step(ack)
@@ -153,7 +182,9 @@
 				b.step(ack)
 			}
 			b.wait(300 * time.Millisecond)
-			require.Empty(t, b.starts())
+			require.Equal(t, 1, b.p.Runs())
+			require.Equal(t, 1, b.p.orphanCounts["a"])
+			b.requireNoNewStart("a")
 		})
 	}
 }
@@ -180,20 +211,23 @@
 		}
 	}
 	b.leaveUnanswered(s)
-	b.step(StopResult{ID: id, Key: s.Key, Token: s.Token, Result: Accepted})
-	b.waitAnswered(100 * time.Millisecond)
-	again := b.starts()
-	require.Len(t, again, 1)
-	require.Equal(t, id, again[0].Target.ID)
-	b.step(StartResult{ID: id, Key: again[0].Key, Token: again[0].Token, Result: Accepted})
+	for range 10 {
+		b.step(StartResult{ID: id, Key: s.Key, Token: s.Token, Result: Unanswered})
+		b.waitAnswered(100 * time.Millisecond)
+		again := b.starts()
+		require.NotEmpty(t, again)
+		for _, r := range again {
+			require.Equal(t, id, r.Target.ID)
+			require.Equal(t, s.Key, r.Key)
+		}
+	}
+	b.step(StartResult{ID: id, Key: s.Key, Token: s.Token, Result: Accepted})
 	b.now = b.now.Add(time.Millisecond)
 	b.step(WorkerListed{Target: b.target(id, 2)})
 	b.wait(100 * time.Millisecond)
 	require.Empty(t, b.starts())
 	b.answerHold(id, Report{Incarnation: 2, Clock: 5})
-	again = b.starts()
-	require.Len(t, again, 1)
-	require.Equal(t, id, again[0].Target.ID)
+	b.requireLost("a")
 }
 
 func TestTaskIsNotBoundToWorkerWhoseAddressIsAnothers(t *testing.T) {
@@ -201,33 +235,29 @@
 	s := b.submit("a")
 	id := s.Target.ID
 	b.leaveUnanswered(s)
-	b.step(StopResult{ID: id, Key: s.Key, Token: s.Token, Result: Accepted})
-	b.p.workers[id].skipUntil = b.now.Add(time.Hour)
 	b.wait(200 * time.Millisecond)
-	require.Empty(t, b.starts())
+	for _, r := range b.starts() {
+		require.Equal(t, s.Key, r.Key)
+	}
 	b.step(HoldResult{ID: id, Sent: b.p.workers[id].holdSent, Result: WrongIncarnation})
-	require.Len(t, b.starts(), 1)
+	again := b.starts()
+	require.Len(t, again, 1)
+	require.NotEqual(t, id, again[0].Target.ID)
 }
 
-func TestJobWithUnansweredStartAtLostWorkerIsRefusedAtOnce(t *testing.T) {
+func TestJobWithUnansweredStartAtLostWorkerIsAnsweredAtOnce(t *testing.T) {
 	b := newBench(t, "w0", "w1")
 	s := b.submit("a")
 	id := s.Target.ID
 	b.leaveUnanswered(s)
 	b.loseHold(id)
 	b.wait(1500 * time.Millisecond)
-	b.seen = len(b.sent)
+	require.Equal(t, []Outcome{Lost}, b.outcomesOf("a", 0))
+	b.starts()
 	b.step(RemoteCapacity{Tasks: 100})
-	b.step(Submitted{Job: Job{
-		ID: "a", Pool: "pool", Host: "entry", Arrived: b.now, Deadline: b.now.Add(9 * time.Second), Steps: []Step{{Count: 1}},
-	}})
-	var answers []Outcome
-	for _, a := range b.sent[b.seen:] {
-		if a, ok := a.(Answer); ok {
-			answers = append(answers, a.Outcome)
-		}
-	}
-	require.Equal(t, []Outcome{Refused}, answers)
+	// The worker may run the task: a refusal would tell the caller that nothing has.
+	require.Equal(t, []Outcome{Lost}, b.resubmit("a"))
+	require.Empty(t, b.starts())
 }
 
 func TestRefusalAtFormerAddressDoesNotEndNewIncarnation(t *testing.T) {
--- a/src/convoy/judge.go
+++ b/src/convoy/judge.go
@@ -22,9 +22,6 @@
 			return refusal{cause: CauseNeverFits, reason: reason, retry: maxRetryDelay, neverFits: true}, false
 		}
 	}
-	if refusal, blocked := p.checkUnresolved(now, j, 1); blocked {
-		return refusal, false
-	}
 	slots := p.prospectiveSlots()
 	chain := p.routeStats(j.Route).predict(j.Chain())
 	if slots == 0 {
--- a/src/convoy/latestart.go
+++ b/src/convoy/latestart.go
@@ -9,10 +9,10 @@
 	"github.com/zeebo/xxh3"
 )
 
-// A start order without an answer may be carried out by an incarnation of its worker that its planner has not met yet, which
-// nothing fences. The planner itself runs the task on that worker only. If it gives the job up, the caller comes back, perhaps to
-// another planner, which has to know of the order: each planner reports the jobs that it has given up with such an order, and none
-// of the others starts them until the order can no longer come.
+// A start order without an answer may be carried out seconds later, also by an incarnation of its worker that its planner has not
+// met yet, which nothing fences. A worker carries one run number out once, so while an order of a task may come late, orders of
+// that number only are sent. If its run ends otherwise, the job is given up, and no planner starts it again until the order can
+// no longer come. The planners tell each other of such jobs from the first unanswered order on, as a planner may fail at any time.
 
 // maxLateStarts bounds the jobs that a planner reports, so that a heartbeat stays within one packet.
 const maxLateStarts = 128
@@ -20,8 +20,8 @@
 // JobHash returns the hash by which planners name a job to each other.
 func JobHash(id string) uint32 { return uint32(xxh3.HashString(id)) }
 
-// LateStarts returns the hashes of the jobs given up here of which a start may still be carried out, sorted; only the latest if
-// there are more than can be reported.
+// LateStarts returns the hashes of the jobs of this planner, other than completed ones, of which a start may still be carried out,
+// sorted; only the latest if there are more than can be reported.
 func (p *Planner) LateStarts() []uint32 { return p.lateReport }
 
 func (p *Planner) updateLateReport() {
@@ -33,41 +33,62 @@
 	p.lateReport = hashes
 }
 
-// recordLateStarts records a job that is given up if one of its starts may still be carried out.
-func (p *Planner) recordLateStarts(now time.Time, j *job) {
-	if p.hasUnresolved(now, j) || p.hasUnansweredRun(j) {
-		p.lateStarts[JobHash(j.ID)] = now.Add(lateOrderLimit)
+// noteLateStart records that a start of a job may still be carried out.
+func (p *Planner) noteLateStart(now time.Time, j *job) {
+	if j.ended {
+		return
+	}
+	hash := JobHash(j.ID)
+	_, known := p.lateStarts[hash]
+	p.lateStarts[hash] = now.Add(lateOrderLimit)
+	if !known {
 		p.updateLateReport()
 	}
 }
 
-func (p *Planner) hasUnansweredRun(j *job) bool {
+// recordLateStarts records at the end of a job whether one of its starts may still be carried out. That of a completed one does
+// not matter: its caller has the result.
+func (p *Planner) recordLateStarts(now time.Time, j *job, o Outcome) {
+	if o == Completed {
+		if _, known := p.lateStarts[JobHash(j.ID)]; known {
+			delete(p.lateStarts, JobHash(j.ID))
+			p.updateLateReport()
+		}
+		return
+	}
 	for _, tasks := range j.tasks {
 		for _, t := range tasks {
 			if t.run != nil && t.run.mayComeLate() {
-				return true
+				p.noteLateStart(now, j)
+				return
 			}
 		}
 	}
-	return false
 }
 
-// noteLateStarts records the late starts that another planner reports.
-func (p *Planner) noteLateStarts(now time.Time, e LateStartsReported) {
+// loseLateStart ends the job of a task that cannot be started again while an order of its run may still be carried out.
+func (p *Planner) loseLateStart(now time.Time, w *worker, r *run, t *task) {
+	reason := fmt.Sprintf("%s run %d is over, but a start of it may still be carried out", r.key.Task, r.key.Run)
+	p.noteLateStart(now, t.job)
+	p.logDecision(DecisionJobAbandoned, t.job.ID, w.target.ID, reason)
+	p.endJob(now, t.job, Lost, CauseLateStart, reason, 0)
+}
+
+// noteRemoteLateStarts records the late starts that another planner reports.
+func (p *Planner) noteRemoteLateStarts(now time.Time, e LateStartsReported) {
 	for _, hash := range e.Jobs {
-		if _, known := p.remoteLateStarts[hash]; !known {
-			p.remoteLateStarts[hash] = now.Add(lateOrderLimit)
-		}
+		p.remoteLateStarts[hash] = now.Add(lateOrderLimit)
 	}
 }
 
-// startsElsewhere reports whether a start of a job that another planner ordered may still be carried out.
-func (p *Planner) startsElsewhere(now time.Time, j Job) (refusal, bool) {
-	until, known := p.remoteLateStarts[JobHash(j.ID)]
-	if !known || now.After(until) {
+// mayStartLate reports whether a start of a job that is handed in may still be carried out, ordered for an earlier attempt.
+func (p *Planner) mayStartLate(now time.Time, j Job) (refusal, bool) {
+	hash := JobHash(j.ID)
+	until := later(p.lateStarts[hash], p.remoteLateStarts[hash])
+	if !now.Before(until) {
 		return refusal{}, false
 	}
-	reason := fmt.Sprintf("a start that another planner ordered may still be carried out for %s", until.Sub(now).Round(time.Millisecond))
+	reason := fmt.Sprintf("a start for an earlier attempt may still be carried out for %s", until.Sub(now).Round(time.Millisecond))
 	return refusal{cause: CauseLateStart, reason: reason}, true
 }
 
--- a/src/convoy/place.go
+++ b/src/convoy/place.go
@@ -48,10 +48,6 @@
 			if t.done || t.run != nil {
 				continue
 			}
-			if id, bound := p.boundTo(now, t); bound {
-				p.startBound(now, p.workers[id], t)
-				continue
-			}
 			w := p.pickWorker(now, j, s, t)
 			if w == nil {
 				*smallest = min(*smallest, s.Need.Milli)
@@ -131,7 +127,7 @@
 		return
 	}
 	for _, j := range append([]*job(nil), p.queue...) {
-		if j.started || j.Pinned || now.Sub(j.Arrived) < redirectDelay || j.Tasks() > p.remoteSlots || p.hasUnresolved(now, j) {
+		if j.started || j.Pinned || now.Sub(j.Arrived) < redirectDelay || j.Tasks() > p.remoteSlots {
 			continue
 		}
 		p.remoteSlots -= j.Tasks()
--- a/src/convoy/planner.go
+++ b/src/convoy/planner.go
@@ -55,9 +55,7 @@
 	workers   map[string]*worker
 	// usedTokens holds the highest token used with each worker that was removed.
 	usedTokens map[string]usedToken
-	// unresolved holds, by task, the unanswered starts that may still be carried out.
-	unresolved map[string]unresolvedStart
-	// lateStarts holds, by hash, the jobs given up here of which a start may still be carried out, and until when;
+	// lateStarts holds, by hash, the jobs that are not completed here of which a start may still be carried out, and until when;
 	// remoteLateStarts those that other planners report, lateReport what this one reports.
 	lateStarts       map[uint32]time.Time
 	remoteLateStarts map[uint32]time.Time
@@ -89,7 +87,7 @@
 		addresses: make(map[netip.AddrPort]string), workers: make(map[string]*worker),
 		jobs: make(map[string]*job), routes: make(map[string]*routeStats),
 		orphanCounts: make(map[string]int), results: make(map[string]result),
-		usedTokens: make(map[string]usedToken), heard: make(map[string]time.Time), unresolved: make(map[string]unresolvedStart),
+		usedTokens: make(map[string]usedToken), heard: make(map[string]time.Time),
 		lateStarts: make(map[uint32]time.Time), remoteLateStarts: make(map[uint32]time.Time),
 	}
 }
@@ -97,9 +95,13 @@
 // Step processes one event and returns the resulting actions.
 func (p *Planner) Step(now time.Time, ev Event) []Action {
 	p.actions = nil
-	if e, ok := ev.(HostHeard); ok {
+	switch e := ev.(type) {
+	case HostHeard:
 		p.hostHeard(e)
 		return nil
+	case LateStartsReported:
+		p.noteRemoteLateStarts(now, e)
+		return nil
 	}
 	p.checkSuspension(now)
 	switch e := ev.(type) {
@@ -125,8 +127,6 @@
 		p.detachHost(now, e)
 	case HostLost:
 		p.hostLost(now, e.Host)
-	case LateStartsReported:
-		p.noteLateStarts(now, e)
 	case RemoteCapacity:
 		p.remoteSlots = e.Tasks
 	case Stopping:
@@ -236,7 +236,6 @@
 		p.releaseIfIdle(now, w)
 	}
 	p.expireJobs(now)
-	p.giveUpBoundJobs(now)
 	p.sweep(now)
 }
 
@@ -251,7 +250,7 @@
 			delete(p.results, id)
 		}
 	}
-	p.forgetIncarnations(now)
+	p.forgetTokens(now)
 	p.forgetLateStarts(now)
 	for host, at := range p.heard {
 		if now.Sub(at) > resultRetention {
--- a/src/convoy/repeat_test.go
+++ b/src/convoy/repeat_test.go
@@ -25,8 +25,8 @@
 	}
 }
 
-// The first of two orders may come late although the second was answered: wherever its run ends, the task stays bound.
-func TestTaskStaysBoundAfterRepeatedStart(t *testing.T) {
+// The first of two orders may come late although the second was answered: however its run ends, the task gets no other number.
+func TestTaskWithLateStartGetsNoOtherNumber(t *testing.T) {
 	tests := map[string]struct {
 		end RunResult
 		// resubmitted says that the job is lost after the end, and submitted again.
@@ -40,34 +40,25 @@
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			b := newBench(t, "w0", "w1")
-			submit := func() {
-				b.step(Submitted{Job: Job{
-					ID: "a", Route: "r", Pool: "pool", Host: "entry", Attempts: 2, Stretch: 9, Arrived: b.now, Deadline: b.now.Add(9 * time.Second),
-					Steps: []Step{
-						{Count: 1, Need: Resources{Milli: 14_000, Memory: 64}, Estimate: 900 * time.Millisecond},
-						{Count: 1, Need: Resources{Milli: 14_000, Memory: 64}, Estimate: 900 * time.Millisecond, After: []int{0}},
-					},
-				}})
-			}
-			submit()
+			b.step(Submitted{Job: Job{
+				ID: "a", Route: "r", Pool: "pool", Host: "entry", Attempts: 2, Stretch: 9, Arrived: b.now, Deadline: b.now.Add(9 * time.Second),
+				Steps: []Step{
+					{Count: 1, Need: Resources{Milli: 14_000, Memory: 64}, Estimate: 900 * time.Millisecond},
+					{Count: 1, Need: Resources{Milli: 14_000, Memory: 64}, Estimate: 900 * time.Millisecond, After: []int{0}},
+				},
+			}})
 			s := b.starts()[0]
 			b.step(StartResult{ID: s.Target.ID, Key: s.Key, Token: s.Token, Result: Unanswered})
 			b.step(StartResult{ID: s.Target.ID, Key: s.Key, Token: s.Token, Result: Accepted})
 			b.starts()
 			b.answerHold(s.Target.ID, Report{Incarnation: 1, Clock: 900_500, Ends: []EndReport{{Number: 1, Key: s.Key, Result: tt.end}}})
 			if tt.resubmitted {
+				require.Len(t, b.starts(), 1)
 				b.step(JobCancelled{ID: "a", Host: "entry"})
-				b.starts()
-				submit()
-			}
-			for _, next := range b.starts() {
-				if next.Key.Task == s.Key.Task {
-					require.Equal(t, s.Target.ID, next.Target.ID)
-				}
+			} else {
+				require.Equal(t, []Outcome{Lost}, b.outcomesOf("a", 0))
 			}
-			id, bound := b.p.boundTo(b.now, &task{name: s.Key.Task})
-			require.True(t, bound)
-			require.Equal(t, s.Target.ID, id)
+			b.requireNoNewStart("a")
 		})
 	}
 }
--- a/src/convoy/run.go
+++ b/src/convoy/run.go
@@ -6,7 +6,7 @@
 	"time"
 )
 
-// removeRun removes a run that is certainly not active. With retry it puts the task back into the queue if its job is pending.
+// removeRun removes a run that is certainly not active. With retry its task is started again if its job is pending.
 func (p *Planner) removeRun(now time.Time, w *worker, r *run, retry bool) {
 	delete(w.runs, r.key)
 	w.used = w.used.minus(r.need)
@@ -17,12 +17,23 @@
 	}
 	t.run = nil
 	if retry && !t.job.ended {
-		p.requeue(now, t)
+		p.retryTask(now, w, r, t)
 	}
 }
 
+// retryTask puts the task of a run that is over back into the queue, to be started under another number. Two numbers of one task
+// do not exclude each other on an incarnation that no planner has contacted, so the job is given up if an order of the run may
+// still be carried out.
+func (p *Planner) retryTask(now time.Time, w *worker, r *run, t *task) {
+	if r.mayComeLate() {
+		p.loseLateStart(now, w, r, t)
+		return
+	}
+	p.requeue(t)
+}
+
 // requeue puts a task back into the queue.
-func (p *Planner) requeue(_ time.Time, t *task) {
+func (p *Planner) requeue(t *task) {
 	t.job.waiting++
 	for _, j := range p.queue {
 		if j == t.job {
@@ -34,7 +45,6 @@
 
 // restartTask restarts a task whose run can no longer be active although the worker did not list its end.
 func (p *Planner) restartTask(now time.Time, w *worker, r *run, reason string) {
-	p.leaveUnresolved(now, w, r)
 	if r.task != nil {
 		p.logDecision(DecisionRestarted, r.task.job.ID, w.target.ID, fmt.Sprintf("%s run %d: %s", r.key.Task, r.key.Run, reason))
 	}
@@ -88,11 +98,7 @@
 	limit := time.Duration(clockDriftFactor*float64(p.tuning.StopTime)) + leaseMargin
 	for _, r := range sortedRuns(w) {
 		if r.state == runUnconfirmed && !r.stopAckedAt.IsZero() && now.Sub(r.stopAckedAt) > limit {
-			t, bound := r.task, p.leaveUnresolved(now, w, r)
 			p.removeRun(now, w, r, true)
-			if t != nil && bound && !t.job.ended {
-				p.startBound(now, w, t)
-			}
 		}
 	}
 }
@@ -108,7 +114,7 @@
 		return
 	}
 	t := r.task
-	p.leaveUnresolved(now, w, r)
+	r.listed = true
 	p.removeRun(now, w, r, false)
 	if t != nil {
 		p.emit(RunEnded{Route: t.job.Route, Result: end.Result, Took: now.Sub(r.startedAt), Expected: r.predicted})
@@ -123,9 +129,9 @@
 	case EndedDone:
 		p.taskSucceeded(now, w, t, r)
 	case EndedFailed:
-		p.taskFailed(now, w, t)
+		p.taskFailed(now, w, t, r)
 	default:
-		p.requeue(now, t)
+		p.retryTask(now, w, r, t)
 	}
 }
 
@@ -153,7 +159,7 @@
 }
 
 // taskFailed counts a failure of the task, and of the worker if its previous failure was of another job.
-func (p *Planner) taskFailed(now time.Time, w *worker, t *task) {
+func (p *Planner) taskFailed(now time.Time, w *worker, t *task, r *run) {
 	t.failures++
 	t.excluded = append(t.excluded, w.target.ID)
 	if w.lastFailedJob != t.job.ID {
@@ -170,7 +176,7 @@
 		p.endJob(now, t.job, Failed, CauseTask, fmt.Sprintf("task %s failed %d times", t.ref(), t.failures), 0)
 		return
 	}
-	p.requeue(now, t)
+	p.retryTask(now, w, r, t)
 }
 
 // checkProgress checks the reported progress of a run, and stops a stuck or slow run to move its task if another worker has
@@ -184,7 +190,7 @@
 		p.orderStop(now, w, r)
 		return
 	}
-	if r.state != runActive {
+	if r.state != runActive || r.mayComeLate() {
 		return
 	}
 	elapsed := now.Sub(r.startedAt)
--- a/src/convoy/start.go
+++ b/src/convoy/start.go
@@ -56,14 +56,13 @@
 		r.startedAt = now
 		p.logDecision(DecisionStartUnanswered, jobID(r.key), w.target.ID, fmt.Sprintf(
 			"%s run %d under token %d", r.key.Task, r.key.Run, r.token))
-		p.repeatStart(now, w, r)
+		if r.unsettled() == 0 {
+			p.repeatStart(now, w, r)
+		}
 		return
 	}
 	if r.mayComeLate() && e.Result != Invalid {
-		// The order before may still be carried out, or has been.
-		r.state = runUnconfirmed
-		p.orderStop(now, w, r)
-		p.handleRefusal(now, w, e.Token, e.Result)
+		p.handleLateRefusal(now, w, r, e)
 		return
 	}
 	switch e.Result {
@@ -82,6 +81,20 @@
 	p.handleRefusal(now, w, e.Token, e.Result)
 }
 
+// handleLateRefusal handles the refusal of an order while another order of the run may still be carried out, or has been.
+func (p *Planner) handleLateRefusal(now time.Time, w *worker, r *run, e StartResult) {
+	switch {
+	case r.task == nil:
+		r.state = runUnconfirmed
+		p.orderStop(now, w, r)
+	case e.Result == Outdated:
+		// The run has begun and ended, which the worker lists, or it never will.
+		r.state = runUnconfirmed
+		r.startedAt = now
+	}
+	p.handleRefusal(now, w, e.Token, e.Result)
+}
+
 // countAnswer counts the answer to a start order, or that none came.
 func (r *run) countAnswer(v OrderResult) {
 	if v == Unanswered {
@@ -92,29 +105,35 @@
 	r.accepted = r.accepted || v == Accepted
 }
 
-// repeatStart orders a run again whose start was not answered. The worker begins a run only once, so the task has one run that may
-// be carried out late, and is at work without the time that a stop takes. A run whose orders are all unanswered is stopped.
+// repeatStart orders a run again whose start was not answered. The worker begins a run only once, so the task has one number that
+// may be carried out late, and is at work without the time that a stop takes.
 func (p *Planner) repeatStart(now time.Time, w *worker, r *run) {
-	lease := p.leaseFor(now, w)
-	if r.task != nil && r.orders <= maxStartRepeats && w.phase == phaseReady && r.token == w.token && lease >= minStartLease {
-		r.orders++
-		r.orderedAt = now
-		p.emit(Start{Target: w.target, Token: w.token, Key: r.key, Spec: r.task.job.Spec, Lease: w.grantLease(now, lease)})
+	if r.task == nil {
+		if r.unsettled() == 0 {
+			r.state = runUnconfirmed
+			p.orderStop(now, w, r)
+		}
 		return
 	}
-	if r.answered+r.unanswered == r.orders || r.task == nil {
+	if r.token != w.token || w.target.Leaving || w.target.Expired {
+		// The worker lists the run next time, or it is given up.
 		r.state = runUnconfirmed
-		p.orderStop(now, w, r)
+		return
 	}
+	lease := p.leaseFor(now, w)
+	if w.phase != phaseReady || lease < minStartLease {
+		return
+	}
+	r.orders++
+	r.orderedAt = now
+	p.noteLateStart(now, r.job)
+	p.emit(Start{Target: w.target, Token: w.token, Key: r.key, Spec: r.task.job.Spec, Lease: w.grantLease(now, lease)})
 }
 
-// repeatOverdueStarts repeats the starts at a worker that loses orders before they are given up.
+// repeatOverdueStarts repeats the starts that were refused or given up, and at a worker that loses orders those that are overdue.
 func (p *Planner) repeatOverdueStarts(now time.Time, w *worker) {
-	if !w.losesOrders(now) || w.phase != phaseReady {
-		return
-	}
 	for _, r := range sortedRuns(w) {
-		if r.state == runStarting && r.task != nil && r.orders <= maxStartRepeats && now.Sub(r.orderedAt) >= overdueOrder {
+		if r.state == runStarting && now.Sub(r.orderedAt) >= overdueOrder && (r.unsettled() == 0 || w.losesOrders(now)) {
 			p.repeatStart(now, w, r)
 		}
 	}
--- a/src/convoy/submit.go
+++ b/src/convoy/submit.go
@@ -22,7 +22,7 @@
 		p.emit(Answer{ID: in.ID, Host: in.Host, Outcome: Redirected, Cause: CauseNoWorker, Reason: "this host plans no domain"})
 		return
 	}
-	if late, ok := p.startsElsewhere(now, in); ok {
+	if late, ok := p.mayStartLate(now, in); ok {
 		// The caller's former attempt may run, so this is no refusal.
 		p.emit(Answer{ID: in.ID, Host: in.Host, Outcome: Lost, Cause: late.cause, Reason: late.reason})
 		return
@@ -31,7 +31,7 @@
 	p.routeStats(j.Route).addJob(now, j)
 	p.updateTypicalMilli(j)
 	refusal, ok := p.checkAdmission(now, j)
-	if !ok && !j.Pinned && !p.hasUnresolved(now, j) && (p.remoteSlots >= j.Tasks() || refusal.neverFits) {
+	if !ok && !j.Pinned && (p.remoteSlots >= j.Tasks() || refusal.neverFits) {
 		p.remoteSlots = max(0, p.remoteSlots-j.Tasks())
 		p.emit(Answer{ID: in.ID, Host: in.Host, Outcome: Redirected, Cause: refusal.cause, Reason: refusal.reason})
 		return
@@ -115,9 +115,7 @@
 		return
 	}
 	p.updateHeard(now, j)
-	if o != Completed {
-		p.recordLateStarts(now, j)
-	}
+	p.recordLateStarts(now, j, o)
 	j.ended, j.endedAt = true, now
 	delete(p.jobs, j.ID)
 	p.queue = slices.DeleteFunc(p.queue, func(q *job) bool { return q == j })
--- a/src/convoy/tuning.go
+++ b/src/convoy/tuning.go
@@ -36,9 +36,6 @@
 	leaseMargin = 30 * time.Millisecond
 	// stopRetryInterval is the interval at which a stop order is repeated: four round trips and the time that a stop takes.
 	stopRetryInterval = 100 * time.Millisecond
-	// maxStartRepeats is how often a start without an answer is repeated before it is stopped: few workers that lose so many
-	// orders in a row answer the next one.
-	maxStartRepeats = 3
 	// silentPeriod is how long a worker that has left an order unanswered is expected to lose others.
 	silentPeriod = 3 * time.Second
 	// overdueOrder is how much later than expected the answer of such a worker may be before it is asked again: ten round trips,
@@ -49,8 +46,6 @@
 	maxProbeBackoff = 2 * time.Second
 	// lateOrderLimit is how long after an unanswered order a worker may still carry it out.
 	lateOrderLimit = 15 * time.Second
-	// outOfReachProbes is how many hold requests in a row a worker leaves unanswered before no task waits for it.
-	outOfReachProbes = 4
 	// noRoomPause is how long a worker without free capacity gets no tasks, unless it lists an ended run earlier.
 	noRoomPause = 40 * time.Millisecond
 	// busyPause is how long a worker that reported itself unhealthy gets no tasks.
@@ -73,8 +68,9 @@
 	minSlowRunTime = 150 * time.Millisecond
 	// runOverhead is the time that a run takes besides its work: the start order, its answer and the report of the end.
 	runOverhead = 4 * time.Millisecond
-	// resultRetention is how long results are kept for callers that retry; longer than any caller's retry interval.
-	resultRetention = 10 * time.Second
+	// resultRetention is how long results are kept for callers that retry; longer than any caller's retry interval, and than a
+	// start of a completed job may be carried out.
+	resultRetention = lateOrderLimit
 	// tokenRequestDelay is how long a worker may refuse the current token of its partition before a higher one is requested.
 	tokenRequestDelay = 400 * time.Millisecond
 	// redirectDelay is how long a job waits before it is returned for a planner with free slots.
--- a/src/convoy/worker.go
+++ b/src/convoy/worker.go
@@ -26,7 +26,7 @@
 const (
 	runStarting runState = iota
 	runActive
-	// runUnconfirmed runs may or may not begin: a start order was not answered, and the last repetition neither.
+	// runUnconfirmed runs may or may not begin, and their start is not repeated.
 	runUnconfirmed
 	runStopping
 )
@@ -69,6 +69,9 @@
 	return open > 0
 }
 
+// unsettled returns how many start orders have neither been answered nor given up.
+func (r *run) unsettled() int { return r.orders - r.answered - r.unanswered }
+
 // worker is the planner's state of one target.
 type worker struct {
 	target Target
--- a/src/flotilla/member.go
+++ b/src/flotilla/member.go
@@ -43,7 +43,7 @@
 	Slots int
 	// WaitingJobs counts, by route, its jobs of which no task has started.
 	WaitingJobs map[string]int
-	// LateStarts holds the hashes of the jobs that its planner has given up while a start of them may still be carried out.
+	// LateStarts holds the hashes of its planner's jobs of which a start may still be carried out.
 	LateStarts []uint32
 	// Frequent says that the process exchanges heartbeats with all others at every HeartbeatInterval.
 	Frequent bool
--- a/src/wharf/plan.go
+++ b/src/wharf/plan.go
@@ -43,10 +43,9 @@
 	freeSlots int
 	slots     int
 	waiting   map[string]int
-	// lateStarts is what this process tells of its planner's late starts, remoteLateStarts what each other one has told.
-	lateStarts       []uint32
-	remoteLateStarts map[string][]uint32
-	metrics          *plannerMetrics
+	// lateStarts is what this process tells of its planner's late starts.
+	lateStarts []uint32
+	metrics    *plannerMetrics
 	// targets is what this process has learned of targets, for processes that start while no registry host is
 	// reachable.
 	targets *targetList
@@ -79,7 +78,7 @@
 		orders: pond.NewPool(maxOrders), waiters: make(map[jobKey]waiter), cancelled: make(map[jobKey]cancelledOffer),
 		revisions: make(map[processRun]uint64), fetching: make(map[processRun]bool),
 		lastFetch: make(map[processRun]time.Time), metrics: newPlannerMetrics(h.Metrics),
-		targets: newTargetList(h), remoteLateStarts: make(map[string][]uint32),
+		targets: newTargetList(h),
 	}
 }
 
@@ -147,13 +146,12 @@
 	case flotilla.PartYielded:
 		p.step(now, convoy.HandoverRequested{Part: a.Part})
 	case flotilla.PeerFailed:
-		delete(p.remoteLateStarts, a.Peer.Member.Name)
 		p.step(now, convoy.HostLost{Host: a.Peer.Member.Name})
 	case flotilla.PeerNotReceiving:
 		p.step(now, convoy.HostLost{Host: a.Peer.Member.Name})
 	case flotilla.PeerUpdated:
 		p.planner.Step(now, convoy.HostHeard{Host: a.Peer.Member.Name, At: a.Peer.LastSent})
-		p.noteLateStarts(now, a.Peer.Member)
+		p.planner.Step(now, convoy.LateStartsReported{Jobs: a.Peer.Member.LateStarts})
 		p.fetchTargets(a.Peer.Member)
 	}
 }
@@ -170,15 +168,6 @@
 	return best
 }
 
-// noteLateStarts passes another planner's late starts to this one when they have changed.
-func (p *plan) noteLateStarts(now time.Time, m flotilla.Member) {
-	if slices.Equal(m.LateStarts, p.remoteLateStarts[m.Name]) {
-		return
-	}
-	p.remoteLateStarts[m.Name] = m.LateStarts
-	p.step(now, convoy.LateStartsReported{Jobs: m.LateStarts})
-}
-
 func (p *plan) step(now time.Time, ev convoy.Event) {
 	for _, a := range p.planner.Step(now, ev) {
 		p.execute(now, a)
