convoy: simulations check the numbers of starts that may come late

The simulations only noticed when both came within one run.

The simulated network now records each start order, and fails a test when one planner orders a start while an order of another number of the task, or to another worker, may still come: it was never received and is younger than 12 s. -numbers=false turns the check off, to count runs at once alone.

--- a/src/convoy/yard_test.go
+++ b/src/convoy/yard_test.go
@@ -40,10 +40,13 @@
 	holds map[string]int
 	// history holds what happened to each task's runs, for failure messages.
 	history map[string][]string
+	startLedger
+	network
 }
 
 type fakeRun struct {
 	key       RunKey
+	order     *startOrder
 	startedAt time.Time
 	duration  time.Duration
 	fails     bool
@@ -162,6 +165,7 @@
 
 // step passes an event to a planner and executes its actions.
 func (sim *simulation) step(i int, ev Event) {
+	sim.noteTold(i, ev)
 	for _, a := range sim.planners[i].Step(sim.now, ev) {
 		sim.execute(i, a)
 	}
@@ -199,7 +203,9 @@
 		}, HoldResult{ID: a.Target.ID, Sent: sent, Result: Unanswered})
 	case Start:
 		sim.note(a.Key.Task, "planner %d orders run %d at %s/%d", i, a.Key.Run, a.Target.ID, a.Target.Incarnation)
+		order := sim.noteStart(i, a)
 		sim.sendOrder(i, a.Target, 100*time.Millisecond, func(w *fakeWorker, done func(Event)) {
+			sim.carryOut(order)
 			result := sim.handleStart(w, a)
 			sim.note(a.Key.Task, "start of run %d at %s/%d: %s", a.Key.Run, a.Target.ID, w.target.Incarnation, result)
 			done(StartResult{ID: a.Target.ID, Key: a.Key, Token: a.Token, Result: result})
@@ -229,24 +235,27 @@
 
 // sendOrder delivers an order to a worker; its answer may be lost, and it may be carried out late.
 func (sim *simulation) sendOrder(i int, t Target, limit time.Duration, do func(w *fakeWorker, done func(Event)), timeout Event) {
-	finished := false
+	finished, p := false, sim.planners[i]
 	finish := func(ev Event) {
-		if finished {
+		if finished || sim.planners[i] != p {
 			return
 		}
 		finished = true
 		sim.step(i, ev)
 	}
 	sim.after(limit, func() { finish(timeout) })
+	if sim.ignored != nil && sim.ignored(timeout) {
+		return
+	}
 	if sim.rng.Float64() < sim.lateRate {
-		sim.after(time.Duration(2000+sim.rng.IntN(10_000))*time.Millisecond, func() { sim.deliver(t, do, func(Event) {}) })
+		sim.delayOrder(t.ID, time.Duration(2000+sim.rng.IntN(10_000))*time.Millisecond, func() { sim.deliver(t, do, func(Event) {}) })
 		return
 	}
-	reply := func(ev Event) { sim.after(networkDelay, func() { finish(ev) }) }
+	reply := func(ev Event) { sim.after(networkDelay+sim.jitter(), func() { finish(ev) }) }
 	if sim.rng.Float64() < sim.lossRate {
 		reply = func(Event) {}
 	}
-	sim.after(networkDelay, func() {
+	sim.after(networkDelay+sim.jitter(), func() {
 		if sim.moved(t) {
 			reply(withResult(timeout, WrongIncarnation))
 			return
@@ -347,8 +356,8 @@
 	sim.watchLease(w)
 	for id, other := range sim.workers {
 		if _, twice := other.runs[o.Key.Task]; twice {
-			require.Failf(sim.t, "a task runs twice", "%s on %s and %s at %s\n%s", o.Key.Task, id, w.target.ID,
-				sim.now.Format("05.000000"), strings.Join(sim.history[o.Key.Task], "\n"))
+			require.Failf(sim.t, "a task runs twice", "%s on %s and %s at %s: %s\n%s", o.Key.Task, id, w.target.ID,
+				sim.now.Format("05.000000"), sim.causeOfTwice(other.runs[o.Key.Task].order), strings.Join(sim.history[o.Key.Task], "\n"))
 		}
 	}
 	ms, ok := sim.taskDurations[o.Key.Task]
@@ -357,7 +366,7 @@
 		require.NoError(sim.t, err)
 	}
 	duration := time.Duration(ms / w.speed * float64(time.Millisecond))
-	run := &fakeRun{key: o.Key, startedAt: sim.now, duration: duration, fails: w.fails, epoch: w.epoch, need: need}
+	run := &fakeRun{key: o.Key, order: sim.carriedOut, startedAt: sim.now, duration: duration, fails: w.fails, epoch: w.epoch, need: need}
 	w.runs[o.Key.Task] = run
 	if !w.stuck {
 		sim.after(duration, func() {
@@ -424,6 +433,7 @@
 	w.token, w.lease = 0, 0
 	w.clockStart = sim.now.Add(-time.Duration(sim.rng.IntN(1e6)) * time.Millisecond)
 	w.target.Incarnation, w.target.Sequence = sim.now.UnixMilli(), 1
+	sim.releaseDelayed(w.target.ID)
 	next := w.target
 	sim.after(announced, func() {
 		for i := range sim.planners {
