convoy: test for planners that die with unanswered starts

Cause: a planner reports such starts when it gives the job up, which a dead one never does.

Two more ways for a start to be left unanswered: its planner dies two heartbeats after it, with and without a repetition that runs.

--- a/src/convoy/unanswered_test.go
+++ b/src/convoy/unanswered_test.go
@@ -132,6 +132,14 @@
 		"the part is taken over": {lost: early, after: 150 * time.Millisecond, happens: func(y *unansweredYard) {
 			y.moveTo(1, false)
 		}},
+		"its planner dies": {lost: early, after: 600 * time.Millisecond, happens: func(y *unansweredYard) {
+			y.kill()
+			y.moveTo(1, false)
+		}},
+		"its planner dies while its repetition runs": {lost: first, after: 600 * time.Millisecond, happens: func(y *unansweredYard) {
+			y.kill()
+			y.moveTo(1, false)
+		}},
 		"the job is cancelled before an answer": {lost: early, after: 30 * time.Millisecond, happens: (*unansweredYard).cancelJob},
 		"the job is cancelled before a stop":    {lost: early, after: 220 * time.Millisecond, happens: (*unansweredYard).cancelJob},
 		"the job is cancelled after a stop":     {lost: early, after: 490 * time.Millisecond, happens: (*unansweredYard).cancelJob},
@@ -171,7 +179,7 @@
 				if y.owner == 0 {
 					y.owner = b.planner
 				}
-				if c.planner == nil {
+				if c.planner == nil && y.owner == b.planner {
 					sim.after(b.pause, func() { y.submit(c) })
 				}
 				sim.run(lateOrderLimit + 5*time.Second)
