convoy: test for starts that stay unanswered for seconds

A start that is repeated for seconds may come late until lateOrderLimit after its last order. Other planners hear of it after the first one, and a report that does not change is not sent again: they must not forget it earlier.

--- a/src/convoy/unanswered_test.go
+++ b/src/convoy/unanswered_test.go
@@ -80,6 +80,7 @@
 		steps   int
 	}{
 		"no order is answered until it is stopped": {lost: early},
+		"no start is answered for long":            {lost: func(_ int, since time.Duration) bool { return since < 6*time.Second }},
 		"the worker is silent for a moment": {lost: early, happens: func(y *unansweredYard) {
 			y.silent = y.sim.now.Add(700 * time.Millisecond)
 		}},
@@ -182,7 +183,7 @@
 				if c.planner == nil && y.owner == b.planner {
 					sim.after(b.pause, func() { y.submit(c) })
 				}
-				sim.run(lateOrderLimit + 5*time.Second)
+				sim.run(lateOrderLimit + 9*time.Second)
 				requireOneNumber(t, sim, "a.0.0.0")
 				require.Zero(t, sim.planners[0].Runs())
 				sim.after(0, func() {
