--- a/src/convoy/numbers_test.go
+++ b/src/convoy/numbers_test.go
@@ -18,8 +18,10 @@
 // startOrder is a start order that a planner has sent.
 type startOrder struct {
 	planner *Planner
-	start   Start
-	sentAt  time.Time
+	// index is the planner's place in the simulation.
+	index  int
+	start  Start
+	sentAt time.Time
 	// executed is when a worker received the order, if one has.
 	executed time.Time
 	// told says that the planner had heard of a late start of the job elsewhere.
@@ -48,7 +50,7 @@
 // noteStart records a start order. No planner may order a start while one of another number, or on another worker, may come late.
 func (sim *simulation) noteStart(i int, s Start) *startOrder {
 	p := sim.planners[i]
-	o := &startOrder{planner: p, start: s, sentAt: sim.now, told: sim.told[p][JobHash(jobID(s.Key))]}
+	o := &startOrder{planner: p, index: i, start: s, sentAt: sim.now, told: sim.told[p][JobHash(jobID(s.Key))]}
 	for _, before := range sim.orders[s.Key.Task] {
 		if !*checkNumbers || before.planner != p || !before.executed.IsZero() || sim.now.Sub(before.sentAt) >= lateOrders {
 			continue
@@ -93,7 +95,7 @@
 	now := sim.carriedOut
 	describe := func(o *startOrder) string {
 		s := "punctual"
-		if o.executed.Sub(o.sentAt) > time.Second {
+		if o.executed.Sub(o.sentAt) > 100*time.Millisecond {
 			s = "late"
 		}
 		if !slices.Contains(sim.planners, o.planner) {
@@ -108,6 +110,9 @@
 		if active.sentAt.After(now.sentAt) {
 			later = active
 		}
+		if active.index == now.index {
+			planners = "two planners in one place"
+		}
 		if later.told {
 			planners += ", the later one told"
 		}
