wharf: simulate outages of a planner and its workers

The simulation of several hosts rarely played what this needs: a planner that ends while a start of it is unanswered, and workers that start again around that time.

Cause: kills of hosts and restarts of workers were drawn apart from each other, the other hosts noticed the end of a process by its heartbeats only, not by their connections to it, and a twentieth of the orders was late at most. A cancellation of an earlier attempt ended a later one, as it does not in plan.go.

Change: the fault "outage" kills a host and restarts workers within 2.5 s of it; at half of the kills the other hosts' connections break at once; the share of late orders is a flag.

--- a/src/wharf/sim_faults_test.go
+++ b/src/wharf/sim_faults_test.go
@@ -34,11 +34,12 @@
 	faultReset    = "reset"    // callers' connections break
 	faultHeld     = "held"     // callers' requests arrive seconds late
 	faultAgain    = "again"    // a request arrives again after its answer
+	faultOutage   = "outage"   // a host is killed, and workers restart around its death
 )
 
 var simKinds = []string{
 	faultRestart, faultReplace, faultMove, faultLate, faultLoss, faultJitter, faultBusy, faultSuspend, faultKill, faultTerm,
-	faultCutHosts, faultCutWork, faultNews, faultSilentW, faultStep, faultSlow, faultSilent, faultReset, faultHeld, faultAgain,
+	faultCutHosts, faultCutWork, faultNews, faultSilentW, faultStep, faultSlow, faultSilent, faultReset, faultHeld, faultAgain, faultOutage,
 }
 
 type simFaults map[string]bool
@@ -163,7 +164,7 @@
 		h.begin()
 	}
 	for i := range 6 {
-		s.newWorker(fmt.Sprintf("w%d", i), []string{"north", "south"}[i%2], netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 2, 0, byte(i)}), 80))
+		s.newWorker(fmt.Sprintf("w%d", i), []string{"north", "south"}[i%2], simAddress(i))
 	}
 	for at := 2 * time.Second; at < 22*time.Second; at += time.Duration(20+r.IntN(180)) * time.Millisecond {
 		s.jobs++
@@ -205,10 +206,7 @@
 func (s *simWorld) disrupt(kind string, r *rand.Rand, i int, h *simHost, w *simWorker, length time.Duration) {
 	switch kind {
 	case faultRestart:
-		if w.up {
-			w.end()
-			s.after(time.Duration(20+r.IntN(600))*time.Millisecond, w.begin)
-		}
+		w.restart(r)
 	case faultReplace:
 		s.replace(w, r, fmt.Sprintf("%s-%d", w.target.ID, i))
 	case faultMove:
@@ -226,9 +224,11 @@
 	case faultSuspend:
 		h.freeze(length)
 	case faultKill:
-		if h.up {
-			h.kill()
-			s.after(time.Duration(200+r.IntN(2500))*time.Millisecond, h.begin)
+		h.crash(r)
+	case faultOutage:
+		h.crash(r)
+		for _, id := range s.someWorkers(r) {
+			s.after(time.Duration(r.IntN(2500))*time.Millisecond, func() { s.worker(id).restart(r) })
 		}
 	case faultTerm:
 		s.term(h, r)
@@ -274,6 +274,26 @@
 	}
 }
 
+// crash kills a host, which starts again.
+func (h *simHost) crash(r *rand.Rand) {
+	if h.up {
+		h.kill()
+		h.s.after(time.Duration(200+r.IntN(2500))*time.Millisecond, h.begin)
+	}
+}
+
+// restart crashes a worker, which starts again.
+func (w *simWorker) restart(r *rand.Rand) {
+	if w.up {
+		w.end()
+		w.s.after(time.Duration(20+r.IntN(600))*time.Millisecond, w.begin)
+	}
+}
+
+func (s *simWorld) worker(id string) *simWorker {
+	return s.workers[slices.IndexFunc(s.workers, func(w *simWorker) bool { return w.target.ID == id })]
+}
+
 func (s *simWorld) replace(w *simWorker, r *rand.Rand, id string) {
 	if !w.up {
 		return
--- a/src/wharf/sim_host_test.go
+++ b/src/wharf/sim_host_test.go
@@ -145,7 +145,7 @@
 	})
 }
 
-// kill ends a process; its callers' connections and those of other hosts to it break.
+// kill ends a process; its callers' connections break, and those of other hosts to it unless its machine ends, too.
 func (h *simHost) kill() {
 	if !h.up {
 		return
@@ -158,6 +158,25 @@
 		}
 	}
 	h.pending = make(map[string]*simPending)
+	if h.s.rnd("kill", h.name).IntN(2) == 0 {
+		h.breakConns()
+	}
+}
+
+// breakConns breaks the other hosts' connections to this one.
+func (h *simHost) breakConns() {
+	for _, o := range h.s.hosts {
+		if c := o.conns[h.name]; c != nil {
+			life := o.life
+			h.s.packet(h, o, "reset", func() {
+				o.post(life, func(time.Time) {
+					if o.conns[h.name] == c {
+						o.closeConn(h.name)
+					}
+				})
+			})
+		}
+	}
 }
 
 func (h *simHost) plannerTick(now time.Time) {
--- a/src/wharf/sim_jobs_test.go
+++ b/src/wharf/sim_jobs_test.go
@@ -39,6 +39,8 @@
 	finish func(answer, simCallError)
 	answer func(answer)
 	ended  bool
+	// attempt is the number of the offer that it answers.
+	attempt uint64
 }
 
 func (h *simHost) closeConn(name string) {
@@ -230,6 +232,7 @@
 	if previous, waits := h.waiters[key]; waits {
 		previous.answer(answer{outcome: convoy.Lost, cause: convoy.CauseCallerGone})
 	}
+	done.attempt = o.attempt
 	h.waiters[key] = done
 	h.s.log("%s takes %s of %s attempt %d", h.name, o.job.ID, o.job.Host, o.attempt)
 	h.step(now, convoy.Submitted{Job: o.job})
@@ -239,6 +242,9 @@
 	h.s.log("%s cancels %s of %s attempt %d", h.name, d.job.ID, d.job.Host, d.attempt)
 	key := jobKey{job: d.job.ID, host: d.job.Host}
 	h.cancelled[key] = cancelledOffer{attempt: max(d.attempt, h.cancelled[key].attempt), at: now}
+	if w, waits := h.waiters[key]; waits && w.attempt > d.attempt {
+		return
+	}
 	h.step(now, d.job)
 }
 
--- a/src/wharf/sim_test.go
+++ b/src/wharf/sim_test.go
@@ -12,6 +12,7 @@
 	simSeeds = flag.Int("sim.seeds", 2, "how many seeds TestTasksRunOnceAtATime plays of each set of faults")
 	simFirst = flag.Uint64("sim.first", 3, "the first of these seeds")
 	simSets  = flag.String("sim.faults", "", "the sets of faults to play, as in suspend,kill;reset; pairs plays every two, all is every kind, -kind leaves one out")
+	simLate  = flag.Float64("sim.late", 0.05, "the share of orders that are carried out late, where they are")
 	simTrace = flag.Bool("sim.trace", false, "whether to log the trace of a day that fails")
 )
 
@@ -74,7 +75,7 @@
 // logSimTrace logs what happened to the job that failed, and the disruptions.
 func logSimTrace(t *testing.T, s *simWorld) {
 	for _, line := range s.trace {
-		order := strings.Contains(line, " start") || strings.Contains(line, " stop")
+		order := strings.Contains(line, " start") || strings.Contains(line, " stop") || strings.Contains(line, ": hold ")
 		disruption := strings.Contains(line, "host-") || strings.Contains(line, "cut ") || strings.Contains(line, "crashes")
 		if strings.Contains(line, s.twiceJob) || (disruption && !order && !strings.Contains(line, " j")) {
 			t.Log(line)
--- a/src/wharf/sim_worker_test.go
+++ b/src/wharf/sim_worker_test.go
@@ -42,6 +42,11 @@
 	silent   bool
 }
 
+// simAddress returns the address of the i-th worker.
+func simAddress(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 2, 0, byte(i)}), 80)
+}
+
 func (s *simWorld) newWorker(id, domain string, addr netip.AddrPort) *simWorker {
 	w := &simWorker{s: s, target: convoy.Target{
 		ID: id, Pool: "pool", Domain: domain, Address: addr, Part: partOf(domain, id),
--- a/src/wharf/sim_world_test.go
+++ b/src/wharf/sim_world_test.go
@@ -162,7 +162,7 @@
 	}
 	there, back := one(), one()
 	lost := s.faults[faultLoss] && r.Float64() < 0.03
-	if s.faults[faultLate] && r.Float64() < simLateRate {
+	if s.faults[faultLate] && r.Float64() < *simLate {
 		there, lost = time.Duration(2000+r.IntN(10_000))*time.Millisecond, true
 	}
 	busy := s.faults[faultBusy] && r.Float64() < 0.03
@@ -193,6 +193,3 @@
 		}
 	})
 }
-
-// simLateRate is the share of orders that are carried out late, where they are.
-const simLateRate = 0.05
