wharf: tell on the late starts of a lost planner

A planner that is killed and is back within a second plans its workers again, and gets the jobs of the callers that come back, but knows nothing of the late starts that its former life had reported; nor does a host that starts after the planner was lost.

Cause: each planner tells of its own late starts only, and its report ends with it. Only those who had heard it keep what it said.

Change: whoever notices the loss of a process, its restart included, goes on telling what it had reported for 15 s, as long as such an order may be carried out. A process that starts hears that with the first heartbeats, before it claims anything. The own planner's starts go first within the 128 that a heartbeat names.

Weighed: a list of its own on the wire, which would tell own starts from others'; as it is, what two hosts that lose each other over and over tell on may be told for longer than 15 s.

--- /dev/null
+++ b/src/wharf/latestarts.go
@@ -0,0 +1,51 @@
+package wharf
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+const (
+	// lateStartPeriod is how long after an order its worker may still carry it out.
+	lateStartPeriod = 15 * time.Second
+	// maxLateStarts bounds the jobs that a heartbeat names, so that it stays within one packet.
+	maxLateStarts = 128
+)
+
+// lateStartReport is what this process tells the others of starts that may come late: those that its own planner reports, and
+// those that a lost planner has reported. A planner that starts again knows nothing of its former life.
+type lateStartReport struct {
+	own []uint32
+	// lost holds, by the hash of the job, until when the starts of lost planners are told.
+	lost    map[uint32]time.Time
+	changed bool
+	told    []uint32
+}
+
+// takeOver goes on with the reports of a lost planner.
+func (r *lateStartReport) takeOver(now time.Time, jobs []uint32) {
+	for _, job := range jobs {
+		r.lost[job] = now.Add(lateStartPeriod)
+		r.changed = true
+	}
+}
+
+// update returns what to tell, and whether that has changed. The starts of this process's own planner come first.
+func (r *lateStartReport) update(now time.Time, own []uint32) ([]uint32, bool) {
+	held := len(r.lost)
+	maps.DeleteFunc(r.lost, func(_ uint32, until time.Time) bool { return now.After(until) })
+	if !r.changed && len(r.lost) == held && slices.Equal(own, r.own) {
+		return r.told, false
+	}
+	r.own, r.changed = own, false
+	lost := slices.SortedFunc(maps.Keys(r.lost), func(a, b uint32) int { return r.lost[b].Compare(r.lost[a]) })
+	lost = slices.DeleteFunc(lost, func(job uint32) bool { return slices.Contains(own, job) })
+	told := slices.Concat(own, lost[:min(len(lost), max(0, maxLateStarts-len(own)))])
+	slices.Sort(told)
+	if slices.Equal(told, r.told) {
+		return r.told, false
+	}
+	r.told = told
+	return told, true
+}
--- a/src/wharf/plan.go
+++ b/src/wharf/plan.go
@@ -43,8 +43,8 @@
 	freeSlots int
 	slots     int
 	waiting   map[string]int
-	// lateStarts is what this process tells of its planner's late starts, remoteLateStarts what each other one has told.
-	lateStarts       []uint32
+	// lateStarts is what this process tells of late starts, remoteLateStarts what each other one has told.
+	lateStarts       lateStartReport
 	remoteLateStarts map[string][]uint32
 	metrics          *plannerMetrics
 	// targets is what this process has learned of targets, for processes that start while no registry host is
@@ -80,6 +80,7 @@
 		revisions: make(map[processRun]uint64), fetching: make(map[processRun]bool),
 		lastFetch: make(map[processRun]time.Time), metrics: newPlannerMetrics(h.Metrics),
 		targets: newTargetList(h), remoteLateStarts: make(map[string][]uint32),
+		lateStarts: lateStartReport{lost: make(map[uint32]time.Time)},
 	}
 }
 
@@ -148,6 +149,7 @@
 		p.step(now, convoy.HandoverRequested{Part: a.Part})
 	case flotilla.PeerFailed:
 		delete(p.remoteLateStarts, a.Peer.Member.Name)
+		p.lateStarts.takeOver(now, a.Peer.Member.LateStarts)
 		p.step(now, convoy.HostLost{Host: a.Peer.Member.Name})
 	case flotilla.PeerNotReceiving:
 		p.step(now, convoy.HostLost{Host: a.Peer.Member.Name})
@@ -184,17 +186,14 @@
 		p.execute(now, a)
 	}
 	p.publishLoad()
-	p.publishLateStarts()
+	p.publishLateStarts(now)
 }
 
-// publishLateStarts announces the planner's late starts to the other planners, well within the pause of a caller that comes back.
-func (p *plan) publishLateStarts() {
-	late := p.planner.LateStarts()
-	if slices.Equal(late, p.lateStarts) {
-		return
+// publishLateStarts announces late starts to the other planners, well within the pause of a caller that comes back.
+func (p *plan) publishLateStarts(now time.Time) {
+	if late, changed := p.lateStarts.update(now, p.planner.LateStarts()); changed {
+		p.h.Fleet.UpdateSelf(func(m *flotilla.Member) { m.LateStarts = late })
 	}
-	p.lateStarts = late
-	p.h.Fleet.UpdateSelf(func(m *flotilla.Member) { m.LateStarts = late })
 }
 
 // publishLoad updates the metrics and announces this planner's free slots to the entry hosts.
--- a/src/wharf/sim_host_test.go
+++ b/src/wharf/sim_host_test.go
@@ -27,7 +27,7 @@
 	known          map[string]bool
 	changed        bool
 	free, slots    int
-	late           []uint32
+	late           lateStartReport
 	lastSent       time.Time
 	lastTick       time.Time
 	pending        map[string]*simPending
@@ -90,8 +90,8 @@
 	h.pending, h.waiters = make(map[string]*simPending), make(map[jobKey]*simReply)
 	h.cancelled, h.conns = make(map[jobKey]cancelledOffer), make(map[string]*simConn)
 	h.probing, h.lastProbe, h.silentOrders = make(map[string]bool), make(map[string]time.Time), make(map[string]int)
-	h.undelivered = make(undelivered)
-	h.changed, h.lastSent, h.lastTick, h.free, h.slots, h.late, h.attempts = false, time.Time{}, now, 0, 0, nil, self.Incarnation
+	h.undelivered, h.late = make(undelivered), lateStartReport{lost: make(map[uint32]time.Time)}
+	h.changed, h.lastSent, h.lastTick, h.free, h.slots, h.attempts = false, time.Time{}, now, 0, 0, self.Incarnation
 	s.log("%s begins life %d, skew %s", h.name, h.life, h.skew)
 	for _, t := range []struct {
 		every time.Duration
@@ -257,6 +257,7 @@
 		case flotilla.PeerFailed:
 			h.s.log("%s: %s failed, %s", h.name, a.Peer.Member.Name, a.Reason)
 			h.closeConn(a.Peer.Member.Name)
+			h.late.takeOver(now, a.Peer.Member.LateStarts)
 			h.step(now, convoy.HostLost{Host: a.Peer.Member.Name})
 			h.failPlanner(now, a.Peer.Member.Name)
 		case flotilla.PeerNotReceiving:
@@ -282,8 +283,7 @@
 		h.free, h.slots = free, slots
 		h.UpdateSelf(func(m *flotilla.Member) { m.FreeSlots, m.Slots = free, slots })
 	}
-	if late := h.planner.LateStarts(); !slices.Equal(late, h.late) {
-		h.late = late
+	if late, changed := h.late.update(now, h.planner.LateStarts()); changed {
 		h.UpdateSelf(func(m *flotilla.Member) { m.LateStarts = late })
 	}
 }
