wharf: report the jobs lost with a planner that loses orders

A planner is killed while a start is on its way: the start is not answered yet, so the planner had not told of it. The caller comes back 1.3 s later, another planner runs the task, and a later incarnation of the first worker carries the old start out.

Cause: only the lost planner knew of the start. Its entry hosts know which jobs it had, and told nobody.

It does so only if the planner's last heartbeat told of late starts: where orders are not lost, callers that come back are served as before. The report goes the way of late starts, and is there before a caller is back.

Not covered: a job whose entry host is the lost planner's own process, and whose start was on its way when that ended.

--- a/src/wharf/cancel.go
+++ b/src/wharf/cancel.go
@@ -64,8 +64,10 @@
 		j.h.Log.Write(logbook.HandlerPanicked, logbook.F("panic", err.Error()))
 		return
 	}
+	now := j.h.Clock.Now()
+	j.unanswered.add(now, p.planner, convoy.JobHash(p.job.ID))
 	// The caller may have left before that was noticed, and its pause begins then.
-	since, deadline := j.h.Clock.Now().Add(-helm.PresenceInterval), p.job.Deadline
+	since, deadline := now.Add(-helm.PresenceInterval), p.job.Deadline
 	j.undelivered.begin(j.h.Fleet, since, p.planner)
 	go func() {
 		defer j.h.Post(j, cancelEndedEvent{planner: peer.Member.Name, since: since})
--- a/src/wharf/jobs.go
+++ b/src/wharf/jobs.go
@@ -52,6 +52,7 @@
 	probing        map[string]bool
 	waitingByRoute atomic.Pointer[map[string]int]
 	undelivered    undelivered
+	unanswered     unansweredJobs
 }
 
 type submitEvent struct {
@@ -87,6 +88,7 @@
 	j := &jobs{
 		h: h, attempts: h.Incarnation, pending: make(map[string]*pendingJob), offered: make(map[string]int),
 		lastProbe: make(map[string]time.Time), probing: make(map[string]bool), undelivered: make(undelivered),
+		unanswered: make(unansweredJobs),
 	}
 	h.Jobs = j
 	return j
@@ -192,6 +194,10 @@
 		delete(j.offered, a.Peer.Member.Name)
 	case flotilla.PeerFailed:
 		j.failPlannerJobs(now, a.Peer.Member.Name)
+		jobs := j.unanswered.take(now, a.Peer.Member.Name)
+		if len(jobs) > 0 && len(a.Peer.Member.LateStarts) > 0 {
+			j.h.Publish(now, plannerLostEvent{jobs: jobs})
+		}
 	}
 }
 
--- a/src/wharf/latestarts.go
+++ b/src/wharf/latestarts.go
@@ -11,10 +11,12 @@
 	lateStartPeriod = 15 * time.Second
 	// maxLateStarts bounds the jobs that a heartbeat names, so that it stays within one packet.
 	maxLateStarts = 128
+	// unansweredPeriod covers the time from a planner's last order to its loss being noticed here.
+	unansweredPeriod = 2 * time.Second
 )
 
 // lateStartReport is what this process tells the others of starts that may come late: those that its own planner reports, and
-// those that a lost planner has reported. A planner that starts again knows nothing of its former life.
+// those that a lost planner has reported or may have ordered. A planner that starts again knows nothing of its former life.
 type lateStartReport struct {
 	own []uint32
 	// lost holds, by the hash of the job, until when the starts of lost planners are told.
@@ -49,3 +51,35 @@
 	r.told = told
 	return told, true
 }
+
+type unansweredJob struct {
+	job uint32
+	at  time.Time
+}
+
+// unansweredJobs holds, by planner, the jobs that this host has lately ceased to wait for without the planner's answer. If the
+// planner is lost, nobody else knows whether it had ordered a start of them.
+type unansweredJobs map[string][]unansweredJob
+
+func (u unansweredJobs) add(now time.Time, planner string, job uint32) {
+	u[planner] = append(u.recent(now, planner), unansweredJob{job: job, at: now})
+}
+
+func (u unansweredJobs) recent(now time.Time, planner string) []unansweredJob {
+	return slices.DeleteFunc(u[planner], func(j unansweredJob) bool { return now.Sub(j.at) > unansweredPeriod })
+}
+
+// take returns and forgets the jobs of a lost planner.
+func (u unansweredJobs) take(now time.Time, planner string) []uint32 {
+	var out []uint32
+	for _, j := range u.recent(now, planner) {
+		out = append(out, j.job)
+	}
+	delete(u, planner)
+	return out
+}
+
+// plannerLostEvent names the jobs that this host has lost with a planner whose orders were not all answered.
+type plannerLostEvent struct{ jobs []uint32 }
+
+func (plannerLostEvent) KernelEvent() {}
--- a/src/wharf/latestarts_test.go
+++ b/src/wharf/latestarts_test.go
@@ -19,7 +19,9 @@
 		want bool
 	}{
 		"the planner had told of the job itself":         {told: "a", want: true},
+		"it had told of another job":                     {told: "b", want: true},
 		"it had told of the job itself and starts again": {told: "a", back: 150 * time.Millisecond, want: true},
+		"it had told of another job and starts again":    {told: "b", back: 150 * time.Millisecond, want: true},
 		"all its orders had been answered":               {},
 	}
 	for name, tt := range tests {
@@ -78,6 +80,12 @@
 	lost := flotilla.Peer{Member: flotilla.Member{Name: "b", LateStarts: []uint32{7}}}
 	p.Handle(now, fleetEvent{action: flotilla.PeerFailed{Peer: lost}})
 	require.Equal(t, []uint32{7}, h.Fleet.Self().LateStarts)
+	p.Handle(now, plannerLostEvent{jobs: []uint32{convoy.JobHash("a"), 7}})
+	require.Len(t, h.Fleet.Self().LateStarts, 2)
+	p.planner.Step(now, convoy.PartClaimed{Part: "d", Token: 1})
+	o, done := newOffer(now, 7, 1)
+	p.Handle(now, o)
+	require.Equal(t, convoy.CauseLateStart, (<-done).cause)
 	now = now.Add(lateStartPeriod + time.Millisecond)
 	p.step(now, convoy.Tick{})
 	require.Empty(t, h.Fleet.Self().LateStarts)
@@ -99,3 +107,14 @@
 	_, changed = r.update(now, own)
 	require.False(t, changed)
 }
+
+// A caller that left long before its planner was lost has no start there that nobody else knows.
+func TestUnansweredJobsAreForgotten(t *testing.T) {
+	now := time.Unix(1000, 0)
+	u := make(unansweredJobs)
+	u.add(now, "p", 1)
+	u.add(now.Add(unansweredPeriod), "p", 2)
+	u.add(now.Add(unansweredPeriod+time.Second), "p", 3)
+	require.Equal(t, []uint32{2, 3}, u.take(now.Add(unansweredPeriod+time.Second), "p"))
+	require.Empty(t, u.take(now, "p"))
+}
--- a/src/wharf/plan.go
+++ b/src/wharf/plan.go
@@ -136,6 +136,9 @@
 		p.step(now, convoy.Stopping{})
 	case targetsChangedEvent:
 		p.targets.Handle(now, ev)
+	case plannerLostEvent:
+		p.lateStarts.takeOver(now, e.jobs)
+		p.step(now, convoy.LateStartsReported{Jobs: e.jobs})
 	case fleetEvent:
 		p.onFleetAction(now, e.action)
 	}
--- a/src/wharf/sim_host_test.go
+++ b/src/wharf/sim_host_test.go
@@ -40,6 +40,7 @@
 	lastProbe      map[string]time.Time
 	silentOrders   map[string]int
 	undelivered    undelivered
+	unanswered     unansweredJobs
 }
 
 // Peers and the other methods below make a host the helm.Fleet of its pieces.
@@ -90,7 +91,7 @@
 	h.pending, h.waiters = make(map[string]*simPending), make(map[jobKey]*simReply)
 	h.cancelled, h.conns = make(map[jobKey]cancelledOffer), make(map[string]*simConn)
 	h.probing, h.lastProbe, h.silentOrders = make(map[string]bool), make(map[string]time.Time), make(map[string]int)
-	h.undelivered, h.late = make(undelivered), lateStartReport{lost: make(map[uint32]time.Time)}
+	h.undelivered, h.unanswered, h.late = make(undelivered), make(unansweredJobs), lateStartReport{lost: make(map[uint32]time.Time)}
 	h.changed, h.lastSent, h.lastTick, h.free, h.slots, h.attempts = false, time.Time{}, now, 0, 0, self.Incarnation
 	s.log("%s begins life %d, skew %s", h.name, h.life, h.skew)
 	for _, t := range []struct {
@@ -259,7 +260,7 @@
 			h.closeConn(a.Peer.Member.Name)
 			h.late.takeOver(now, a.Peer.Member.LateStarts)
 			h.step(now, convoy.HostLost{Host: a.Peer.Member.Name})
-			h.failPlanner(now, a.Peer.Member.Name)
+			h.failPlanner(now, a.Peer.Member)
 		case flotilla.PeerNotReceiving:
 			h.s.log("%s: %s does not receive", h.name, a.Peer.Member.Name)
 			h.closeConn(a.Peer.Member.Name)
--- a/src/wharf/sim_jobs_test.go
+++ b/src/wharf/sim_jobs_test.go
@@ -300,6 +300,7 @@
 	}
 	if to := h.s.host(p.planner); to != nil {
 		since := h.now().Add(-helm.PresenceInterval)
+		h.unanswered.add(h.now(), p.planner, convoy.JobHash(p.job.ID))
 		h.undelivered.begin(h, since, p.planner)
 		h.cancelCall(to, d, since, p.job.Deadline, cancelAttempts)
 	}
@@ -323,13 +324,18 @@
 	})
 }
 
-func (h *simHost) failPlanner(_ time.Time, name string) {
+func (h *simHost) failPlanner(now time.Time, m flotilla.Member) {
 	for _, id := range slices.Sorted(maps.Keys(h.pending)) {
-		if p := h.pending[id]; p.planner == name {
+		if p := h.pending[id]; p.planner == m.Name {
 			h.notifyCancelled(p)
 			h.finish(p, answer{outcome: convoy.Lost})
 		}
 	}
+	if jobs := h.unanswered.take(now, m.Name); len(jobs) > 0 && len(m.LateStarts) > 0 {
+		h.s.log("%s reports %d jobs that it has lost with %s", h.name, len(jobs), m.Name)
+		h.late.takeOver(now, jobs)
+		h.step(now, convoy.LateStartsReported{Jobs: jobs})
+	}
 }
 
 func (h *simHost) jobsTick(now time.Time) {
