berth: an older relayed announcement no longer puts a leaving target to use again

Cause: an entry host relays announcements of targets to its neighbours once a second, a leaving at once. If the target last announced itself to host A and then its leaving to host B, A relays the older announcement, which it still holds back, after B's relay, and B takes the target for one that stays. Announcements carry no order.

Why the change works: a relayed announcement is at most as old as it was held back and as its delivery took. For 3 s after a target last said that it leaves, one relayed for the same address that says otherwise is ignored. What a target itself announces, and a new instance at another address, counts at once as before. The message between hosts stays the same.

Evidence: TestOlderRelayedAnnouncementDoesNotRecallLeavingTarget fails without the change in its two cases of an older relay.

--- a/src/berth/event.go
+++ b/src/berth/event.go
@@ -89,8 +89,11 @@
 // CancelTask cancels a task that is still queued.
 type CancelTask struct{ ID uint64 }
 
-// Announced carries a target's announcement.
-type Announced struct{ Target Target }
+// Announced carries a target's announcement, Relayed says that another host received it.
+type Announced struct {
+	Target  Target
+	Relayed bool
+}
 
 // HostsChanged carries the entry hosts that are alive in the failure domain, this one included.
 type HostsChanged struct{ Hosts []Host }
--- a/src/berth/judge.go
+++ b/src/berth/judge.go
@@ -89,11 +89,15 @@
 	return float64(bad) <= maxEjectedShare*float64(len(pool.members))
 }
 
-func (p *Planner) handleAnnouncement(now time.Time, a Target) {
+func (p *Planner) handleAnnouncement(now time.Time, e Announced) {
+	a := e.Target
 	if a.Domain != p.cfg.Domain {
 		return
 	}
 	t, known := p.targets[a.Name]
+	if known && e.Relayed && t.recalledBy(now, a) {
+		return
+	}
 	if !known {
 		t = &target{concurrencyLimit: initialConcurrency}
 		p.targets[a.Name] = t
@@ -123,6 +127,12 @@
 	}
 }
 
+// recalledBy reports whether a relayed announcement would put a leaving target to use again that may have sent it before it
+// announced its leaving.
+func (t *target) recalledBy(now time.Time, a Target) bool {
+	return t.Leaving && !a.Leaving && t.Addr == a.Addr && now.Sub(t.announcedAt) < maxRelayAge
+}
+
 // joinPools adds the target to each pool that it names, and removes it from the others.
 func (p *Planner) joinPools(now time.Time, t *target) {
 	p.leavePools(now, t)
--- a/src/berth/planner.go
+++ b/src/berth/planner.go
@@ -92,7 +92,7 @@
 	case CancelTask:
 		p.cancelTask(e.ID)
 	case Announced:
-		p.handleAnnouncement(now, e.Target)
+		p.handleAnnouncement(now, e)
 	case HostsChanged:
 		p.setHosts(now, e.Hosts)
 	case RemoteCapacity:
--- a/src/berth/planner_test.go
+++ b/src/berth/planner_test.go
@@ -201,6 +201,35 @@
 	require.Equal(t, NoTarget, f.Reason)
 }
 
+func TestOlderRelayedAnnouncementDoesNotRecallLeavingTarget(t *testing.T) {
+	at := netip.MustParseAddrPort("127.0.0.1:1")
+	target := func(addr netip.AddrPort, leaving bool) Target {
+		return Target{Name: "one", Addr: addr, Domain: "khulna", Pools: []string{testPool}, Slots: 4, Leaving: leaving}
+	}
+	tests := map[string]struct {
+		next  Announced
+		after time.Duration
+		want  bool
+	}{
+		"relayed at once":                {next: Announced{Target: target(at, false), Relayed: true}},
+		"relayed as late as relays come": {next: Announced{Target: target(at, false), Relayed: true}, after: maxRelayAge - 1},
+		"relayed later":                  {next: Announced{Target: target(at, false), Relayed: true}, after: maxRelayAge, want: true},
+		"announced by the target itself": {next: Announced{Target: target(at, false)}, want: true},
+		"relayed from another address":   {next: Announced{Target: target(netip.MustParseAddrPort("127.0.0.1:2"), false), Relayed: true}, want: true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := newHarness(t)
+			s.step(Announced{Target: target(at, false)})
+			s.step(Announced{Target: target(at, true)})
+			s.advance(tt.after)
+			s.step(tt.next)
+			started := len(startsOf(s.step(Submit{Task: s.task(1, 1)}))) > 0
+			require.Equal(t, tt.want, started)
+		})
+	}
+}
+
 func TestFailingTargetIsEjected(t *testing.T) {
 	s := newHarness(t)
 	for _, name := range []string{"bad", "good", "fine"} {
--- a/src/berth/target.go
+++ b/src/berth/target.go
@@ -57,6 +57,9 @@
 	// foreignWindow is how long a new owner of a target reserves capacity for tasks that the previous owner may
 	// still run there.
 	foreignWindow = 3 * time.Second
+	// maxRelayAge is the maximum age of a relayed announcement: a host holds it back for a second, and
+	// delivery takes up to half a second where nothing is overloaded.
+	maxRelayAge = 3 * time.Second
 	// busyPause is how long a target that refused a task gets no other task.
 	busyPause = 20 * time.Millisecond
 )
--- a/src/deck/announce.go
+++ b/src/deck/announce.go
@@ -18,7 +18,7 @@
 		}
 		d.addrs[t.Name] = t.Addr
 		t.Slots = d.limitSlots(t)
-		d.step(now, berth.Announced{Target: t})
+		d.step(now, berth.Announced{Target: t, Relayed: e.relayed})
 		if !e.relayed {
 			d.unrelayed[t.Name] = t
 		}
