ledger: a handover tells the new primary what its backup does not hold yet

Cause: what became of a submission could be known to the old primary only, in three ways. Its answer waited for the next batch (up to 50 ms) or was in an unacknowledged one when the new view came; its record was on the backup without an acknowledgement, and the old primary refused it when it stepped down; or it ended without having run, before or after the handover. The new primary then held a record of a run in progress at the old one; who sent the key again waited, and once the old primary had stopped, was told that the submission had started on a host that was lost.

Why the change works: when a primary steps down, it forwards the answers and releases that the new primary has not acknowledged, as it did already for answers that came after the handover; a submission that ended without having run is forwarded as a record that is not finished, which the new primary releases. A release counts only for the record of the same process and epoch: a process that forwards releases is no primary and starts nothing more in that epoch, so that no submission that runs is released.

--- a/src/ledger/event.go
+++ b/src/ledger/event.go
@@ -75,7 +75,8 @@
 	Ack        Ack
 }
 
-// LateAnswer reports the answer of a submission that a former primary ran.
+// LateAnswer reports what became of a submission that a former primary started: its answer, or with a record that is not
+// finished that it did not run.
 type LateAnswer struct {
 	Shard  chart.Shard
 	Record Record
@@ -160,7 +161,7 @@
 // Reply answers the batch of the BatchReceived event being processed.
 type Reply struct{ Ack Ack }
 
-// ForwardAnswer sends an answer to the primary that took over, where it arrives as LateAnswer.
+// ForwardAnswer sends a record to the primary that took over, where it arrives as LateAnswer.
 type ForwardAnswer struct {
 	To     string
 	Shard  chart.Shard
--- a/src/ledger/follower.go
+++ b/src/ledger/follower.go
@@ -1,6 +1,7 @@
 package ledger
 
 import (
+	"slices"
 	"sort"
 	"time"
 )
@@ -13,6 +14,8 @@
 	// lazy operations have no waiters; they are sent with the next urgent one, or maxLazyDelay after at.
 	lazy bool
 	at   time.Time
+	// epoch is that of a removed record.
+	epoch uint64
 }
 
 // backup is the primary's state of one backup, to which at most one batch is in flight.
@@ -23,8 +26,9 @@
 	stream      uint64
 	number      uint64
 	queue       []operation
-	// inFlight is the batch that is not acknowledged yet, inFlightSeq the last operation in it.
+	// inFlight is the batch that is not acknowledged yet, inFlightOps what it carries, inFlightSeq the last operation in it.
 	inFlight       *Batch
+	inFlightOps    []operation
 	inFlightSeq    uint64
 	sentAt         time.Time
 	unacknowledged bool
@@ -72,8 +76,8 @@
 	s.enqueue(now, operation{key: en.Key, lazy: true, at: now})
 }
 
-func (s *shard) replicateRemoval(now time.Time, key string) {
-	s.enqueue(now, operation{key: key, remove: true, lazy: true, at: now})
+func (s *shard) replicateRemoval(now time.Time, en *entry) {
+	s.enqueue(now, operation{key: en.Key, remove: true, lazy: true, at: now, epoch: en.Epoch})
 }
 
 func (s *shard) enqueue(now time.Time, op operation) uint64 {
@@ -145,10 +149,19 @@
 			size += len(en.Answer)
 		}
 	}
+	b.inFlightOps = b.queue[:n:n]
 	b.queue = b.queue[n:]
 	return last
 }
 
+// unacknowledgedOps returns the operations that the backup may not have received.
+func (b *backup) unacknowledgedOps() []operation {
+	if b.inFlight == nil {
+		return b.queue
+	}
+	return slices.Concat(b.inFlightOps, b.queue)
+}
+
 func (b *backup) sendBatch(now time.Time) {
 	b.sentAt = now
 	b.unacknowledged = false
--- a/src/ledger/govern.go
+++ b/src/ledger/govern.go
@@ -54,8 +54,10 @@
 	s.runReplicated(now)
 }
 
-// stepDown refuses the pending submissions when another host becomes the primary.
+// stepDown refuses the pending submissions when another host becomes the primary, and tells that one what it may not know of
+// those that ended here.
 func (s *shard) stepDown(now time.Time) {
+	s.forwardUnacknowledged()
 	s.backups = make(map[string]*backup)
 	for _, en := range s.pendingBySeq {
 		en.pending = false
@@ -70,6 +72,25 @@
 	}
 }
 
+func (s *shard) forwardUnacknowledged() {
+	if len(s.view.Replicas) == 0 {
+		return
+	}
+	b, ok := s.backups[s.view.Replicas[0].Name]
+	if !ok {
+		return
+	}
+	for _, op := range b.unacknowledgedOps() {
+		en, held := s.entries[op.key]
+		switch {
+		case held && en.Finished:
+			s.forward(en.Record)
+		case !held && op.remove:
+			s.forward(Record{Key: op.key, StartedBy: s.self(), Epoch: op.epoch})
+		}
+	}
+}
+
 func (s *shard) replicaOn(host string) (chart.Replica, bool) {
 	for _, r := range s.view.Replicas {
 		if r.Name == host {
--- a/src/ledger/ledger_test.go
+++ b/src/ledger/ledger_test.go
@@ -24,8 +24,11 @@
 	hosts   map[string]Host
 	views   map[chart.Shard]chart.View
 	sends   []envelope
-	decided map[uint64][]SubmissionDecision
-	ticket  uint64
+	// holdLate keeps forwarded answers in late instead of delivering them at once.
+	holdLate bool
+	late     []ForwardAnswer
+	decided  map[uint64][]SubmissionDecision
+	ticket   uint64
 	// retention is how long finished records are kept.
 	retention time.Duration
 }
@@ -88,14 +91,22 @@
 		case ProposeView:
 			c.propose(a)
 		case ForwardAnswer:
-			if l, ok := c.ledgers[a.To]; ok {
-				c.carryOut(a.To, l.Step(c.now, LateAnswer{Shard: a.Shard, Record: a.Record}))
+			if c.holdLate {
+				c.late = append(c.late, a)
+				continue
 			}
+			c.deliverLate(a)
 		case Reply, ShardEvent:
 		}
 	}
 }
 
+func (c *cluster) deliverLate(a ForwardAnswer) {
+	if l, ok := c.ledgers[a.To]; ok {
+		c.carryOut(a.To, l.Step(c.now, LateAnswer{Shard: a.Shard, Record: a.Record}))
+	}
+}
+
 // propose stands in for the state hosts, which accept the first proposal for an epoch.
 func (c *cluster) propose(p ProposeView) {
 	if c.views[p.Shard].Epoch == p.ExpectedEpoch {
@@ -417,6 +428,78 @@
 	require.Equal(t, ReplayAnswer, c.lastDecision(joined))
 }
 
+// Until its backups acknowledge it, what became of a submission is known to the old primary only.
+func TestHandoverKeepsWhatBackupsDoNotHoldYet(t *testing.T) {
+	tests := map[string]struct {
+		// end ends the submission at the old primary, which has started it if started is true.
+		started bool
+		end     func(c *cluster, host string, ticket uint64)
+		want    Decision
+	}{
+		"answered": {
+			started: true,
+			end:     func(c *cluster, host string, ticket uint64) { c.finish(host, "k", ticket, "answer") },
+			want:    ReplayAnswer,
+		},
+		"not run": {
+			started: true,
+			end: func(c *cluster, host string, ticket uint64) {
+				c.step(host, Finish{Shard: testShard, Key: "k", Ticket: ticket})
+			},
+			want: Run,
+		},
+		"refused for want of an acknowledgement": {end: func(*cluster, string, uint64) {}, want: Run},
+	}
+	for _, moment := range []string{"before the old primary hands over", "after it"} {
+		for name, tt := range tests {
+			t.Run(name+" "+moment, func(t *testing.T) {
+				c := newCluster(t, "a", "b")
+				p, b := c.primary(), c.backup()
+				ticket := c.submit(p, "k", 1)
+				if tt.started {
+					c.deliver(nil)
+					require.Equal(t, Run, c.lastDecision(ticket))
+				} else {
+					c.ledgers[b].Step(c.now, BatchReceived{Batch: c.sends[0].send.Batch})
+					c.sends = nil // the acknowledgement is lost
+				}
+				c.startLeaving(p)
+				c.updateHosts()
+				if moment != "after it" {
+					tt.end(c, p, ticket)
+				}
+				for _, name := range []string{b, p} {
+					c.step(name, ViewChanged{Shard: testShard, View: c.views[testShard]})
+				}
+				require.Equal(t, b, c.primary())
+				if moment == "after it" {
+					tt.end(c, p, ticket)
+				}
+				c.crash(p)
+				c.updateHosts()
+				require.Equal(t, tt.want, c.lastDecision(c.submit(b, "k", 1)))
+			})
+		}
+	}
+}
+
+// Who waits at the new primary for a submission that the old one never ran is told so, and may submit it again.
+func TestWaitEndsWhenFormerPrimaryDidNotRun(t *testing.T) {
+	c := newCluster(t, "a", "b")
+	p, b := c.primary(), c.backup()
+	ticket := c.mustRun("k")
+	c.startLeaving(p)
+	c.updateHosts()
+	c.settle()
+	joined := c.submit(b, "k", 1)
+	require.Equal(t, InProgress, c.lastDecision(joined))
+	c.step(p, Finish{Shard: testShard, Key: "k", Ticket: ticket})
+	require.Equal(t, NoPrimary, c.lastDecision(joined))
+	require.Equal(t, Run, c.lastDecision(c.submit(b, "k", 1)))
+	c.step(b, LateAnswer{Shard: testShard, Record: Record{Key: "k", Epoch: 1, StartedBy: chart.Replica{Name: p, Incarnation: 1}}})
+	require.Equal(t, InProgress, c.lastDecision(c.submit(b, "k", 1)), "the new primary runs it now")
+}
+
 func TestWaitEndsWhenRunningHostFails(t *testing.T) {
 	c := newCluster(t, "a", "b")
 	p, b := c.primary(), c.backup()
--- a/src/ledger/schedule_test.go
+++ b/src/ledger/schedule_test.go
@@ -45,6 +45,7 @@
 		running: make(map[string]map[string]uint64), requests: make(map[uint64]request),
 		incarnation: 1, partitioned: make(map[string]bool),
 	}
+	w.holdLate = true
 	return w
 }
 
@@ -107,6 +108,7 @@
 		"finish":  w.doFinish,
 		"abandon": w.doAbandon,
 		"deliver": w.doDeliver,
+		"late":    w.doDeliverLate,
 		"views":   w.doUpdateViews,
 		"views2":  w.doUpdateViews,
 		"pass":    w.doAdvanceTime,
@@ -181,6 +183,23 @@
 	w.deliverOne(e, fate == 7 || w.partitioned[e.from] != w.partitioned[e.send.To])
 }
 
+// doDeliverLate delivers one forwarded answer in any order, loses it, or delivers it and keeps it for a repeat.
+func (w *simulation) doDeliverLate(rt *rapid.T) {
+	if len(w.late) == 0 {
+		return
+	}
+	i := rapid.IntRange(0, len(w.late)-1).Draw(rt, "late")
+	a := w.late[i]
+	fate := rapid.IntRange(0, 9).Draw(rt, "fate")
+	if fate < 7 {
+		w.late = append(w.late[:i:i], w.late[i+1:]...)
+	}
+	if fate != 0 {
+		w.tracef("%s learns from %s of %s, finished: %t", a.To, a.Record.StartedBy.Name, a.Record.Key, a.Record.Finished)
+		w.deliverLate(a)
+	}
+}
+
 func (w *simulation) doUpdateViews(rt *rapid.T) {
 	name, ok := w.drawHost(rt)
 	if !ok {
--- a/src/ledger/shard.go
+++ b/src/ledger/shard.go
@@ -160,7 +160,16 @@
 	}
 	en.waiters = nil
 	if s.isPrimary() {
-		s.replicateRemoval(now, en.Key)
+		s.replicateRemoval(now, en)
+		return
+	}
+	s.forward(en.Record)
+}
+
+// forward tells the primary that took over what became of a submission: an unfinished record did not run.
+func (s *shard) forward(r Record) {
+	if len(s.view.Replicas) > 0 {
+		s.ledger.emit(ForwardAnswer{To: s.view.Replicas[0].Name, Shard: s.id, Record: r})
 	}
 }
 
@@ -192,9 +201,7 @@
 		s.replicateLazily(now, en)
 		return
 	}
-	if len(s.view.Replicas) > 0 {
-		s.ledger.emit(ForwardAnswer{To: s.view.Replicas[0].Name, Shard: s.id, Record: en.Record})
-	}
+	s.forward(en.Record)
 	s.discardUnlessReplica(en)
 }
 
@@ -210,14 +217,20 @@
 	en.waiters = nil
 }
 
-// acceptLateAnswer stores an answer forwarded by a former primary, if the record is known here and unfinished.
+// acceptLateAnswer stores an answer forwarded by a former primary, if the record is known here and unfinished. If the former
+// primary did not run the submission, its key can be used again.
 func (s *shard) acceptLateAnswer(now time.Time, r Record) {
 	en, ok := s.entries[r.Key]
-	if !s.isPrimary() || !ok || en.Finished || en.running || en.pending || en.Digest != r.Digest {
+	if !s.isPrimary() || !ok || en.Finished || en.running || en.pending {
 		return
 	}
-	s.complete(now, en, r.Answer)
-	s.replicate(now, en)
+	switch {
+	case !r.Finished && en.StartedBy == r.StartedBy && en.Epoch == r.Epoch:
+		s.releaseKey(now, en)
+	case r.Finished && en.Digest == r.Digest:
+		s.complete(now, en, r.Answer)
+		s.replicate(now, en)
+	}
 }
 
 func (s *shard) lookup(now time.Time, e Lookup) {
