deck: a late answer is sent until the new primary takes it

What callers saw: submissions that ran on a host during its planned stop ended unknown/home-lost for those who sent the key again, although the host had answered its own caller (KNOWN-RED TestScript/stop).

Cause: the late answer was sent once, within 500 ms.

Why the change works: a host that is not the primary of the shard refuses the answer, and the sender repeats it for up to 5 s. The calls count as in flight, so that the process does not end before them.

--- a/src/deck/kinds.go
+++ b/src/deck/kinds.go
@@ -46,6 +46,7 @@
 	membershipCheckInterval = 500 * time.Millisecond
 	announceRelayInterval   = time.Second
 	batchTimeout            = 500 * time.Millisecond
+	lateAnswerTimeout       = 5 * time.Second
 	raftTimeout             = 500 * time.Millisecond
 	followPollWait          = 2 * time.Second
 	followTimeout           = 3 * time.Second
--- a/src/deck/ledger.go
+++ b/src/deck/ledger.go
@@ -31,6 +31,12 @@
 	reply chan ledger.Ack
 }
 
+// lateAnswerEvent carries a late answer; the reply tells whether this host is the primary that takes it.
+type lateAnswerEvent struct {
+	answer ledger.LateAnswer
+	reply  chan bool
+}
+
 type shardAddressEvent struct {
 	name   string
 	domain string
@@ -42,6 +48,7 @@
 func (ledgerEvent) KernelEvent()        {}
 func (finishEvent) KernelEvent()        {}
 func (batchEvent) KernelEvent()         {}
+func (lateAnswerEvent) KernelEvent()    {}
 func (shardAddressEvent) KernelEvent()  {}
 
 // Handle passes submissions, their ends, replicated batches and changes of hosts and views to the ledger.
@@ -61,6 +68,9 @@
 		s.acks = nil
 		s.step(now, ledger.BatchReceived{Batch: e.batch})
 		e.reply <- s.acks[0]
+	case lateAnswerEvent:
+		s.step(now, e.answer)
+		e.reply <- s.ledger.IsPrimary(e.answer.Shard)
 	case shardAddressEvent:
 		e.reply <- s.shardHost(now, e)
 	case helm.PeerChanged:
@@ -196,8 +206,9 @@
 	}
 }
 
-// sendLateAnswer tells the new primary what became of a submission that ran here. The call counts as in flight: if the
-// process ended before it, the key's outcome would stay unknown although the client has its answer.
+// sendLateAnswer tells the new primary what became of a submission that was started here, again while it does not take it: the
+// new view may reach it later than this host. The calls count as in flight: if the process ended before them, the key's
+// outcome would stay unknown although the client has its answer.
 func (s *submitter) sendLateAnswer(a ledger.ForwardAnswer) {
 	p, known := s.h.Members.Peer(a.To)
 	body, err := ledger.EncodeLateAnswer(ledger.LateAnswer{Shard: a.Shard, Record: a.Record})
@@ -207,19 +218,43 @@
 	s.inflight.Add(1)
 	go func() {
 		defer s.inflight.Add(-1)
-		ctx, cancel := context.WithTimeout(context.Background(), batchTimeout)
+		ctx, cancel := context.WithTimeout(context.Background(), lateAnswerTimeout)
 		defer cancel()
-		_, _ = s.h.RPC.Call(ctx, p.Member.PeerAddr, kindLateAnswer, body) // if it is lost, the key's outcome stays unknown
+		for s.callLateAnswer(ctx, p.Member.PeerAddr, body) != nil {
+			if sleepContext(ctx, forwardRetryInterval) != nil {
+				return // the key's outcome stays unknown
+			}
+		}
 	}()
 }
 
+func (s *submitter) callLateAnswer(ctx context.Context, to netip.AddrPort, body []byte) error {
+	ctx, cancel := context.WithTimeout(ctx, batchTimeout)
+	defer cancel()
+	_, err := s.h.RPC.Call(ctx, to, kindLateAnswer, body)
+	return err
+}
+
 func (s *submitter) onLateAnswer(_ context.Context, _ netip.AddrPort, body []byte) ([]byte, error) {
 	l, err := ledger.DecodeLateAnswer(body)
 	if err != nil {
 		return nil, err
 	}
-	s.h.Post(s, ledgerEvent{l})
-	return nil, nil
+	reply := make(chan bool, 1)
+	s.h.Post(s, lateAnswerEvent{answer: l, reply: reply})
+	select {
+	case taken := <-reply:
+		return nil, lateAnswerError(taken)
+	case <-s.h.Done():
+		return nil, Error.New("this process stops")
+	}
+}
+
+func lateAnswerError(taken bool) error {
+	if taken {
+		return nil
+	}
+	return Error.New("this host does not decide about the key")
 }
 
 // proposeView submits a new view as an edit; if it is accepted, the view arrives with the tables.
--- a/src/ledger/ledger.go
+++ b/src/ledger/ledger.go
@@ -57,6 +57,13 @@
 // RecordCount returns the number of records held over all shards.
 func (l *Ledger) RecordCount() int { return l.recordCount }
 
+// IsPrimary reports whether this host is the primary of a shard.
+func (l *Ledger) IsPrimary(id chart.Shard) bool {
+	primary := false
+	l.withShard(id, func(s *shard) { primary = s.isPrimary() })
+	return primary
+}
+
 func (l *Ledger) withShard(id chart.Shard, f func(s *shard)) {
 	if id.Domain != l.cfg.Domain || id.Number < 0 || id.Number >= len(l.shards) {
 		return
