helm: a planned stop looks at the handover before what is in flight

What callers saw: nothing that was traced to it; found by reading, while looking for unknown/home-lost after planned stops (KNOWN-RED TestScript/stop).

Cause: Drain looked at what is in flight first and at the handover then. A handover that ended in between sets late answers in flight; the process ended without sending them, and their keys' outcome stayed unknown.

Why the change works: the late answers count as in flight before the handover counts as ended, so that reading in the opposite order sees one or the other.

--- a/src/helm/helm.go
+++ b/src/helm/helm.go
@@ -169,7 +169,8 @@
 	h.Post(nil, DrainStarted{})
 	began := time.Now()
 	limit := began.Add(h.Settings.Limits.Drain)
-	for h.busy() || (h.handoverPending() && time.Since(began) < handoverTimeout) {
+	// A handover that ends leaves late answers in flight, so that it is looked at first.
+	for (h.handoverPending() && time.Since(began) < handoverTimeout) || h.busy() {
 		if time.Now().After(limit) {
 			h.Log.Write(logbook.DrainTimedOut, logbook.F("inflight", h.inflight()))
 			return
