deck: the service-level report asks a host again while there is time

Cause: each host was asked once, and the report ended long before its 3 s. A call that joins a dial begun while the host was down, or that comes within 200 ms after it failed, fails although the host is up.

Why the change works: a host that is not marked failed is asked again until it answers or the report's 3 s are over. A host that is marked failed is asked once, as before.

--- a/src/deck/gauge.go
+++ b/src/deck/gauge.go
@@ -140,7 +140,7 @@
 			continue
 		}
 		wg.Go(func() {
-			rows, err := r.fetchRows(ctx, p.Member.PeerAddr)
+			rows, err := r.fetchRows(ctx, p)
 			mu.Lock()
 			defer mu.Unlock()
 			if err != nil {
@@ -154,12 +154,23 @@
 	return append(parts, r.localRows()), missing
 }
 
-func (r *recorder) fetchRows(ctx context.Context, addr netip.AddrPort) ([]gauge.Row, error) {
-	out, err := r.h.RPC.Call(ctx, addr, kindGaugeRows, nil)
-	if err != nil {
-		return nil, err
+// fetchRows asks a host until it answers or ctx ends; one that is marked failed is asked once.
+func (r *recorder) fetchRows(ctx context.Context, p roster.Peer) ([]gauge.Row, error) {
+	for {
+		out, err := r.callRows(ctx, p.Member.PeerAddr)
+		if err == nil {
+			return gauge.DecodeRows(out)
+		}
+		if p.Status == roster.Failed || sleepContext(ctx, forwardRetryInterval) != nil {
+			return nil, err
+		}
 	}
-	return gauge.DecodeRows(out)
+}
+
+func (r *recorder) callRows(ctx context.Context, addr netip.AddrPort) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, gaugeAttemptTimeout)
+	defer cancel()
+	return r.h.RPC.Call(ctx, addr, kindGaugeRows, nil)
 }
 
 func (r *recorder) listPeers() []roster.Peer {
--- a/src/deck/kinds.go
+++ b/src/deck/kinds.go
@@ -55,6 +55,7 @@
 	editRetryInterval       = 50 * time.Millisecond
 	forwardRetryInterval    = 25 * time.Millisecond
 	staleAfter              = 5 * time.Second
+	gaugeAttemptTimeout     = time.Second
 	gaugeSaveInterval       = 10 * time.Second
 	compactThreshold        = 4096 // log entries
 	raftQueueLength         = 256  // messages
