src: test binaries that run at the same time never share IP addresses

What was seen: a play of TestScript/stop counted 280 tasks started twice, and leave beside it failed as well: both ran in 127.96.0.0/16, as their process ids were equal modulo 250. Of two processes at one address, one cannot listen, and either test takes the other's process for its own.

Cause: the range of addresses was the process id modulo 250, with nothing to keep two test binaries apart.

Why the change works: each test binary listens at one address of its range for as long as it runs, and takes the next range if another one does so already. No check changes.

--- a/src/fleet_test.go
+++ b/src/fleet_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"fmt"
+	"net"
 	"net/netip"
 	"os"
 	"os/exec"
@@ -63,8 +64,23 @@
 // lastNetwork gives every fleet of a test binary IP addresses of its own.
 var lastNetwork atomic.Int32
 
-// runOctet keeps test binaries that run at the same time apart.
-func runOctet() byte { return byte(1 + os.Getpid()%250) }
+// octetLock is held by this test binary for as long as it runs.
+var octetLock net.Listener
+
+// runOctet keeps test binaries that run at the same time apart: each listens in its range of IP addresses, so that no other
+// takes the same one.
+var runOctet = sync.OnceValue(func() byte {
+	for i := range octets {
+		octet := byte(1 + (os.Getpid()+i)%octets)
+		var err error
+		if octetLock, err = net.Listen("tcp", fmt.Sprintf("127.%d.0.1:8080", octet)); err == nil {
+			return octet
+		}
+	}
+	panic("every range of IP addresses is in use")
+})
+
+const octets = 250
 
 // newFleet writes the settings of two processes in each of three failure domains, the first of each a state host.
 func newFleet(t require.TestingT, folder, program, placing string) *fleet {
