deck: a slow answer to a Raft message no longer holds up the messages after it

Cause: each state host sent its Raft messages to another one by one, each with a call whose answer it awaited for up to 500 ms. Where an answer takes longer than the 300 ms between heartbeats, messages arrive faster than they leave. In a trace (six hosts with GOMAXPROCS=1, six busy processes besides, load average 36 to 74 on 8 cores) up to 200 messages waited for one receiver, so that appends and their acknowledgements were tens of seconds old: leaders lost their followers, edits were accepted after their caller had gone. When the queue was full, the newest message was dropped. Two other likely causes were ruled out by the same trace: writes to disk took 0.1 to 0.7 s but not 10 s, and a leader was known most of the time.

Why the change works: up to 32 messages to one receiver are under way at a time, none waits for the answer to another, and of more than 32 that wait the oldest is dropped. Raft depends neither on the order of messages nor on each of them (TestSchedules in pilot delivers them in any order, twice or never).

--- a/src/deck/disk.go
+++ b/src/deck/disk.go
@@ -64,7 +64,7 @@
 	}
 }
 
-// queueMessage queues a message for its receiver and drops it if the queue is full; Raft retries lost messages.
+// queueMessage queues a message for its receiver. If the queue is full, the oldest message is dropped; Raft retries lost messages.
 func (s *stateHost) queueMessage(a pilot.Send) {
 	body, err := pilot.EncodeMessage(s.h.Settings.Name, a.Message)
 	if err != nil {
@@ -76,17 +76,39 @@
 		s.sendQueues[a.To] = queue
 		s.wg.Go(func() { s.runSender(a.To, queue) })
 	}
-	select {
-	case queue <- body:
-	default:
+	pushNewest(queue, body)
+}
+
+func pushNewest(queue chan []byte, body []byte) {
+	for {
+		select {
+		case queue <- body:
+			return
+		default:
+		}
+		select {
+		case <-queue:
+		default:
+		}
 	}
 }
 
+// runSender sends the messages to one receiver without waiting for the answer to one before it sends the next: a slow answer
+// would delay every later message, and the log would stand still. Raft does not depend on the order of messages.
 func (s *stateHost) runSender(to string, queue chan []byte) {
+	slots := make(chan struct{}, raftCallLimit)
 	for {
+		select {
+		case slots <- struct{}{}:
+		case <-s.h.Done():
+			return
+		}
 		select {
 		case body := <-queue:
-			s.sendMessage(to, body)
+			s.wg.Go(func() {
+				s.sendMessage(to, body)
+				<-slots
+			})
 		case <-s.h.Done():
 			return
 		}
--- a/src/deck/kinds.go
+++ b/src/deck/kinds.go
@@ -58,5 +58,6 @@
 	gaugeAttemptTimeout     = time.Second
 	gaugeSaveInterval       = 10 * time.Second
 	compactThreshold        = 4096 // log entries
-	raftQueueLength         = 256  // messages
+	raftQueueLength         = 32   // messages
+	raftCallLimit           = 32   // calls in flight to one receiver
 )
