drill: a failed scenario tells which submissions ended how, where and when

What was missing: TestScript/stop named the number of submissions that ended in a way it does not allow, and the logs of the hosts, but not which ones: without the host, the time and the reason of their answers a failure could not be traced.

The check is the same; it prints for each submission in question every answer with its time, host and reason.

--- a/src/drill/entry.go
+++ b/src/drill/entry.go
@@ -31,6 +31,9 @@
 	Status   int
 	Retry    time.Duration
 	Body     []byte
+	// Entry is the entry host that was asked, and At the time of its answer.
+	Entry string
+	At    time.Time
 }
 
 // Client speaks HTTP to entry hosts.
--- a/src/drill/load.go
+++ b/src/drill/load.go
@@ -180,6 +180,7 @@
 			return
 		}
 		r := l.client.Do(e.Addr, l.call(s))
+		r.Entry, r.At = e.Name, time.Now()
 		l.record(s, r, time.Since(began))
 		if !sendAgain(s.key != "", r) {
 			return
--- a/src/drill/summary.go
+++ b/src/drill/summary.go
@@ -24,6 +24,8 @@
 	Reasons map[string]int
 	// Codes counts the reasons of everything that was not done.
 	Codes map[string]int
+	// NotDone describes everything that was not done, by its code.
+	NotDone map[string][]string
 }
 
 // Passed reports whether every promise held.
--- a/src/drill/verify.go
+++ b/src/drill/verify.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"time"
 
 	"sesamecleat/src/hatchery"
 )
@@ -19,6 +20,10 @@
 	Tasks   []wireTask `json:"tasks"`
 }
 
+type wireReason struct {
+	Reason string `json:"reason"`
+}
+
 type wireJobRequest struct {
 	Tasks []wireTask `json:"tasks"`
 }
@@ -36,7 +41,7 @@
 func (l *Load) Verify() Summary {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	s := Summary{Codes: make(map[string]int), Reasons: make(map[string]int)}
+	s := Summary{Codes: make(map[string]int), Reasons: make(map[string]int), NotDone: make(map[string][]string)}
 	l.meter.fill(&s)
 	for _, sub := range l.subs {
 		l.verifyOne(sub, &s)
@@ -58,7 +63,9 @@
 		s.Unknown++
 	}
 	if final.Outcome != "done" {
-		s.Codes[final.Outcome+"/"+final.Code]++
+		code := final.Outcome + "/" + final.Code
+		s.Codes[code]++
+		s.NotDone[code] = append(s.NotDone[code], l.describe(sub))
 	}
 	l.verifyStarts(sub, s)
 	for _, r := range sub.replies {
@@ -121,7 +128,10 @@
 		text += fmt.Sprintf(" %s:%d", w.ID, l.book.Starts(w.ID))
 	}
 	for _, r := range sub.replies {
-		text += fmt.Sprintf(" [%s %s answered=%t]", r.Outcome, r.Code, r.Answered)
+		var body wireReason
+		_ = json.Unmarshal(r.Body, &body) // an answer without a reason is described without one
+		text += fmt.Sprintf(" [%s %s %s %s answered=%t %s]",
+			r.At.UTC().Format(time.RFC3339Nano), r.Entry, r.Outcome, r.Code, r.Answered, body.Reason)
 	}
 	return text
 }
--- a/src/script_test.go
+++ b/src/script_test.go
@@ -155,7 +155,7 @@
 	f := fleetOf(ts)
 	for _, code := range args {
 		if n := f.summary.Codes[code]; n > 0 {
-			ts.Fatalf("%d submissions ended %s: %v\n%s", n, code, f.summary.Codes, f.logs())
+			ts.Fatalf("%d submissions ended %s: %v\n%s\n%s", n, code, f.summary.Codes, strings.Join(f.summary.NotDone[code], "\n"), f.logs())
 		}
 	}
 }
