--- a/src/deck/kinds.go
+++ b/src/deck/kinds.go
@@ -46,6 +46,7 @@
 	membershipCheckInterval = 500 * time.Millisecond
 	announceRelayInterval   = time.Second
 	batchTimeout            = 500 * time.Millisecond
+	lateAnswerTimeout       = 5 * time.Second
 	raftTimeout             = 500 * time.Millisecond
 	followPollWait          = 2 * time.Second
 	followTimeout           = 3 * time.Second
@@ -54,7 +55,9 @@
 	editRetryInterval       = 50 * time.Millisecond
 	forwardRetryInterval    = 25 * time.Millisecond
 	staleAfter              = 5 * time.Second
+	gaugeAttemptTimeout     = time.Second
 	gaugeSaveInterval       = 10 * time.Second
 	compactThreshold        = 4096 // log entries
-	raftQueueLength         = 256  // messages
+	raftQueueLength         = 32   // messages
+	raftCallLimit           = 32   // calls in flight to one receiver
 )
