convoy: a run that has not begun goes on at the next incarnation of its worker

Cause: with one number a task, the run was given up as soon as a new incarnation did not list it.

Why it works: the new incarnation refuses the former orders under its token and takes the number still, as nothing of it has begun or ended there; so the start is repeated there under the same number. A run that is known to have begun is given up, and so is one that the new incarnation has no room or label for.

--- a/src/convoy/hold.go
+++ b/src/convoy/hold.go
@@ -129,6 +129,9 @@
 			continue
 		}
 		switch {
+		case r.state == runUnconfirmed && r.token < w.holdToken && w.canBegin(r):
+			// The worker refuses the former orders now, and takes the number still.
+			r.token, r.address, r.state = w.holdToken, w.target.Address, runStarting
 		case r.state == runUnconfirmed && (r.token < w.holdToken || !r.mayComeLate()):
 			p.removeRun(now, w, r, true)
 		case r.state == runUnconfirmed && r.task != nil:
--- a/src/convoy/incarnation.go
+++ b/src/convoy/incarnation.go
@@ -63,6 +63,15 @@
 	p.emit(CloseConnections{ID: w.target.ID})
 }
 
+// canBegin reports whether a run that is not known to have begun can do so at the worker as it is now.
+func (w *worker) canBegin(r *run) bool {
+	if r.task == nil || r.accepted || r.listed || w.target.Leaving || w.target.Expired {
+		return false
+	}
+	j := r.task.job
+	return w.target.Pool == j.Pool && w.hasLabel(j.Steps[r.task.step].Label) && r.need.Fits(w.target.Capacity)
+}
+
 // probeBackoffLimit returns the longest backoff between hold requests to a worker that does not answer. A worker with runs that
 // may not have begun must learn the new token soon after a restart.
 func (w *worker) probeBackoffLimit() time.Duration {
--- a/src/convoy/repeat_test.go
+++ b/src/convoy/repeat_test.go
@@ -25,6 +25,30 @@
 	}
 }
 
+// A restart of the worker must not cost the caller its job where the number of the run is still free.
+func TestUnansweredStartIsRepeatedAtRestartedWorker(t *testing.T) {
+	b := newBench(t, "w0", "w1")
+	s := b.submit("a")
+	id := s.Target.ID
+	b.leaveUnanswered(s)
+	b.step(StartResult{ID: id, Key: s.Key, Token: s.Token, Result: Unanswered})
+	b.starts()
+	b.now = b.now.Add(time.Millisecond)
+	b.step(WorkerListed{Target: b.target(id, 2)})
+	b.wait(2 * overdueOrder)
+	require.Empty(t, b.starts())
+	b.answerHold(id, Report{Incarnation: 2, Clock: 5})
+	b.wait(2 * overdueOrder)
+	repeated := b.starts()
+	require.NotEmpty(t, repeated)
+	require.Equal(t, s.Key, repeated[0].Key)
+	require.Equal(t, id, repeated[0].Target.ID)
+	require.Greater(t, repeated[0].Token, s.Token)
+	b.step(StartResult{ID: id, Key: s.Key, Token: repeated[0].Token, Result: Accepted})
+	b.answerHold(id, Report{Incarnation: 2, Clock: 500, Ends: []EndReport{{Number: 1, Key: s.Key}}})
+	require.Equal(t, []Outcome{Completed}, b.outcomesOf("a", 0))
+}
+
 // The first of two orders may come late although the second was answered: however its run ends, the task gets no other number.
 func TestTaskWithLateStartGetsNoOtherNumber(t *testing.T) {
 	tests := map[string]struct {
