convoy: a late start reported while a job is queued keeps it from starting

What callers could see: a task twice at once. A caller whose planner was lost comes back to another one, its job waits there for capacity, and the report of a late start of it, told by a host that noticed the loss, arrives meanwhile.

Cause: the notes were looked at when the job was handed in, not when its first task was started.

Why it works: they are looked at before the first start, and the job is answered as lost then.

--- a/src/convoy/place.go
+++ b/src/convoy/place.go
@@ -53,6 +53,10 @@
 				*smallest = min(*smallest, s.Need.Milli)
 				break
 			}
+			if late, ok := p.mayStartLate(now, j.Job); ok && !j.started {
+				p.endJob(now, j, Lost, late.cause, late.reason, 0)
+				return
+			}
 			p.startRun(now, w, t, p.predictRunTime(now, w, j, s))
 		}
 	}
