convoy: a start that stays unanswered is reported also where it is not repeated

What callers could see: a task twice at once. A worker starts again or drains and is silent, its planner dies, and the caller's next planner runs the task beside the start that a later incarnation carries out.

Cause: a job was reported with the repetition of its start; a start whose worker is not in use is not repeated.

Why it works: the first unanswered order is reported, whatever the planner does next, for a run in any state.

--- a/src/convoy/start.go
+++ b/src/convoy/start.go
@@ -39,6 +39,9 @@
 	r, ok := w.runs[e.Key]
 	if ok {
 		r.countAnswer(e.Result)
+		if e.Result == Unanswered {
+			p.noteLateStart(now, r.job)
+		}
 	}
 	if !ok || r.state != runStarting {
 		p.handleRefusal(now, w, e.Token, e.Result)
