convoy: repeated starts back off

What operators could see: a worker that answers no start got 25 orders a second for each of its tasks, as long as their jobs lasted, and as many as the network took where connections to it break at once.

Why it works: the interval between the orders of a start grows by 40 ms with each, up to 200 ms; only the first repetition goes out at once. A worker that comes back is ordered at once.

--- a/src/convoy/hold.go
+++ b/src/convoy/hold.go
@@ -125,25 +125,31 @@
 		return
 	}
 	for _, r := range sortedRuns(w) {
-		if listed[r.key] || !r.startedAt.Before(e.Sent) {
-			continue
-		}
 		switch {
-		case r.state == runUnconfirmed && r.token < w.holdToken && w.canBegin(r):
-			// The worker refuses the former orders now, and takes the number still.
-			r.token, r.address, r.state = w.holdToken, w.target.Address, runStarting
-		case r.state == runUnconfirmed && (r.token < w.holdToken || !r.mayComeLate()):
-			p.removeRun(now, w, r, true)
-		case r.state == runUnconfirmed && r.task != nil:
-			p.loseLateStart(now, w, r, r.task)
+		case listed[r.key] || !r.startedAt.Before(e.Sent):
 		case r.state == runUnconfirmed:
-			p.orderStop(now, w, r)
+			p.settleUnconfirmed(now, w, r)
 		case r.state == runActive, r.state == runStopping && (r.listed || r.token < w.holdToken):
 			p.restartTask(now, w, r, "the worker no longer lists it")
 		}
 	}
 }
 
+// settleUnconfirmed settles a run of which the worker lists nothing, neither that it is active nor that it has ended.
+func (p *Planner) settleUnconfirmed(now time.Time, w *worker, r *run) {
+	switch {
+	case r.token < w.holdToken && w.canBegin(r):
+		// The worker refuses the former orders now, and takes the number still.
+		r.token, r.address, r.state, r.orderedAt = w.holdToken, w.target.Address, runStarting, time.Time{}
+	case r.token < w.holdToken || !r.mayComeLate():
+		p.removeRun(now, w, r, true)
+	case r.task != nil:
+		p.loseLateStart(now, w, r, r.task)
+	default:
+		p.orderStop(now, w, r)
+	}
+}
+
 func sortedRuns(w *worker) []*run {
 	out := make([]*run, 0, len(w.runs))
 	for _, r := range w.runs {
--- a/src/convoy/repeat_test.go
+++ b/src/convoy/repeat_test.go
@@ -121,3 +121,38 @@
 		})
 	}
 }
+
+// A worker that answers no start must not be flooded with orders for as long as the job lasts.
+func TestRepeatedStartsOfMuteWorkerAreBounded(t *testing.T) {
+	tests := map[string]struct {
+		// answerAfter is when each order is given up; 0 means not within the test.
+		answerAfter time.Duration
+	}{
+		"orders are given up":       {answerAfter: 100 * time.Millisecond},
+		"no order is given up":      {},
+		"connections break at once": {answerAfter: tickInterval},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t, "w0")
+			s := b.submit("a")
+			b.p.workers["w0"].silentAt = b.now
+			open := []time.Time{b.now}
+			orders := 1
+			for range 100 {
+				b.waitAnswered(tickInterval)
+				b.p.workers["w0"].silentAt = b.now
+				for tt.answerAfter > 0 && len(open) > 0 && b.now.Sub(open[0]) >= tt.answerAfter {
+					open = open[1:]
+					b.step(StartResult{ID: "w0", Key: s.Key, Token: s.Token, Result: Unanswered})
+				}
+				for range b.starts() {
+					orders++
+					open = append(open, b.now)
+				}
+			}
+			require.Greater(t, orders, 8)
+			require.Less(t, orders, 30)
+		})
+	}
+}
--- a/src/convoy/start.go
+++ b/src/convoy/start.go
@@ -59,7 +59,7 @@
 		r.startedAt = now
 		p.logDecision(DecisionStartUnanswered, jobID(r.key), w.target.ID, fmt.Sprintf(
 			"%s run %d under token %d", r.key.Task, r.key.Run, r.token))
-		if r.unsettled() == 0 {
+		if r.orders == 1 || (r.task == nil && r.unsettled() == 0) {
 			p.repeatStart(now, w, r)
 		}
 		return
@@ -118,7 +118,7 @@
 		}
 		return
 	}
-	if r.token != w.token || w.target.Leaving || w.target.Expired {
+	if !w.mayStillStart(r) {
 		// The worker lists the run next time, or it is given up.
 		r.state = runUnconfirmed
 		return
@@ -133,10 +133,19 @@
 	p.emit(Start{Target: w.target, Token: w.token, Key: r.key, Spec: r.task.job.Spec, Lease: w.grantLease(now, lease)})
 }
 
+// mayStillStart reports whether a run may be ordered again at the worker as it is now.
+func (w *worker) mayStillStart(r *run) bool {
+	return r.task != nil && r.token == w.token && !w.target.Leaving && !w.target.Expired
+}
+
 // repeatOverdueStarts repeats the starts that were refused or given up, and at a worker that loses orders those that are overdue.
 func (p *Planner) repeatOverdueStarts(now time.Time, w *worker) {
 	for _, r := range sortedRuns(w) {
-		if r.state == runStarting && now.Sub(r.orderedAt) >= overdueOrder && (r.unsettled() == 0 || w.losesOrders(now)) {
+		interval := overdueOrder
+		if w.mayStillStart(r) {
+			interval = min(time.Duration(r.orders)*overdueOrder, maxRepeatInterval)
+		}
+		if r.state == runStarting && now.Sub(r.orderedAt) >= interval && (r.unsettled() == 0 || w.losesOrders(now)) {
 			p.repeatStart(now, w, r)
 		}
 	}
--- a/src/convoy/tuning.go
+++ b/src/convoy/tuning.go
@@ -41,6 +41,9 @@
 	// overdueOrder is how much later than expected the answer of such a worker may be before it is asked again: ten round trips,
 	// two fifths of the time after which an order is given up.
 	overdueOrder = 40 * time.Millisecond
+	// maxRepeatInterval bounds the interval between the orders of a start, which grows by overdueOrder with each: a worker that leaves
+	// so many without an answer is answered by few more.
+	maxRepeatInterval = 200 * time.Millisecond
 	// minProbeBackoff and maxProbeBackoff bound the backoff between hold requests to a worker that does not answer.
 	minProbeBackoff = 100 * time.Millisecond
 	maxProbeBackoff = 2 * time.Second
