convoy: simulations repeat reports of late starts with each heartbeat

A planner reports a job as long as a start of it may come, and the others prolong what they note with each heartbeat; the harsh schedules sent a report only when its list had changed, as processes did before the mend.

--- a/src/convoy/harsh_test.go
+++ b/src/convoy/harsh_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -127,6 +128,7 @@
 		sim.addWorker(fmt.Sprintf("w%d", i), "d", 32_000, 0.6+0.2*float64(i%4))
 	}
 	sim.step(0, PartClaimed{Part: "d", Token: f.token(time.Duration(seed%2)*time.Minute, 0)})
+	sim.repeatLateStarts()
 	every := func(d time.Duration, do func()) {
 		if d > 0 {
 			sim.every(d, func() {
@@ -221,8 +223,22 @@
 	}
 }
 
+// repeatLateStarts tells each planner the late starts of the others with each heartbeat.
+func (sim *simulation) repeatLateStarts() {
+	sim.every(sim.heartbeatInterval, func() {
+		for i, p := range sim.planners {
+			jobs := slices.Clone(p.LateStarts())
+			for k := range sim.planners {
+				if k != i {
+					sim.after(sim.heartbeatInterval/2, func() { sim.step(k, LateStartsReported{Jobs: jobs}) })
+				}
+			}
+		}
+	})
+}
+
 // kill replaces the part's planner by one that knows nothing, and gives the part to any of the planners when the others have
-// noticed. They repeat their late starts with each heartbeat, so that the new one learns them.
+// noticed.
 func (f *fleet) kill() {
 	i := f.owner
 	p := NewPlanner(f.sim.planners[i].tuning)
@@ -232,11 +248,6 @@
 		for _, id := range f.workerIDs() {
 			f.sim.step(i, WorkerListed{Target: f.sim.workers[id].target})
 		}
-		for k, other := range f.sim.planners {
-			if k != i {
-				f.sim.step(i, LateStartsReported{Jobs: other.LateStarts()})
-			}
-		}
 	})
 	f.sim.after(300*time.Millisecond+f.sim.upTo(600*time.Millisecond), func() {
 		if f.owner == i {
--- a/src/convoy/unanswered_test.go
+++ b/src/convoy/unanswered_test.go
@@ -32,6 +32,7 @@
 	sim.step(0, PartClaimed{Part: "d", Token: y.token(0, 0)})
 	sim.step(1, PartClaimed{Part: "e", Token: y.token(0, 1)})
 	sim.raise = y.raise
+	sim.repeatLateStarts()
 	sim.run(200 * time.Millisecond)
 	sim.ignored = y.isLost
 	return y
@@ -81,6 +82,10 @@
 	}{
 		"no order is answered until it is stopped": {lost: early},
 		"no start is answered for long":            {lost: func(_ int, since time.Duration) bool { return since < 6*time.Second }},
+		"no start is answered for long and the job is cancelled": {
+			lost:  func(_ int, since time.Duration) bool { return since < 7*time.Second },
+			after: 7 * time.Second, happens: (*unansweredYard).cancelJob,
+		},
 		"the worker is silent for a moment": {lost: early, happens: func(y *unansweredYard) {
 			y.silent = y.sim.now.Add(700 * time.Millisecond)
 		}},
