convoy: test for planners that die with a start at a silent worker

Seen in a case of its own, on the code with one number a task: a start is not answered, its worker restarts or drains meanwhile and is silent, and its planner dies 0.7 s later. The others were not told, since the start was not repeated, and start the job 1.3 s later while the order may come.

--- a/src/convoy/unanswered_test.go
+++ b/src/convoy/unanswered_test.go
@@ -142,6 +142,26 @@
 			y.kill()
 			y.moveTo(1, false)
 		}},
+		"the worker restarts and is silent and its planner dies": {lost: early, after: 50 * time.Millisecond, happens: func(y *unansweredYard) {
+			y.sim.restart(y.worker, 0)
+			y.silent = y.sim.now.Add(3 * time.Second)
+			y.sim.after(700*time.Millisecond, func() {
+				y.owner = 0
+				y.kill()
+				y.moveTo(1, false)
+			})
+		}},
+		"the worker drains and is silent and its planner dies": {lost: early, after: 50 * time.Millisecond, happens: func(y *unansweredYard) {
+			y.worker.target.Leaving = true
+			y.worker.target.Sequence++
+			y.all(WorkerListed{Target: y.worker.target})
+			y.silent = y.sim.now.Add(3 * time.Second)
+			y.sim.after(700*time.Millisecond, func() {
+				y.owner = 0
+				y.kill()
+				y.moveTo(1, false)
+			})
+		}},
 		"its planner dies while its repetition runs": {lost: first, after: 600 * time.Millisecond, happens: func(y *unansweredYard) {
 			y.kill()
 			y.moveTo(1, false)
