--- a/src/wharf/plan.go
+++ b/src/wharf/plan.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/netip"
-	"slices"
 	"time"
 
 	"github.com/alitto/pond/v2"
@@ -43,8 +42,8 @@
 	freeSlots int
 	slots     int
 	waiting   map[string]int
-	// lateStarts is what this process tells of its planner's late starts.
-	lateStarts []uint32
+	// lateStarts is what this process tells of late starts.
+	lateStarts lateStartReport
 	metrics    *plannerMetrics
 	// targets is what this process has learned of targets, for processes that start while no registry host is
 	// reachable.
@@ -78,7 +77,7 @@
 		orders: pond.NewPool(maxOrders), waiters: make(map[jobKey]waiter), cancelled: make(map[jobKey]cancelledOffer),
 		revisions: make(map[processRun]uint64), fetching: make(map[processRun]bool),
 		lastFetch: make(map[processRun]time.Time), metrics: newPlannerMetrics(h.Metrics),
-		targets: newTargetList(h),
+		targets: newTargetList(h), lateStarts: lateStartReport{lost: make(map[uint32]time.Time)},
 	}
 }
 
@@ -134,6 +133,9 @@
 		p.step(now, convoy.Stopping{})
 	case targetsChangedEvent:
 		p.targets.Handle(now, ev)
+	case plannerLostEvent:
+		p.lateStarts.takeOver(now, e.jobs)
+		p.step(now, convoy.LateStartsReported{Jobs: e.jobs})
 	case fleetEvent:
 		p.onFleetAction(now, e.action)
 	}
@@ -146,6 +148,7 @@
 	case flotilla.PartYielded:
 		p.step(now, convoy.HandoverRequested{Part: a.Part})
 	case flotilla.PeerFailed:
+		p.lateStarts.takeOver(now, a.Peer.Member.LateStarts)
 		p.step(now, convoy.HostLost{Host: a.Peer.Member.Name})
 	case flotilla.PeerNotReceiving:
 		p.step(now, convoy.HostLost{Host: a.Peer.Member.Name})
@@ -173,17 +176,14 @@
 		p.execute(now, a)
 	}
 	p.publishLoad()
-	p.publishLateStarts()
+	p.publishLateStarts(now)
 }
 
-// publishLateStarts announces the planner's late starts to the other planners, well within the pause of a caller that comes back.
-func (p *plan) publishLateStarts() {
-	late := p.planner.LateStarts()
-	if slices.Equal(late, p.lateStarts) {
-		return
+// publishLateStarts announces late starts to the other planners, well within the pause of a caller that comes back.
+func (p *plan) publishLateStarts(now time.Time) {
+	if late, changed := p.lateStarts.update(now, p.planner.LateStarts()); changed {
+		p.h.Fleet.UpdateSelf(func(m *flotilla.Member) { m.LateStarts = late })
 	}
-	p.lateStarts = late
-	p.h.Fleet.UpdateSelf(func(m *flotilla.Member) { m.LateStarts = late })
 }
 
 // publishLoad updates the metrics and announces this planner's free slots to the entry hosts.
