--- a/src/convoy/harsh_test.go
+++ b/src/convoy/harsh_test.go
@@ -223,26 +223,50 @@
 	}
 }
 
-// repeatLateStarts tells each planner the late starts of the others with each heartbeat.
+// repeatLateStarts tells each planner the late starts of the others with each heartbeat, and those that they took over.
 func (sim *simulation) repeatLateStarts() {
+	sim.heard, sim.takenOver = make(map[int][]uint32), make(map[*Planner]map[uint32]time.Time)
 	sim.every(sim.heartbeatInterval, func() {
 		for i, p := range sim.planners {
 			jobs := slices.Clone(p.LateStarts())
-			for k := range sim.planners {
-				if k != i {
-					sim.after(sim.heartbeatInterval/2, func() { sim.step(k, LateStartsReported{Jobs: jobs}) })
+			for job, until := range sim.takenOver[p] {
+				if sim.now.Before(until) {
+					jobs = append(jobs, job)
 				}
 			}
+			sim.after(sim.heartbeatInterval/2, func() {
+				sim.heard[i] = jobs
+				for k := range sim.planners {
+					if k != i {
+						sim.step(k, LateStartsReported{Jobs: jobs})
+					}
+				}
+			})
 		}
 	})
 }
 
-// kill replaces the part's planner by one that knows nothing, and gives the part to any of the planners when the others have
-// noticed.
+// takeOver makes a planner go on with the reports of a dead one.
+func (sim *simulation) takeOver(p *Planner, jobs []uint32) {
+	if sim.takenOver[p] == nil {
+		sim.takenOver[p] = make(map[uint32]time.Time)
+	}
+	for _, job := range jobs {
+		sim.takenOver[p][job] = sim.now.Add(lateOrderLimit)
+	}
+}
+
+// kill replaces the part's planner by one that knows nothing. When the others have noticed, they go on with its reports, an entry
+// host reports the jobs that it has lost with it, unless it had nothing to report, and the part is given to any of the planners.
 func (f *fleet) kill() {
-	i := f.owner
-	p := NewPlanner(f.sim.planners[i].tuning)
-	f.sim.planners[i] = p
+	i, heard := f.owner, f.sim.heard[f.owner]
+	var pending []uint32
+	for id, c := range f.callers {
+		if c.at == i && c.waits {
+			pending = append(pending, JobHash(id))
+		}
+	}
+	f.sim.planners[i] = NewPlanner(f.sim.planners[i].tuning)
 	delete(f.sim.lateStarts, i)
 	f.sim.after(200*time.Millisecond, func() {
 		for _, id := range f.workerIDs() {
@@ -250,6 +274,15 @@
 		}
 	})
 	f.sim.after(300*time.Millisecond+f.sim.upTo(600*time.Millisecond), func() {
+		for k, other := range f.sim.planners {
+			if k != i {
+				f.sim.takeOver(other, heard)
+			}
+		}
+		if entry := (i + 1) % len(f.sim.planners); len(heard) > 0 {
+			f.sim.takeOver(f.sim.planners[entry], pending)
+			f.sim.step(entry, LateStartsReported{Jobs: pending})
+		}
 		if f.owner == i {
 			f.moveTo(f.sim.rng.IntN(len(f.sim.planners)), false)
 		}
--- a/src/convoy/numbers_test.go
+++ b/src/convoy/numbers_test.go
@@ -43,6 +43,9 @@
 	delayed map[string][]func()
 	// slowRate is the share of orders and of answers that take up to 120 ms and overtake each other.
 	slowRate float64
+	// heard holds what each planner has last told the others of late starts, takenOver what each goes on to tell for a dead one.
+	heard     map[int][]uint32
+	takenOver map[*Planner]map[uint32]time.Time
 	// ignored says whether an order, given by the event that reports that it is unanswered, gets lost.
 	ignored func(Event) bool
 }
