--- a/src/convoy/start.go
+++ b/src/convoy/start.go
@@ -38,10 +38,7 @@
 	}
 	r, ok := w.runs[e.Key]
 	if ok {
-		r.countAnswer(e.Result)
-		if e.Result == Unanswered {
-			p.noteLateStart(now, r.job)
-		}
+		p.countAnswer(now, r, e.Result)
 	}
 	if !ok || r.state != runStarting {
 		p.handleRefusal(now, w, e.Token, e.Result)
@@ -99,9 +96,10 @@
 }
 
 // countAnswer counts the answer to a start order, or that none came.
-func (r *run) countAnswer(v OrderResult) {
+func (p *Planner) countAnswer(now time.Time, r *run, v OrderResult) {
 	if v == Unanswered {
 		r.unanswered++
+		p.noteLateStart(now, r.job)
 		return
 	}
 	r.answered++
