convoy: an accepted start is not over by lists that the worker made before

What callers could see: a task twice at once, without any late order. The worker drains, or the token of its planner is raised, while a start is on its way; the start is accepted, the worker's earlier lists do not have it, and the task is started elsewhere.

Cause: a run was taken for unconfirmed while an order of it had not been answered, and the answer that came then was not looked at.

Why it works: a run is unconfirmed only when no order of it is on its way, and an accepted start makes it active from then on.

--- a/src/convoy/start.go
+++ b/src/convoy/start.go
@@ -40,18 +40,15 @@
 	if ok {
 		p.countAnswer(now, r, e.Result)
 	}
+	if ok && e.Result == Accepted {
+		p.handleAccepted(now, w, r)
+		return
+	}
 	if !ok || r.state != runStarting {
 		p.handleRefusal(now, w, e.Token, e.Result)
 		return
 	}
 	switch e.Result {
-	case Accepted:
-		r.state = runActive
-		r.startedAt = now
-		if r.task == nil {
-			p.orderStop(now, w, r)
-		}
-		return
 	case Unanswered:
 		r.startedAt = now
 		p.logDecision(DecisionStartUnanswered, jobID(r.key), w.target.ID, fmt.Sprintf(
@@ -81,6 +78,21 @@
 	p.handleRefusal(now, w, e.Token, e.Result)
 }
 
+// handleAccepted handles the acceptance of a start. Lists that the worker made before do not tell that the run is over.
+func (p *Planner) handleAccepted(now time.Time, w *worker, r *run) {
+	if r.state != runStarting && r.state != runUnconfirmed {
+		return
+	}
+	r.startedAt = now
+	switch {
+	case r.task == nil:
+		r.state = runActive
+		p.orderStop(now, w, r)
+	case r.stopSentAt.IsZero():
+		r.state = runActive
+	}
+}
+
 // handleLateRefusal handles the refusal of an order while another order of the run may still be carried out, or has been.
 func (p *Planner) handleLateRefusal(now time.Time, w *worker, r *run, e StartResult) {
 	switch {
@@ -118,7 +130,9 @@
 	}
 	if !w.mayStillStart(r) {
 		// The worker lists the run next time, or it is given up.
-		r.state = runUnconfirmed
+		if r.unsettled() == 0 {
+			r.state = runUnconfirmed
+		}
 		return
 	}
 	lease := p.leaseFor(now, w)
