convoy: a start is repeated only where its first order could go

What callers could see: a worker over its capacity, a start at a worker of another pool, and with an order to a former address a task twice at once.

Cause: a repetition did not look at what the first order looks at: runs of other planners on the worker, the pool, label and room of a worker that came back as another kind, and its address, at which a late order may still arrive.

Why it works: nothing is repeated beside an orphaned run, at a worker that does not suit or whose runs do not fit together, and a run goes on at the next incarnation only at the same address; else it is settled as lost.

Evidence: TestStartIsNotRepeatedBesideOrphan; TestStartIsNotRepeatedAtOtherKindOfWorker, the cases too small for both and at another address. Both are red without it.

--- a/src/convoy/incarnation.go
+++ b/src/convoy/incarnation.go
@@ -65,11 +65,16 @@
 
 // canBegin reports whether a run that is not known to have begun can do so at the worker as it is now.
 func (w *worker) canBegin(r *run) bool {
-	if r.task == nil || r.accepted || r.listed || w.target.Leaving || w.target.Expired {
+	return r.task != nil && !r.accepted && !r.listed && r.address == w.target.Address && w.suits(r)
+}
+
+// suits reports whether a worker as it is now may run what is ordered there.
+func (w *worker) suits(r *run) bool {
+	if w.target.Leaving || w.target.Expired {
 		return false
 	}
 	j := r.task.job
-	return w.target.Pool == j.Pool && w.hasLabel(j.Steps[r.task.step].Label) && r.need.Fits(w.target.Capacity)
+	return w.target.Pool == j.Pool && w.hasLabel(j.Steps[r.task.step].Label) && w.used.Fits(w.target.Capacity)
 }
 
 // probeBackoffLimit returns the longest backoff between hold requests to a worker that does not answer. A worker with runs that
--- a/src/convoy/settle_test.go
+++ b/src/convoy/settle_test.go
@@ -1,12 +1,15 @@
 package convoy
 
 import (
+	"net/netip"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 )
 
+var otherAddress = netip.MustParseAddrPort("10.0.0.9:80")
+
 // leaveOneUnanswered leaves the first start order of a job unanswered; its repetition is on its way.
 func (b *bench) leaveOneUnanswered(job string) Start {
 	s := b.submit(job)
@@ -54,3 +57,67 @@
 		}
 	}
 }
+
+// A repeated start must not bring a worker over its capacity, nor renew the lease of runs that are to end.
+func TestStartIsNotRepeatedBesideOrphan(t *testing.T) {
+	b := newBench(t, "w0")
+	s := b.leaveOneUnanswered("a")
+	b.starts()
+	b.answerHold("w0", Report{Incarnation: 1, Clock: 900_003, Runs: []RunReport{{Key: RunKey{Task: "z.0.0.0", Run: 1}}}})
+	b.step(StartResult{ID: "w0", Key: s.Key, Token: s.Token, Result: Unanswered})
+	b.wait(maxRepeatInterval + tickInterval)
+	require.Empty(t, b.starts())
+	b.answerHold("w0", Report{Incarnation: 1, Clock: 900_300})
+	b.wait(tickInterval)
+	require.NotEmpty(t, b.starts())
+}
+
+// A worker that comes back as another kind must not get the starts that the former one left unanswered.
+func TestStartIsNotRepeatedAtOtherKindOfWorker(t *testing.T) {
+	tests := map[string]func(t *Target){
+		"another pool":       func(t *Target) { t.Pool = "other" },
+		"too small":          func(t *Target) { t.Capacity.Milli = 1000 },
+		"too small for both": func(t *Target) { t.Capacity.Milli = 15_000 },
+		"at another address": func(t *Target) { t.Address = otherAddress },
+		"draining":           func(t *Target) { t.Leaving = true },
+	}
+	for name, change := range tests {
+		for _, listed := range []string{"before it answers", "after it has answered"} {
+			t.Run(name+", listed "+listed, func(t *testing.T) {
+				b := newBench(t, "w0")
+				starts := []Start{b.submit("a"), b.submit("b")}
+				for _, s := range starts {
+					b.step(StartResult{ID: "w0", Key: s.Key, Token: s.Token, Result: Unanswered})
+				}
+				b.now = b.now.Add(10 * time.Millisecond)
+				if listed == "before it answers" {
+					b.relist("w0", 2, change)
+				} else {
+					b.answerHold("w0", Report{Incarnation: 2, Clock: 5})
+				}
+				for _, s := range starts {
+					b.step(StartResult{ID: "w0", Key: s.Key, Token: s.Token, Result: Unanswered})
+				}
+				b.starts()
+				if listed != "before it answers" {
+					b.relist("w0", 2, change)
+				}
+				for range 3 {
+					b.wait(maxRepeatInterval)
+					if b.p.workers["w0"] != nil {
+						b.answerHold("w0", Report{Incarnation: 2, Clock: 20})
+					}
+				}
+				keys := make(map[RunKey]bool)
+				for _, s := range b.starts() {
+					keys[s.Key] = true
+				}
+				if name == "too small for both" {
+					require.LessOrEqual(t, len(keys), 1)
+				} else {
+					require.Empty(t, keys)
+				}
+			})
+		}
+	}
+}
--- a/src/convoy/start.go
+++ b/src/convoy/start.go
@@ -136,7 +136,7 @@
 		return
 	}
 	lease := p.leaseFor(now, w)
-	if w.phase != phaseReady || lease < minStartLease {
+	if w.phase != phaseReady || len(w.orphans) > 0 || lease < minStartLease {
 		return
 	}
 	r.orders++
@@ -147,7 +147,7 @@
 
 // mayStillStart reports whether a run may be ordered again at the worker as it is now.
 func (w *worker) mayStillStart(r *run) bool {
-	return r.task != nil && r.token == w.token && !w.target.Leaving && !w.target.Expired
+	return r.task != nil && r.token == w.token && w.suits(r)
 }
 
 // repeatOverdueStarts repeats the starts that were refused or given up, and at a worker that loses orders those that are overdue.
