convoy: a refusal at a former address ends no run at the new one

What callers could see: a task twice at once. A worker is listed at another address, and an order that was on its way to the former one is refused by whoever has it now; the worker was removed and what runs at its new address started elsewhere.

Cause: the answer to an order does not tell the address, and the check of the runs' addresses misses the run that was refused.

Why it works: a change of address raises the worker's token, and refusals of orders under a lower token say nothing of it.

Evidence: TestRefusalAtFormerAddressEndsNoRun, red without it.

--- a/src/convoy/hold.go
+++ b/src/convoy/hold.go
@@ -273,6 +273,8 @@
 	case former != 0 && t.Incarnation != 0 && t.Incarnation != former:
 		p.beginIncarnation(now, w, former)
 	case moved:
+		// A refusal by whoever has the former address says nothing of this worker.
+		w.token += p.tuning.TokenStep
 		p.contactAnew(now, w)
 	}
 }
--- a/src/convoy/settle_test.go
+++ b/src/convoy/settle_test.go
@@ -121,3 +121,21 @@
 		}
 	}
 }
+
+// Whoever has the former address of a worker must not end what runs at its new one.
+func TestRefusalAtFormerAddressEndsNoRun(t *testing.T) {
+	b := newBench(t, "w0")
+	former := b.submit("a")
+	b.relist("w0", 1, func(t *Target) { t.Address = otherAddress })
+	b.answerHold("w0", Report{Incarnation: 1, Clock: 900_005})
+	s := b.submit("b")
+	b.step(StartResult{ID: "w0", Key: s.Key, Token: s.Token, Result: Accepted})
+	b.step(WorkerListed{Target: b.target("w1", 1)})
+	b.answerHold("w1", Report{Incarnation: 1, Clock: 900_000})
+	b.starts()
+	b.step(StartResult{ID: "w0", Key: former.Key, Token: former.Token, Result: WrongIncarnation})
+	for _, again := range b.starts() {
+		require.NotEqual(t, s.Key.Task, again.Key.Task)
+	}
+	require.Contains(t, b.p.workers["w0"].runs, s.Key)
+}
