convoy: a late start that is ordered again is told again

What callers could see: a task twice at once, at a planner with more than 128 late starts: one that had left the report and is ordered again is told to nobody.

Cause: the report was made anew for new jobs only.

Why it works: it is made anew whenever a job that is noted is not in it.

Evidence: TestProlongedLateStartIsTold, red without it.

--- a/src/convoy/latestart.go
+++ b/src/convoy/latestart.go
@@ -39,9 +39,8 @@
 		return
 	}
 	hash := JobHash(j.ID)
-	_, known := p.lateStarts[hash]
 	p.lateStarts[hash] = now.Add(lateOrderLimit)
-	if !known {
+	if _, reported := slices.BinarySearch(p.lateReport, hash); !reported {
 		p.updateLateReport()
 	}
 }
--- a/src/convoy/settle_test.go
+++ b/src/convoy/settle_test.go
@@ -1,6 +1,7 @@
 package convoy
 
 import (
+	"fmt"
 	"net/netip"
 	"testing"
 	"time"
@@ -139,3 +140,17 @@
 	}
 	require.Contains(t, b.p.workers["w0"].runs, s.Key)
 }
+
+// A late start that is ordered again must be told again, however many others there are.
+func TestProlongedLateStartIsTold(t *testing.T) {
+	p := NewPlanner(Tuning{TokenStep: tokenStep})
+	now := time.Unix(1_700_000_000, 0)
+	first := &job{Job: Job{ID: "first"}}
+	p.noteLateStart(now, first)
+	for i := range maxLateStarts {
+		p.noteLateStart(now.Add(time.Duration(i+1)*time.Millisecond), &job{Job: Job{ID: fmt.Sprint(i)}})
+	}
+	require.NotContains(t, p.LateStarts(), JobHash("first"))
+	p.noteLateStart(now.Add(10*time.Second), first)
+	require.Contains(t, p.LateStarts(), JobHash("first"))
+}
