--- a/src/convoy/bound_test.go
+++ b/src/convoy/bound_test.go
@@ -54,8 +54,9 @@
 }
 
 func TestJobBoundToWorkerOutOfReachIsGivenUp(t *testing.T) {
-	// list lets the worker answer that it runs nothing, as the same incarnation or another one.
+	// list gives all orders up and lets the worker answer that it runs nothing, as the same incarnation or another one.
 	list := func(b *bench, id string, incarnation int64) {
+		b.giveUpOrders(Start{Target: b.target(id, 1), Key: RunKey{Task: "a.0.0.0", Run: 1}})
 		b.wait(2 * overdueOrder)
 		for range 2 {
 			b.answerHold(id, Report{Incarnation: incarnation, Clock: 900_200})
@@ -90,8 +91,6 @@
 		t.Run(name, func(t *testing.T) {
 			b := newBench(t, "w0", "w1")
 			id := b.repeatStart("a")
-			b.step(StartResult{ID: id, Key: RunKey{Task: "a.0.0.0", Run: 1}, Token: 1, Result: Unanswered})
-			b.starts()
 			change(b, id)
 			require.Empty(t, b.starts())
 			b.requireLost("a")
@@ -109,7 +108,7 @@
 		}})
 	}
 	require.Len(t, b.starts(), 1)
-	b.step(StartResult{ID: id, Key: RunKey{Task: "a.0.0.0", Run: 1}, Token: 1, Result: Unanswered})
+	b.giveUpOrders(Start{Target: b.target(id, 1), Key: RunKey{Task: "a.0.0.0", Run: 1}})
 	b.waitAnswered(200 * time.Millisecond)
 	// The start of b is repeated, as it is not answered.
 	starts := slices.DeleteFunc(b.starts(), func(s Start) bool { return s.Key.Task == "b.0.0.0" })
--- a/src/convoy/incarnation_test.go
+++ b/src/convoy/incarnation_test.go
@@ -84,10 +84,19 @@
 	return starts[0]
 }
 
-// leaveUnanswered leaves a start order and three repetitions without an answer; another one is on its way.
+// giveUpOrders leaves the start orders that are on their way without an answer.
+func (b *bench) giveUpOrders(s Start) {
+	r := b.p.workers[s.Target.ID].runs[s.Key]
+	for range r.unsettled() {
+		b.step(StartResult{ID: s.Target.ID, Key: s.Key, Token: r.token, Result: Unanswered})
+	}
+}
+
+// leaveUnanswered leaves a start order and its repetitions without an answer for a while; others are on their way.
 func (b *bench) leaveUnanswered(s Start) {
 	for range 4 {
-		b.step(StartResult{ID: s.Target.ID, Key: s.Key, Token: s.Token, Result: Unanswered})
+		b.giveUpOrders(s)
+		b.waitAnswered(maxRepeatInterval)
 	}
 	b.starts()
 }
@@ -172,7 +181,7 @@
 			s := b.submit("a")
 			b.leaveUnanswered(s)
 			b.step(JobCancelled{ID: "a", Host: "entry"})
-			b.step(StartResult{ID: s.Target.ID, Key: s.Key, Token: s.Token, Result: Unanswered})
+			b.giveUpOrders(s)
 			ack := StopResult{ID: s.Target.ID, Key: s.Key, Token: s.Token, Result: Accepted}
 			if tt.before {
 				b.step(ack)
