convoy: a worker that may carry out a late start is probed often

Cause: a silent worker with an unanswered start used to be asked every 100 ms for 15 s; since the record of such starts moved from workers to jobs, only while the run was on the books, a second at most, and then at intervals that grow to 2 s. A worker that was back was in use late, and a late start that it had begun was found late.

Why it works: the worker notes until when one of its starts may come late.

--- a/src/convoy/hold.go
+++ b/src/convoy/hold.go
@@ -219,7 +219,7 @@
 	w.unanswered++
 	w.nextHold = now
 	if w.unanswered > 1 {
-		w.nextHold = now.Add(min(w.probeBackoffLimit(), minProbeBackoff<<min(w.unanswered-2, 10)))
+		w.nextHold = now.Add(min(w.probeBackoffLimit(now), minProbeBackoff<<min(w.unanswered-2, 10)))
 	}
 	p.forgetIfGone(now, w)
 }
--- a/src/convoy/incarnation.go
+++ b/src/convoy/incarnation.go
@@ -77,9 +77,12 @@
 	return w.target.Pool == j.Pool && w.hasLabel(j.Steps[r.task.step].Label) && w.used.Fits(w.target.Capacity)
 }
 
-// probeBackoffLimit returns the longest backoff between hold requests to a worker that does not answer. A worker with runs that
-// may not have begun must learn the new token soon after a restart.
-func (w *worker) probeBackoffLimit() time.Duration {
+// probeBackoffLimit returns the longest backoff between hold requests to a worker that does not answer. A worker that may carry
+// out a late start must learn the new token soon after a restart.
+func (w *worker) probeBackoffLimit(now time.Time) time.Duration {
+	if now.Before(w.lateUntil) {
+		return minProbeBackoff
+	}
 	for _, r := range w.runs {
 		if r.mayComeLate() {
 			return minProbeBackoff
--- a/src/convoy/repeat_test.go
+++ b/src/convoy/repeat_test.go
@@ -156,3 +156,23 @@
 		})
 	}
 }
+
+// A worker that crashed with a start unanswered must be in use again soon after it is back.
+func TestWorkerWithLateStartIsProbedOften(t *testing.T) {
+	b := newBench(t, "w0", "w1")
+	s := b.submit("a")
+	id := s.Target.ID
+	b.leaveUnanswered(s)
+	b.loseHold(id)
+	probes := 0
+	for range 200 {
+		b.wait(tickInterval)
+		w := b.p.workers[id]
+		if w.holdPending && b.now.Sub(w.holdSent) >= minProbeBackoff {
+			probes++
+			b.step(HoldResult{ID: id, Sent: w.holdSent, Result: Unanswered})
+		}
+	}
+	require.Equal(t, []Outcome{Lost}, b.outcomesOf("a", 0))
+	require.Greater(t, probes, 12)
+}
--- a/src/convoy/run.go
+++ b/src/convoy/run.go
@@ -10,6 +10,9 @@
 func (p *Planner) removeRun(now time.Time, w *worker, r *run, retry bool) {
 	delete(w.runs, r.key)
 	w.used = w.used.minus(r.need)
+	if r.mayComeLate() {
+		w.lateUntil = now.Add(lateOrderLimit)
+	}
 	t := r.task
 	if t == nil {
 		p.orphanEnded(r.key)
--- a/src/convoy/worker.go
+++ b/src/convoy/worker.go
@@ -93,8 +93,10 @@
 	holdWait  time.Duration
 	holdToken int64
 	// silentAt is when an order was last given up without an answer.
-	silentAt   time.Time
-	nextHold   time.Time
+	silentAt time.Time
+	nextHold time.Time
+	// lateUntil is until when starts of runs that have left the books may still be carried out.
+	lateUntil  time.Time
 	unanswered int
 	fencedAt   time.Time
 	runs       map[RunKey]*run
