convoy: late starts of completed jobs are reported for two seconds

What callers could see: a task twice at once. A job is completed although one of its orders stayed unanswered, its answer is lost on the way or its entry host dies, the caller comes back to another planner, and a later incarnation carries the old order out.

Cause: the job left the report when it was completed, as if its caller had the result for certain.

Evidence: TestJobWithLateStartElsewhereIsNotStarted, the case "its start was unanswered once, and it was completed", red without it.

--- a/src/convoy/latestart.go
+++ b/src/convoy/latestart.go
@@ -17,11 +17,15 @@
 // maxLateStarts bounds the jobs that a planner reports, so that a heartbeat stays within one packet.
 const maxLateStarts = 128
 
+// completedReport is how long the late starts of a completed job are reported: a caller that did not get its result is back
+// within that time, and the other planners keep what they were told.
+const completedReport = 2 * time.Second
+
 // JobHash returns the hash by which planners name a job to each other.
 func JobHash(id string) uint32 { return uint32(xxh3.HashString(id)) }
 
-// LateStarts returns the hashes of the jobs of this planner, other than completed ones, of which a start may still be carried out,
-// sorted; only the latest if there are more than can be reported.
+// LateStarts returns the hashes of the jobs of this planner of which a start may still be carried out, sorted; only the latest if
+// there are more than can be reported.
 func (p *Planner) LateStarts() []uint32 { return p.lateReport }
 
 func (p *Planner) updateLateReport() {
@@ -45,13 +49,12 @@
 	}
 }
 
-// recordLateStarts records at the end of a job whether one of its starts may still be carried out. That of a completed one does
-// not matter: its caller has the result.
+// recordLateStarts records at the end of a job whether one of its starts may still be carried out. That of a completed one matters
+// only if its caller does not get the result and comes back to another planner.
 func (p *Planner) recordLateStarts(now time.Time, j *job, o Outcome) {
 	if o == Completed {
 		if _, known := p.lateStarts[JobHash(j.ID)]; known {
-			delete(p.lateStarts, JobHash(j.ID))
-			p.updateLateReport()
+			p.lateStarts[JobHash(j.ID)] = now.Add(completedReport)
 		}
 		return
 	}
--- a/src/convoy/latestart_test.go
+++ b/src/convoy/latestart_test.go
@@ -35,6 +35,14 @@
 			b.step(StartResult{ID: s.Target.ID, Key: s.Key, Token: s.Token, Result: Accepted})
 			b.step(JobCancelled{ID: "a", Host: "entry"})
 		}},
+		"its start was unanswered once, and it was completed": {
+			give: func(b *bench, s Start) {
+				b.step(StartResult{ID: s.Target.ID, Key: s.Key, Token: s.Token, Result: Unanswered})
+				b.step(StartResult{ID: s.Target.ID, Key: s.Key, Token: s.Token, Result: Accepted})
+				b.answerHold(s.Target.ID, Report{Incarnation: 1, Clock: 900_500, Ends: []EndReport{{Number: 1, Key: s.Key}}})
+			},
+			want: true,
+		},
 		"it was completed": {give: func(b *bench, s Start) {
 			b.step(StartResult{ID: s.Target.ID, Key: s.Key, Token: s.Token, Result: Accepted})
 			b.answerHold(s.Target.ID, Report{Incarnation: 1, Clock: 900_500, Ends: []EndReport{{Number: 1, Key: s.Key}}})
--- a/src/convoy/planner.go
+++ b/src/convoy/planner.go
@@ -55,7 +55,7 @@
 	workers   map[string]*worker
 	// usedTokens holds the highest token used with each worker that was removed.
 	usedTokens map[string]usedToken
-	// lateStarts holds, by hash, the jobs that are not completed here of which a start may still be carried out, and until when;
+	// lateStarts holds, by hash, the jobs of which a start may still be carried out, and until when that is reported;
 	// remoteLateStarts those that other planners report, lateReport what this one reports.
 	lateStarts       map[uint32]time.Time
 	remoteLateStarts map[uint32]time.Time
