deck: a leaving target is made known to suspected neighbours too

Cause: announcements were relayed to the neighbours marked alive only, and not kept for the others. A neighbour that is suspected, because its heartbeat is 1.6 s late, goes on placing tasks on the target until the target happens to announce itself there.

Why the change works: suspected neighbours, which count as present wherever targets are shared, get the relays as well.

--- a/src/deck/announce.go
+++ b/src/deck/announce.go
@@ -60,7 +60,8 @@
 			continue
 		}
 		for _, p := range d.h.Members.Peers() {
-			if p.Member.Domain == domain && p.Member.Entry && p.Status == roster.Alive {
+			present := p.Status == roster.Alive || p.Status == roster.Suspect
+			if p.Member.Domain == domain && p.Member.Entry && present {
 				d.sendAnnouncement(p.Member.PeerAddr, body)
 			}
 		}
