hatchery: a stand-in's announcements never overtake each other

A stand-in announces itself every 2 s on one goroutine and its leaving on another: an announcement made before the leaving could arrive after it and take it back, which looked like a fault of the dispatcher.

Cause: two announcements of one stand-in could be under way at the same time.

Why the change works: the next one is made once the one before was answered or given up. No check changes.

--- a/src/hatchery/minion.go
+++ b/src/hatchery/minion.go
@@ -60,15 +60,17 @@
 	leaving  atomic.Bool
 	busy     atomic.Int64
 	announce atomic.Uint64
-	refused  atomic.Uint64
-	server   *fasthttp.Server
-	listener net.Listener
-	client   *fasthttp.Client
-	quit     chan struct{}
-	once     sync.Once
-	wg       sync.WaitGroup
-	mu       sync.Mutex
-	conns    map[net.Conn]struct{}
+	// announcing keeps announcements in order: none may arrive after a newer one.
+	announcing sync.Mutex
+	refused    atomic.Uint64
+	server     *fasthttp.Server
+	listener   net.Listener
+	client     *fasthttp.Client
+	quit       chan struct{}
+	once       sync.Once
+	wg         sync.WaitGroup
+	mu         sync.Mutex
+	conns      map[net.Conn]struct{}
 	// stops holds what ends each running task, by the id the dispatcher gave it.
 	stops   map[string]chan struct{}
 	stopped atomic.Uint64
@@ -253,6 +255,8 @@
 
 // announceOnce announces to one entry host, and to others only if it does not answer.
 func (m *Minion) announceOnce() {
+	m.announcing.Lock()
+	defer m.announcing.Unlock()
 	body, err := json.Marshal(announcement{
 		Name: m.o.Name, Address: m.Addr().String(), Domain: m.o.Domain, Pools: m.o.Pools,
 		Slots: m.o.Slots, Cores: m.o.Cores, Busy: m.busy.Load(), Leaving: m.leaving.Load(),
