--- a/src/ledger/ledger_test.go
+++ b/src/ledger/ledger_test.go
@@ -500,6 +500,33 @@
 	require.Equal(t, InProgress, c.lastDecision(c.submit(b, "k", 1)), "the new primary runs it now")
 }
 
+// A late word that a submission did not run must not release the record of another run of its key.
+func TestReleaseOfAnotherRunIsIgnored(t *testing.T) {
+	tests := map[string]struct {
+		epoch       uint64
+		incarnation uint64
+		want        Decision
+	}{
+		"this run":                    {epoch: 1, incarnation: 1, want: Run},
+		"a run of an earlier epoch":   {epoch: 0, incarnation: 1, want: InProgress},
+		"a run of an earlier process": {epoch: 1, incarnation: 0, want: InProgress},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := newCluster(t, "a", "b")
+			p, b := c.primary(), c.backup()
+			c.mustRun("k")
+			require.EqualValues(t, 1, c.views[testShard].Epoch)
+			c.startLeaving(p)
+			c.updateHosts()
+			c.settle()
+			by := chart.Replica{Name: p, Incarnation: tt.incarnation}
+			c.step(b, LateAnswer{Shard: testShard, Record: Record{Key: "k", Epoch: tt.epoch, StartedBy: by}})
+			require.Equal(t, tt.want, c.lastDecision(c.submit(b, "k", 1)))
+		})
+	}
+}
+
 func TestWaitEndsWhenRunningHostFails(t *testing.T) {
 	c := newCluster(t, "a", "b")
 	p, b := c.primary(), c.backup()
