src: of what is under way to a leaving target, only what has not arrived may be refused

The check that lets starts under way arrive also counted the tasks that ran on the target already, so that it let as many refusals pass. It no longer does.

--- a/src/script_test.go
+++ b/src/script_test.go
@@ -270,6 +270,7 @@
 	if time.Now().After(limit) {
 		ts.Fatalf("%s was not known to leave in %s", args[0], leaveTime)
 	}
+	underWay = max(0, underWay-m.Busy()) // what runs there has arrived
 	refused := m.Refused()
 	f.await("what is under way to "+args[0]+" to end", func() bool {
 		left, known := f.leaving(m)
@@ -285,7 +286,7 @@
 	}
 }
 
-// leaving returns how many tasks are under way to a target, and whether every host of its domain knows that it leaves.
+// leaving returns how many tasks are under way to a target or run there, and whether every host of its domain knows that it leaves.
 func (f *fleet) leaving(m *hatchery.Minion) (underWay int, known bool) {
 	for _, h := range f.hosts {
 		if h.domain != m.Domain() {
@@ -304,7 +305,7 @@
 // idleTasks is how many tasks must start elsewhere before a target counts as idle.
 const idleTasks = 300
 
-// leavingAt returns how many tasks a host has under way to a target, and whether it knows that the target leaves.
+// leavingAt returns how many tasks a host has under way to a target or running there, and whether it knows that the target leaves.
 func leavingAt(body []byte, name string) (underWay int, leaving bool) {
 	var targets []struct {
 		Name     string `json:"name"`
