src: the scenarios' checks of leaving targets and first edits print the logs of the hosts

A failure of either could not be traced from its output: it named neither the moments at which the hosts learned of the leaving nor the elections of the state hosts. No check changes.

--- a/src/fleet_test.go
+++ b/src/fleet_test.go
@@ -260,7 +260,9 @@
 
 func (f *fleet) put() {
 	f.editor = &tableEditor{client: f.client, api: f.hosts[0].callers, author: "test"}
-	require.NoError(f.t, f.editor.putBoth(demoRoute, demoPool))
+	if err := f.editor.putBoth(demoRoute, demoPool); err != nil {
+		require.NoError(f.t, err, "%s", f.logs())
+	}
 }
 
 // begin starts a load that runs until finish.
--- a/src/script_test.go
+++ b/src/script_test.go
@@ -268,7 +268,7 @@
 		return known
 	})
 	if time.Now().After(limit) {
-		ts.Fatalf("%s was not known to leave in %s", args[0], leaveTime)
+		ts.Fatalf("%s was not known to leave in %s\n%s", args[0], leaveTime, f.logs())
 	}
 	underWay = max(0, underWay-m.Busy()) // what runs there has arrived
 	refused := m.Refused()
@@ -277,12 +277,12 @@
 		return known && left == 0
 	})
 	if n := m.Refused() - refused; n > uint64(underWay) {
-		ts.Fatalf("%s was sent %d tasks after it left, while %d were under way", args[0], n, underWay)
+		ts.Fatalf("%s was sent %d tasks after it left, while %d were under way\n%s", args[0], n, underWay, f.logs())
 	}
 	refused = m.Refused()
 	f.pass(idleTasks)
 	if m.Refused() != refused {
-		ts.Fatalf("%s was sent %d tasks after it left", args[0], m.Refused()-refused)
+		ts.Fatalf("%s was sent %d tasks after it left\n%s", args[0], m.Refused()-refused, f.logs())
 	}
 }
 
