deck: a host is not ready while a neighbour that is suspected, or not heard of yet, may have targets

Played again, once in 23 plays of the code up to here beside a load average of 69 on 8 cores: khulna-ghat-2 suspected its neighbour at 10:30:39.219, was ready at 39.249, at the age of 2.9 s, and learned of its first target at 40.588.

Cause: a host waits for the targets of its neighbours before it is ready, but counted only neighbours marked alive as having any. With another domain's process alive, a neighbour that was suspected for a moment, or whose first heartbeat came after that one's, counted as having none, for good.

Why the change works: only a neighbour that is marked failed counts as having none, or one that says so. The limit of 4 s on the wait stays.

Evidence: the new cases of TestTargetsKnown fail without the change.

--- a/src/deck/announce.go
+++ b/src/deck/announce.go
@@ -87,16 +87,16 @@
 	}
 }
 
-// noNeighbourHasTargets reports whether at least one other process is alive, and no entry host of the same failure
-// domain reports targets.
+// noNeighbourHasTargets reports whether at least one other process is alive, and no process of the same failure domain may
+// have targets: one that is suspected may still have them, and so may one that was not heard of yet.
 func (d *dispatcher) noNeighbourHasTargets() bool {
 	anyAlive := false
 	for _, p := range d.h.Members.Peers() {
-		if p.Status != roster.Alive {
+		anyAlive = anyAlive || p.Status == roster.Alive
+		if p.Member.Domain != d.h.Settings.Domain || p.Status == roster.Failed {
 			continue
 		}
-		anyAlive = true
-		if p.Member.Entry && p.Member.Domain == d.h.Settings.Domain && len(p.Member.Summary.Free) > 0 {
+		if p.Status == roster.Unconfirmed || p.Member.Entry && len(p.Member.Summary.Free) > 0 {
 			return false
 		}
 	}
--- a/src/deck/dispatch_test.go
+++ b/src/deck/dispatch_test.go
@@ -129,6 +129,8 @@
 		"a peer of another domain knows targets": {peers: []roster.Peer{peer("far", roster.Alive, full)}, want: true},
 		"a failed neighbour knew targets":        {peers: []roster.Peer{peer("home", roster.Failed, full), peer("far", roster.Alive, nil)}, want: true},
 		"a target announced itself":              {targets: 1, want: true},
+		"a suspected neighbour knows targets":    {peers: []roster.Peer{peer("home", roster.Suspect, full), peer("far", roster.Alive, nil)}},
+		"a neighbour was not heard of yet":       {peers: []roster.Peer{peer("home", roster.Unconfirmed, nil), peer("far", roster.Alive, nil)}},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
