radio: a connection that answers other calls is not replaced

Cause: a connection was replaced after two heartbeats without an answer within 500 ms, even while other calls on it were answered. A peer that was only slow lost the answers of all calls in flight; those that must not run twice ended unknown or failed.

Why the change works: a missed heartbeat does not count if any call on the connection was answered after it was sent. On a connection that went silent nothing is answered, so that it is replaced as before (TestUnresponsiveConnectionIsReplaced).

Evidence: TestConnectionThatAnswersOtherCallsIsKept fails without the change.

--- a/src/radio/link.go
+++ b/src/radio/link.go
@@ -21,6 +21,8 @@
 	// missedProbes counts consecutive unanswered probes; the last of them timed out at lastMissedAt.
 	missedProbes int
 	lastMissedAt time.Time
+	// answeredAt is when a call on the connection was last answered.
+	answeredAt   time.Time
 	dialing      chan struct{}
 	dialErr      error
 	dialFailedAt time.Time
@@ -70,6 +72,7 @@
 		return conn, nil, Unanswered.Wrap(err)
 	}
 	r.received.Add(1)
+	r.recordAnswer(peer, conn)
 	if status(tag) != statusOK {
 		return conn, nil, HandlerFailed.New("%s", out)
 	}
@@ -152,6 +155,7 @@
 	close(l.dialing)
 	l.dialing = nil
 	l.missedProbes = 0
+	l.answeredAt = time.Time{}
 	l.dialErr = err
 	l.dialFailedAt = time.Now()
 	l.conn, l.socket, l.transport = conn, socket, transport
@@ -174,8 +178,17 @@
 	return conn, socket, transport, nil
 }
 
+func (r *Endpoint) recordAnswer(peer netip.AddrPort, conn *quic.Conn) {
+	l := r.link(peer)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.conn == conn {
+		l.answeredAt = time.Now()
+	}
+}
+
 // recordProbe records the result of a probe. Concurrent probes that time out count as one, because a peer that is only
-// busy for a while misses all of them.
+// busy for a while misses all of them. A probe that timed out while other calls were answered does not count.
 func (r *Endpoint) recordProbe(peer netip.AddrPort, conn *quic.Conn, start time.Time, err error) {
 	l := r.link(peer)
 	l.mu.Lock()
@@ -183,7 +196,7 @@
 	if l.conn != conn {
 		return
 	}
-	if err == nil || HandlerFailed.Has(err) {
+	if err == nil || HandlerFailed.Has(err) || l.answeredAt.After(start) {
 		l.missedProbes = 0
 		return
 	}
--- a/src/radio/radio_test.go
+++ b/src/radio/radio_test.go
@@ -186,6 +186,28 @@
 
 // A connection to a peer that was unreachable for a while may never recover. After Reconnect, the next call must open a
 // new connection and not time out on the old one.
+// A connection on which other calls are answered while probes time out must not be replaced: the calls in flight on it would be
+// lost.
+func TestConnectionThatAnswersOtherCallsIsKept(t *testing.T) {
+	a := newTestEndpoint(t, loopback, ListenUDP, testKey)
+	b := newTestEndpoint(t, loopback, ListenUDP, testKey)
+	for i := range uint64(2 * maxMissedProbes) {
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		missed := make(chan error, 1)
+		go func() {
+			_, err := a.Probe(ctx, b.addr(), kindSlow, nil)
+			missed <- err
+		}()
+		require.Eventually(t, func() bool { return b.received.Load() > 2*i }, 5*time.Second, time.Millisecond)
+		_, err := call(t, a, b.addr(), kindEcho, "", 5*time.Second)
+		require.NoError(t, err)
+		cancel()
+		require.Error(t, <-missed)
+	}
+	require.Zero(t, a.replaced.Load())
+	close(b.release)
+}
+
 func TestCallAfterRenewUsesNewConnection(t *testing.T) {
 	g := &packetFilter{}
 	a := newTestEndpoint(t, loopback, g.listen, testKey)
