flotilla: the first heartbeats after a suspension are no sign of life

Cause: the cancellation was held up, and the heartbeats after the suspension told the planner that the host was alive until then. Only the age of an undelivered cancellation corrects that, and it was counted from 100 ms before the entry host noticed that the caller had left: during a suspension it notices nothing.

Change: for 150 ms after it has stood still, while the callers' connections are looked at, a process's heartbeats count as sent before that, and cancellations that begin then count from there. No heartbeat gets larger. For these 150 ms other planners start nothing for it and prolong no lease beyond the pause of a caller that left when it began to stand still.

Test: TestHeartbeatAfterSuspensionIsNoSignOfLife, two cases red before.

--- a/src/flotilla/fleet.go
+++ b/src/flotilla/fleet.go
@@ -114,6 +114,8 @@
 	nextContact int
 	ticks       int
 	undelivered []Undelivered
+	lastStep    time.Time
+	standstill  standstill
 	out         []Action
 }
 
@@ -130,6 +132,7 @@
 // Step handles one event and returns the resulting actions.
 func (f *Fleet) Step(now time.Time, ev Event) []Action {
 	f.out = nil
+	f.noteStep(now)
 	switch e := ev.(type) {
 	case Tick:
 		f.expirePeers(now)
--- a/src/flotilla/heartbeat.go
+++ b/src/flotilla/heartbeat.go
@@ -27,9 +27,12 @@
 	hash := NameHash(p.Member.Name)
 	for _, u := range f.undelivered {
 		if u.Planner == hash {
-			n.Undelivered = max(n.Undelivered, undeliveredAge(now, u))
+			n.Undelivered = max(n.Undelivered, f.undeliveredAge(now, u))
 		}
 	}
+	if now.Before(f.standstill.until.Add(callerCheckPeriod)) {
+		n.Undelivered = max(n.Undelivered, roundAge(now.Sub(f.standstill.from)))
+	}
 	return n
 }
 
--- a/src/flotilla/member.go
+++ b/src/flotilla/member.go
@@ -68,8 +68,8 @@
 type Notice struct {
 	// Receives says that the sender receives the recipient's heartbeats.
 	Receives bool
-	// Undelivered is a bound on the age of the sender's oldest cancellation that the recipient has not confirmed, a multiple of
-	// undeliveredStep; 0 if there is none.
+	// Undelivered is a bound on the age of the sender's oldest cancellation that the recipient has not confirmed, and right after
+	// a suspension of the sender on its beginning, as callers may have left since; a multiple of undeliveredStep, 0 if there is none.
 	Undelivered time.Duration
 }
 
--- a/src/flotilla/offset_test.go
+++ b/src/flotilla/offset_test.go
@@ -95,3 +95,57 @@
 		})
 	}
 }
+
+// The first heartbeats after a suspension must not count as a sign of life: callers may have left during it, and their
+// cancellations may not arrive.
+func TestHeartbeatAfterSuspensionIsNoSignOfLife(t *testing.T) {
+	begin := time.Unix(1_700_000_000, 0)
+	tests := map[string]struct {
+		suspended time.Duration
+		// noticed is when after the suspension the entry host notices that a caller has left; its cancellation does not arrive.
+		noticed time.Duration
+		// want is when the host counts as alive by its heartbeats at the end of the suspension, and 50 ms and 200 ms later.
+		want [3]time.Duration
+	}{
+		"no suspension": {
+			suspended: HeartbeatInterval, noticed: -1, want: [3]time.Duration{200 * time.Millisecond, 250 * time.Millisecond, 400 * time.Millisecond},
+		},
+		"no caller has left": {
+			suspended: 800 * time.Millisecond, noticed: -1, want: [3]time.Duration{-50 * time.Millisecond, -50 * time.Millisecond, time.Second},
+		},
+		"a caller has left": {
+			suspended: 800 * time.Millisecond, noticed: 50 * time.Millisecond,
+			want: [3]time.Duration{-50 * time.Millisecond, -50 * time.Millisecond, -50 * time.Millisecond},
+		},
+		"a caller has left without a suspension": {
+			suspended: HeartbeatInterval, noticed: 50 * time.Millisecond,
+			want: [3]time.Duration{200 * time.Millisecond, 100 * time.Millisecond, 100 * time.Millisecond},
+		},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			planner := NewFleet(Member{Name: "a", Domain: "d"}, []string{"d"}, nil, begin)
+			self := Member{Name: "b", Domain: "d", Address: netip.MustParseAddrPort("127.0.0.1:7720"), Incarnation: 1}
+			entry := NewFleet(self, []string{"d"}, nil, begin)
+			entry.Step(begin, HeartbeatReceived{Heartbeat: planner.Heartbeat(begin)})
+			beat := func(now time.Time) time.Duration {
+				entry.Step(now, Tick{})
+				entry.UpdateSelf(func(m *Member) { m.SentAtMillis = now.UnixMilli() })
+				b := entry.Heartbeat(now)
+				b.Notice = entry.notice(now, entry.peers["a"])
+				planner.Step(now, HeartbeatReceived{Heartbeat: b})
+				p, _ := planner.Peer("b")
+				return p.LastSent.Sub(begin)
+			}
+			beat(begin)
+			resumed := begin.Add(tt.suspended)
+			require.Equal(t, tt.want[0], beat(resumed))
+			if tt.noticed >= 0 {
+				since := resumed.Add(tt.noticed - 100*time.Millisecond)
+				entry.SetUndelivered([]Undelivered{{Planner: NameHash("a"), SinceMillis: since.UnixMilli()}})
+			}
+			require.Equal(t, tt.want[1], beat(resumed.Add(50*time.Millisecond)))
+			require.Equal(t, tt.want[2], beat(resumed.Add(200*time.Millisecond)))
+		})
+	}
+}
