--- a/src/wharf/sim_jobs_test.go
+++ b/src/wharf/sim_jobs_test.go
@@ -39,6 +39,8 @@
 	finish func(answer, simCallError)
 	answer func(answer)
 	ended  bool
+	// attempt is the number of the offer that it answers.
+	attempt uint64
 }
 
 func (h *simHost) closeConn(name string) {
@@ -230,6 +232,7 @@
 	if previous, waits := h.waiters[key]; waits {
 		previous.answer(answer{outcome: convoy.Lost, cause: convoy.CauseCallerGone})
 	}
+	done.attempt = o.attempt
 	h.waiters[key] = done
 	h.s.log("%s takes %s of %s attempt %d", h.name, o.job.ID, o.job.Host, o.attempt)
 	h.step(now, convoy.Submitted{Job: o.job})
@@ -239,6 +242,9 @@
 	h.s.log("%s cancels %s of %s attempt %d", h.name, d.job.ID, d.job.Host, d.attempt)
 	key := jobKey{job: d.job.ID, host: d.job.Host}
 	h.cancelled[key] = cancelledOffer{attempt: max(d.attempt, h.cancelled[key].attempt), at: now}
+	if w, waits := h.waiters[key]; waits && w.attempt > d.attempt {
+		return
+	}
 	h.step(now, d.job)
 }
 
@@ -294,6 +300,7 @@
 	}
 	if to := h.s.host(p.planner); to != nil {
 		since := h.now().Add(-helm.PresenceInterval)
+		h.unanswered.add(h.now(), p.planner, convoy.JobHash(p.job.ID))
 		h.undelivered.begin(h, since, p.planner)
 		h.cancelCall(to, d, since, p.job.Deadline, cancelAttempts)
 	}
@@ -317,13 +324,18 @@
 	})
 }
 
-func (h *simHost) failPlanner(_ time.Time, name string) {
+func (h *simHost) failPlanner(now time.Time, m flotilla.Member) {
 	for _, id := range slices.Sorted(maps.Keys(h.pending)) {
-		if p := h.pending[id]; p.planner == name {
+		if p := h.pending[id]; p.planner == m.Name {
 			h.notifyCancelled(p)
 			h.finish(p, answer{outcome: convoy.Lost})
 		}
 	}
+	if jobs := h.unanswered.take(now, m.Name); len(jobs) > 0 && len(m.LateStarts) > 0 {
+		h.s.log("%s reports %d jobs that it has lost with %s", h.name, len(jobs), m.Name)
+		h.late.takeOver(now, jobs)
+		h.step(now, convoy.LateStartsReported{Jobs: jobs})
+	}
 }
 
 func (h *simHost) jobsTick(now time.Time) {
