--- a/src/convoy/start.go
+++ b/src/convoy/start.go
@@ -38,7 +38,7 @@
 	}
 	r, ok := w.runs[e.Key]
 	if ok {
-		r.countAnswer(e.Result)
+		p.countAnswer(now, r, e.Result)
 	}
 	if !ok || r.state != runStarting {
 		p.handleRefusal(now, w, e.Token, e.Result)
@@ -56,7 +56,7 @@
 		r.startedAt = now
 		p.logDecision(DecisionStartUnanswered, jobID(r.key), w.target.ID, fmt.Sprintf(
 			"%s run %d under token %d", r.key.Task, r.key.Run, r.token))
-		if r.unsettled() == 0 {
+		if r.orders == 1 || (r.task == nil && r.unsettled() == 0) {
 			p.repeatStart(now, w, r)
 		}
 		return
@@ -96,9 +96,10 @@
 }
 
 // countAnswer counts the answer to a start order, or that none came.
-func (r *run) countAnswer(v OrderResult) {
+func (p *Planner) countAnswer(now time.Time, r *run, v OrderResult) {
 	if v == Unanswered {
 		r.unanswered++
+		p.noteLateStart(now, r.job)
 		return
 	}
 	r.answered++
@@ -115,7 +116,7 @@
 		}
 		return
 	}
-	if r.token != w.token || w.target.Leaving || w.target.Expired {
+	if !w.mayStillStart(r) {
 		// The worker lists the run next time, or it is given up.
 		r.state = runUnconfirmed
 		return
@@ -130,10 +131,19 @@
 	p.emit(Start{Target: w.target, Token: w.token, Key: r.key, Spec: r.task.job.Spec, Lease: w.grantLease(now, lease)})
 }
 
+// mayStillStart reports whether a run may be ordered again at the worker as it is now.
+func (w *worker) mayStillStart(r *run) bool {
+	return r.task != nil && r.token == w.token && !w.target.Leaving && !w.target.Expired
+}
+
 // repeatOverdueStarts repeats the starts that were refused or given up, and at a worker that loses orders those that are overdue.
 func (p *Planner) repeatOverdueStarts(now time.Time, w *worker) {
 	for _, r := range sortedRuns(w) {
-		if r.state == runStarting && now.Sub(r.orderedAt) >= overdueOrder && (r.unsettled() == 0 || w.losesOrders(now)) {
+		interval := overdueOrder
+		if w.mayStillStart(r) {
+			interval = min(time.Duration(r.orders)*overdueOrder, maxRepeatInterval)
+		}
+		if r.state == runStarting && now.Sub(r.orderedAt) >= interval && (r.unsettled() == 0 || w.losesOrders(now)) {
 			p.repeatStart(now, w, r)
 		}
 	}
