--- a/src/radio/radio_test.go
+++ b/src/radio/radio_test.go
@@ -184,8 +184,6 @@
 	require.NoError(t, <-worked)
 }
 
-// A connection to a peer that was unreachable for a while may never recover. After Reconnect, the next call must open a
-// new connection and not time out on the old one.
 // A connection on which other calls are answered while probes time out must not be replaced: the calls in flight on it would be
 // lost.
 func TestConnectionThatAnswersOtherCallsIsKept(t *testing.T) {
@@ -208,6 +206,8 @@
 	close(b.release)
 }
 
+// A connection to a peer that was unreachable for a while may never recover. After Reconnect, the next call must open a
+// new connection and not time out on the old one.
 func TestCallAfterRenewUsesNewConnection(t *testing.T) {
 	g := &packetFilter{}
 	a := newTestEndpoint(t, loopback, g.listen, testKey)
