convoy: tests for two guards that could be taken back unnoticed

Taking the guards of the last commits back one by one, two were missed by every test: that a report prolongs the note of a late start, and that a slow run which cannot be started elsewhere is not stopped. Each test is red without its guard.

--- a/src/convoy/latestart_test.go
+++ b/src/convoy/latestart_test.go
@@ -85,3 +85,17 @@
 	b.step(Tick{})
 	require.Empty(t, b.p.LateStarts())
 }
+
+// A start that is ordered again for seconds may come late until long after it was first reported.
+func TestRepeatedReportProlongsNote(t *testing.T) {
+	b := newBench(t, "w0")
+	late := LateStartsReported{Jobs: []uint32{JobHash("a")}}
+	b.step(late)
+	b.now = b.now.Add(lateOrderLimit - 5*time.Second)
+	b.step(late)
+	b.now = b.now.Add(lateOrderLimit - time.Second)
+	require.Equal(t, []Outcome{Lost}, b.resubmit("a"))
+	b.now = b.now.Add(2 * time.Second)
+	require.Empty(t, b.resubmit("a"))
+	require.Len(t, b.starts(), 1)
+}
--- a/src/convoy/repeat_test.go
+++ b/src/convoy/repeat_test.go
@@ -176,3 +176,38 @@
 	require.Equal(t, []Outcome{Lost}, b.outcomesOf("a", 0))
 	require.Greater(t, probes, 12)
 }
+
+// A slow run that cannot be started elsewhere must not be stopped: its caller would lose the job.
+func TestSlowRunWithLateStartIsNotStopped(t *testing.T) {
+	tests := map[string]struct{ unanswered, stopped bool }{
+		"every order was answered":     {stopped: true},
+		"an order of it may come late": {unanswered: true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t, "w0", "w1")
+			s := b.submit("a")
+			id := s.Target.ID
+			if tt.unanswered {
+				b.step(StartResult{ID: id, Key: s.Key, Token: s.Token, Result: Unanswered})
+			}
+			b.step(StartResult{ID: id, Key: s.Key, Token: s.Token, Result: Accepted})
+			for n := range 20 {
+				b.wait(100 * time.Millisecond)
+				for _, w := range []string{"w0", "w1"} {
+					r := Report{Incarnation: 1, Clock: 900_100 + 100*int64(n)}
+					if w == id {
+						r.Runs = []RunReport{{Key: s.Key, Percent: 2}}
+					}
+					b.answerHold(w, r)
+				}
+			}
+			stopped := false
+			for _, a := range b.sent {
+				_, stop := a.(Stop)
+				stopped = stopped || stop
+			}
+			require.Equal(t, tt.stopped, stopped)
+		})
+	}
+}
