--- a/src/wharf/sim_host_test.go
+++ b/src/wharf/sim_host_test.go
@@ -27,7 +27,7 @@
 	known          map[string]bool
 	changed        bool
 	free, slots    int
-	late           []uint32
+	late           lateStartReport
 	lastSent       time.Time
 	lastTick       time.Time
 	pending        map[string]*simPending
@@ -40,6 +40,7 @@
 	lastProbe      map[string]time.Time
 	silentOrders   map[string]int
 	undelivered    undelivered
+	unanswered     unansweredJobs
 }
 
 // Peers and the other methods below make a host the helm.Fleet of its pieces.
@@ -90,8 +91,8 @@
 	h.pending, h.waiters = make(map[string]*simPending), make(map[jobKey]*simReply)
 	h.cancelled, h.conns = make(map[jobKey]cancelledOffer), make(map[string]*simConn)
 	h.probing, h.lastProbe, h.silentOrders = make(map[string]bool), make(map[string]time.Time), make(map[string]int)
-	h.undelivered = make(undelivered)
-	h.changed, h.lastSent, h.lastTick, h.free, h.slots, h.late, h.attempts = false, time.Time{}, now, 0, 0, nil, self.Incarnation
+	h.undelivered, h.unanswered, h.late = make(undelivered), make(unansweredJobs), lateStartReport{lost: make(map[uint32]time.Time)}
+	h.changed, h.lastSent, h.lastTick, h.free, h.slots, h.attempts = false, time.Time{}, now, 0, 0, self.Incarnation
 	s.log("%s begins life %d, skew %s", h.name, h.life, h.skew)
 	for _, t := range []struct {
 		every time.Duration
@@ -145,7 +146,7 @@
 	})
 }
 
-// kill ends a process; its callers' connections and those of other hosts to it break.
+// kill ends a process; its callers' connections break, and those of other hosts to it unless its machine ends, too.
 func (h *simHost) kill() {
 	if !h.up {
 		return
@@ -158,6 +159,25 @@
 		}
 	}
 	h.pending = make(map[string]*simPending)
+	if h.s.rnd("kill", h.name).IntN(2) == 0 {
+		h.breakConns()
+	}
+}
+
+// breakConns breaks the other hosts' connections to this one.
+func (h *simHost) breakConns() {
+	for _, o := range h.s.hosts {
+		if c := o.conns[h.name]; c != nil {
+			life := o.life
+			h.s.packet(h, o, "reset", func() {
+				o.post(life, func(time.Time) {
+					if o.conns[h.name] == c {
+						o.closeConn(h.name)
+					}
+				})
+			})
+		}
+	}
 }
 
 func (h *simHost) plannerTick(now time.Time) {
@@ -238,8 +258,9 @@
 		case flotilla.PeerFailed:
 			h.s.log("%s: %s failed, %s", h.name, a.Peer.Member.Name, a.Reason)
 			h.closeConn(a.Peer.Member.Name)
+			h.late.takeOver(now, a.Peer.Member.LateStarts)
 			h.step(now, convoy.HostLost{Host: a.Peer.Member.Name})
-			h.failPlanner(now, a.Peer.Member.Name)
+			h.failPlanner(now, a.Peer.Member)
 		case flotilla.PeerNotReceiving:
 			h.s.log("%s: %s does not receive", h.name, a.Peer.Member.Name)
 			h.closeConn(a.Peer.Member.Name)
@@ -263,8 +284,7 @@
 		h.free, h.slots = free, slots
 		h.UpdateSelf(func(m *flotilla.Member) { m.FreeSlots, m.Slots = free, slots })
 	}
-	if late := h.planner.LateStarts(); !slices.Equal(late, h.late) {
-		h.late = late
+	if late, changed := h.late.update(now, h.planner.LateStarts()); changed {
 		h.UpdateSelf(func(m *flotilla.Member) { m.LateStarts = late })
 	}
 }
