--- a/src/convoy/harsh_test.go
+++ b/src/convoy/harsh_test.go
@@ -252,7 +252,7 @@
 		sim.takenOver[p] = make(map[uint32]time.Time)
 	}
 	for _, job := range jobs {
-		sim.takenOver[p][job] = sim.now.Add(lateOrderLimit)
+		sim.takenOver[p][job] = sim.now.Add(LateOrderLimit)
 	}
 }
 
--- a/src/convoy/incarnation.go
+++ b/src/convoy/incarnation.go
@@ -94,7 +94,7 @@
 // forgetTokens deletes the tokens of orders that can no longer be carried out.
 func (p *Planner) forgetTokens(now time.Time) {
 	for id, used := range p.usedTokens {
-		if now.Sub(used.at) > lateOrderLimit {
+		if now.Sub(used.at) > LateOrderLimit {
 			delete(p.usedTokens, id)
 		}
 	}
--- a/src/convoy/incarnation_test.go
+++ b/src/convoy/incarnation_test.go
@@ -122,7 +122,7 @@
 	require.Contains(b.t, b.p.LateStarts(), JobHash(id))
 	b.starts()
 	for range 6 {
-		b.now = b.now.Add(lateOrderLimit / 7)
+		b.now = b.now.Add(LateOrderLimit / 7)
 		require.Equal(b.t, []Outcome{Lost}, b.resubmit(id))
 	}
 	require.Empty(b.t, b.starts())
--- a/src/convoy/latestart.go
+++ b/src/convoy/latestart.go
@@ -14,8 +14,8 @@
 // that number only are sent. If its run ends otherwise, the job is given up, and no planner starts it again until the order can
 // no longer come. The planners tell each other of such jobs from the first unanswered order on, as a planner may fail at any time.
 
-// maxLateStarts bounds the jobs that a planner reports, so that a heartbeat stays within one packet.
-const maxLateStarts = 128
+// MaxLateStarts bounds the jobs that a planner reports, so that a heartbeat stays within one packet.
+const MaxLateStarts = 128
 
 // completedReport is how long the late starts of a completed job are reported: a caller that did not get its result is back
 // within that time, and the other planners keep what they were told.
@@ -32,7 +32,7 @@
 	hashes := slices.SortedFunc(maps.Keys(p.lateStarts), func(a, b uint32) int {
 		return p.lateStarts[b].Compare(p.lateStarts[a])
 	})
-	hashes = hashes[:min(len(hashes), maxLateStarts)]
+	hashes = hashes[:min(len(hashes), MaxLateStarts)]
 	slices.Sort(hashes)
 	p.lateReport = hashes
 }
@@ -43,7 +43,7 @@
 		return
 	}
 	hash := JobHash(j.ID)
-	p.lateStarts[hash] = now.Add(lateOrderLimit)
+	p.lateStarts[hash] = now.Add(LateOrderLimit)
 	if _, reported := slices.BinarySearch(p.lateReport, hash); !reported {
 		p.updateLateReport()
 	}
@@ -79,7 +79,7 @@
 // noteRemoteLateStarts records the late starts that another planner reports.
 func (p *Planner) noteRemoteLateStarts(now time.Time, e LateStartsReported) {
 	for _, hash := range e.Jobs {
-		p.remoteLateStarts[hash] = now.Add(lateOrderLimit)
+		p.remoteLateStarts[hash] = now.Add(LateOrderLimit)
 	}
 }
 
--- a/src/convoy/latestart_test.go
+++ b/src/convoy/latestart_test.go
@@ -65,7 +65,7 @@
 			require.Empty(t, second.starts())
 			// The first attempt may have run: a refusal would tell the caller that nothing has.
 			require.Equal(t, []Outcome{Lost}, second.outcomesOf("a", 0))
-			second.now = second.now.Add(lateOrderLimit + time.Second)
+			second.now = second.now.Add(LateOrderLimit + time.Second)
 			second.step(Submitted{Job: job})
 			require.Len(t, second.starts(), 1)
 		})
@@ -75,13 +75,13 @@
 // A wave of lost jobs must not make heartbeats longer than a packet.
 func TestReportedLateStartsAreBounded(t *testing.T) {
 	b := newBench(t, "w0")
-	for n := range uint32(3 * maxLateStarts) {
+	for n := range uint32(3 * MaxLateStarts) {
 		b.p.lateStarts[n] = b.now.Add(time.Duration(n) * time.Millisecond)
 	}
 	b.p.updateLateReport()
-	require.Len(t, b.p.LateStarts(), maxLateStarts)
-	require.Equal(t, uint32(2*maxLateStarts), b.p.LateStarts()[0])
-	b.now = b.now.Add(lateOrderLimit)
+	require.Len(t, b.p.LateStarts(), MaxLateStarts)
+	require.Equal(t, uint32(2*MaxLateStarts), b.p.LateStarts()[0])
+	b.now = b.now.Add(LateOrderLimit)
 	b.step(Tick{})
 	require.Empty(t, b.p.LateStarts())
 }
@@ -91,9 +91,9 @@
 	b := newBench(t, "w0")
 	late := LateStartsReported{Jobs: []uint32{JobHash("a")}}
 	b.step(late)
-	b.now = b.now.Add(lateOrderLimit - 5*time.Second)
+	b.now = b.now.Add(LateOrderLimit - 5*time.Second)
 	b.step(late)
-	b.now = b.now.Add(lateOrderLimit - time.Second)
+	b.now = b.now.Add(LateOrderLimit - time.Second)
 	require.Equal(t, []Outcome{Lost}, b.resubmit("a"))
 	b.now = b.now.Add(2 * time.Second)
 	require.Empty(t, b.resubmit("a"))
--- a/src/convoy/run.go
+++ b/src/convoy/run.go
@@ -11,7 +11,7 @@
 	delete(w.runs, r.key)
 	w.used = w.used.minus(r.need)
 	if r.mayComeLate() {
-		w.lateUntil = now.Add(lateOrderLimit)
+		w.lateUntil = now.Add(LateOrderLimit)
 	}
 	t := r.task
 	if t == nil {
--- a/src/convoy/settle_test.go
+++ b/src/convoy/settle_test.go
@@ -147,7 +147,7 @@
 	now := time.Unix(1_700_000_000, 0)
 	first := &job{Job: Job{ID: "first"}}
 	p.noteLateStart(now, first)
-	for i := range maxLateStarts {
+	for i := range MaxLateStarts {
 		p.noteLateStart(now.Add(time.Duration(i+1)*time.Millisecond), &job{Job: Job{ID: fmt.Sprint(i)}})
 	}
 	require.NotContains(t, p.LateStarts(), JobHash("first"))
--- a/src/convoy/tuning.go
+++ b/src/convoy/tuning.go
@@ -47,8 +47,8 @@
 	// minProbeBackoff and maxProbeBackoff bound the backoff between hold requests to a worker that does not answer.
 	minProbeBackoff = 100 * time.Millisecond
 	maxProbeBackoff = 2 * time.Second
-	// lateOrderLimit is how long after an unanswered order a worker may still carry it out.
-	lateOrderLimit = 15 * time.Second
+	// LateOrderLimit is how long after an unanswered order a worker may still carry it out.
+	LateOrderLimit = 15 * time.Second
 	// noRoomPause is how long a worker without free capacity gets no tasks, unless it lists an ended run earlier.
 	noRoomPause = 40 * time.Millisecond
 	// busyPause is how long a worker that reported itself unhealthy gets no tasks.
@@ -73,7 +73,7 @@
 	runOverhead = 4 * time.Millisecond
 	// resultRetention is how long results are kept for callers that retry; longer than any caller's retry interval, and than a
 	// start of a completed job may be carried out.
-	resultRetention = lateOrderLimit
+	resultRetention = LateOrderLimit
 	// tokenRequestDelay is how long a worker may refuse the current token of its partition before a higher one is requested.
 	tokenRequestDelay = 400 * time.Millisecond
 	// redirectDelay is how long a job waits before it is returned for a planner with free slots.
--- a/src/convoy/unanswered_test.go
+++ b/src/convoy/unanswered_test.go
@@ -208,7 +208,7 @@
 				if c.planner == nil && y.owner == b.planner {
 					sim.after(b.pause, func() { y.submit(c) })
 				}
-				sim.run(lateOrderLimit + 9*time.Second)
+				sim.run(LateOrderLimit + 9*time.Second)
 				requireOneNumber(t, sim, "a.0.0.0")
 				require.Zero(t, sim.planners[0].Runs())
 				sim.after(0, func() {
@@ -232,7 +232,7 @@
 	require.NotEmpty(t, orders)
 	for i, before := range orders {
 		for _, o := range orders[i+1:] {
-			if before.executed.IsZero() && o.sentAt.Sub(before.sentAt) < lateOrderLimit {
+			if before.executed.IsZero() && o.sentAt.Sub(before.sentAt) < LateOrderLimit {
 				require.Equal(t, before.start.Key, o.start.Key, sim.history[task])
 				require.Equal(t, before.start.Target.ID, o.start.Target.ID, sim.history[task])
 			}
--- a/src/wharf/latestarts.go
+++ b/src/wharf/latestarts.go
@@ -4,17 +4,13 @@
 	"maps"
 	"slices"
 	"time"
-)
 
-const (
-	// lateStartPeriod is how long after an order its worker may still carry it out.
-	lateStartPeriod = 15 * time.Second
-	// maxLateStarts bounds the jobs that a heartbeat names, so that it stays within one packet.
-	maxLateStarts = 128
-	// unansweredPeriod covers the time from a planner's last order to its loss being noticed here.
-	unansweredPeriod = 2 * time.Second
+	"sesamecleat/src/convoy"
 )
 
+// unansweredPeriod covers the time from a planner's last order to its loss being noticed here.
+const unansweredPeriod = 2 * time.Second
+
 // lateStartReport is what this process tells the others of starts that may come late: those that its own planner reports, and
 // those that a lost planner has reported or may have ordered. A planner that starts again knows nothing of its former life.
 type lateStartReport struct {
@@ -28,7 +24,7 @@
 // takeOver goes on with the reports of a lost planner.
 func (r *lateStartReport) takeOver(now time.Time, jobs []uint32) {
 	for _, job := range jobs {
-		r.lost[job] = now.Add(lateStartPeriod)
+		r.lost[job] = now.Add(convoy.LateOrderLimit)
 		r.changed = true
 	}
 }
@@ -43,7 +39,7 @@
 	r.own, r.changed = own, false
 	lost := slices.SortedFunc(maps.Keys(r.lost), func(a, b uint32) int { return r.lost[b].Compare(r.lost[a]) })
 	lost = slices.DeleteFunc(lost, func(job uint32) bool { return slices.Contains(own, job) })
-	told := slices.Concat(own, lost[:min(len(lost), max(0, maxLateStarts-len(own)))])
+	told := slices.Concat(own, lost[:min(len(lost), max(0, convoy.MaxLateStarts-len(own)))])
 	slices.Sort(told)
 	if slices.Equal(told, r.told) {
 		return r.told, false
--- a/src/wharf/latestarts_test.go
+++ b/src/wharf/latestarts_test.go
@@ -86,7 +86,7 @@
 	o, done := newOffer(now, 7, 1)
 	p.Handle(now, o)
 	require.Equal(t, convoy.CauseLateStart, (<-done).cause)
-	now = now.Add(lateStartPeriod + time.Millisecond)
+	now = now.Add(convoy.LateOrderLimit + time.Millisecond)
 	p.step(now, convoy.Tick{})
 	require.Empty(t, h.Fleet.Self().LateStarts)
 }
@@ -95,15 +95,15 @@
 func TestToldLateStartsAreBounded(t *testing.T) {
 	now := time.Unix(1000, 0)
 	r := lateStartReport{lost: make(map[uint32]time.Time)}
-	for n := range uint32(3 * maxLateStarts) {
+	for n := range uint32(3 * convoy.MaxLateStarts) {
 		r.takeOver(now.Add(time.Duration(n)*time.Millisecond), []uint32{n})
 	}
-	own := []uint32{1, 2, 3 * maxLateStarts}
+	own := []uint32{1, 2, 3 * convoy.MaxLateStarts}
 	told, changed := r.update(now, own)
 	require.True(t, changed)
-	require.Len(t, told, maxLateStarts)
+	require.Len(t, told, convoy.MaxLateStarts)
 	require.Subset(t, told, own)
-	require.Contains(t, told, uint32(3*maxLateStarts-1))
+	require.Contains(t, told, uint32(3*convoy.MaxLateStarts-1))
 	_, changed = r.update(now, own)
 	require.False(t, changed)
 }
