--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"os"
@@ -27,6 +28,7 @@
 	"cancel":       cancelledJob,
 	"host-case":    hostCase,
 	"drain":        drainQueued,
+	"over-limit":   overLimit,
 }
 
 func main() {
@@ -90,6 +92,11 @@
 	return b
 }
 
+// unguarded says of the minions that they start whatever they are told.
+func unguarded(config []byte) []byte {
+	return bytes.Replace(config, []byte(`"admission_control":true`), []byte(`"admission_control":false`), 1)
+}
+
 type step struct {
 	Count    int   `json:"count"`
 	CPU      int   `json:"cpu"`
--- a/review/standin/minion.go
+++ b/review/standin/minion.go
@@ -51,7 +51,9 @@
 	top      map[string]int64
 	// onStart is told of each task that begins.
 	onStart func(m *minion, task string, run int64)
-	down    bool
+	// late is set while the next start order is to be carried out late; cut, while nothing reaches the minion or leaves it.
+	late *lateStart
+	cut  bool
 }
 
 func (s *system) addMinion(id, service, zone string, last int, cpu int64, labels []string) (*minion, error) {
@@ -83,6 +85,11 @@
 	client := newClient(time.Second)
 	for n := 0; ; n++ {
 		m.mu.Lock()
+		if m.cut {
+			m.mu.Unlock()
+			time.Sleep(100 * time.Millisecond)
+			continue
+		}
 		m.sequence++
 		body, _ := json.Marshal(map[string]any{
 			"service": m.service, "address": m.address, "zone": m.zone, "version": "v1", "slots": 8, "state": m.state,
@@ -145,15 +152,36 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if m.silent(r.URL.Path, o) {
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler)
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.obey(w, r.URL.Path, o)
+}
+
+// silent reports whether an order gets no answer: the minion is cut off, or the order is to be carried out late.
+func (m *minion) silent(path string, o order) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if l := m.late; l != nil && path == "/api/run-start" {
+		m.late, m.cut = nil, true
+		m.carryOutLater(path, o, l.after)
+		close(l.taken)
+	}
+	return m.cut
+}
+
+// obey carries an order out, unless its token is overtaken.
+func (m *minion) obey(w http.ResponseWriter, path string, o order) {
 	if o.Token < m.token {
 		m.conflict(w, "fence")
 		return
 	}
 	m.token = o.Token
 	m.endLapsed()
-	switch r.URL.Path {
+	switch path {
 	case "/api/run-start":
 		m.start(w, o)
 	case "/api/run-stop":
--- a/review/standin/scenarios.go
+++ b/review/standin/scenarios.go
@@ -44,6 +44,14 @@
 			break
 		}
 	}
+	for _, p := range s.cores {
+		b, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
+		for _, l := range strings.Split(string(b), "\n") {
+			if strings.HasPrefix(l, "VmHWM") || strings.HasPrefix(l, "VmRSS") {
+				rec.add("%s %s", p.name, l)
+			}
+		}
+	}
 	if trouble {
 		for _, p := range s.cores {
 			s.signal(p, syscall.SIGKILL)
