--- a/review/standin/late.go
+++ b/review/standin/late.go
@@ -11,6 +11,7 @@
 // lateStart has the next start order get no answer and be carried out later; its time counts from its arrival then.
 type lateStart struct {
 	after time.Duration
+	used  atomic.Bool
 	taken chan struct{}
 }
 
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -29,6 +29,7 @@
 	"host-case":    hostCase,
 	"drain":        drainQueued,
 	"over-limit":   overLimit,
+	"twice-cut":    twiceAcrossCut,
 }
 
 func main() {
@@ -123,10 +124,19 @@
 
 // prepare starts a deployment with two minions in each zone.
 func prepare(rec *record, cores, fronts, minions int, config []byte, version int) (*system, error) {
+	return prepareWith(rec, cores, fronts, minions, config, version, false)
+}
+
+func prepareWith(rec *record, cores, fronts, minions int, config []byte, version int, relayed bool) (*system, error) {
 	s, err := newSystem(rec, cores, fronts)
 	if err != nil {
 		return nil, err
 	}
+	if relayed {
+		if err := s.useRelays(); err != nil {
+			return nil, err
+		}
+	}
 	if err := s.startAll(); err != nil {
 		s.stop()
 		return nil, err
--- a/review/standin/minion.go
+++ b/review/standin/minion.go
@@ -49,8 +49,9 @@
 	number   int64
 	changed  chan struct{}
 	top      map[string]int64
-	// onStart is told of each task that begins.
+	// onStart is told of each task that begins, onEnd of each that ends.
 	onStart func(m *minion, task string, run int64)
+	onEnd   func(m *minion, task string, run int64)
 	// late is set while the next start order is to be carried out late; cut, while nothing reaches the minion or leaves it.
 	late *lateStart
 	cut  bool
@@ -99,6 +100,9 @@
 		m.mu.Unlock()
 		wait := heartbeatMs * time.Millisecond
 		p := m.sys.cores[n%len(m.sys.cores)]
+		if m.sys.relays != nil {
+			p = m.sys.coreOf(m.zone)
+		}
 		if status, _ := call(client, http.MethodPut, p.controlURL()+"/api/instances/"+m.id, "", nil, body); status != http.StatusOK {
 			wait = 100 * time.Millisecond
 		}
@@ -165,7 +169,7 @@
 func (m *minion) silent(path string, o order) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if l := m.late; l != nil && path == "/api/run-start" {
+	if l := m.late; l != nil && path == "/api/run-start" && l.used.CompareAndSwap(false, true) {
 		m.late, m.cut = nil, true
 		m.carryOutLater(path, o, l.after)
 		close(l.taken)
@@ -173,6 +177,16 @@
 	return m.cut
 }
 
+// coreOf returns the registry host of a zone.
+func (s *system) coreOf(zone string) *process {
+	for _, p := range s.cores {
+		if p.zone == zone {
+			return p
+		}
+	}
+	return s.cores[0]
+}
+
 // obey carries an order out, unless its token is overtaken.
 func (m *minion) obey(w http.ResponseWriter, path string, o order) {
 	if o.Token < m.token {
@@ -268,6 +282,9 @@
 	m.number++
 	m.ended = append(m.ended, [5]any{m.number, key.task, key.run, how, ""})
 	m.sys.rec.add("%s ends %s run %d: %s", m.id, key.task, key.run, how)
+	if m.onEnd != nil {
+		m.onEnd(m, key.task, key.run)
+	}
 	close(m.changed)
 	m.changed = make(chan struct{})
 }
--- /dev/null
+++ b/review/standin/relay.go
@@ -0,0 +1,114 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"sync/atomic"
+	"syscall"
+)
+
+// relays carry the datagrams between the processes, each of which is known to the others by its relay's address. While a
+// zone is cut off, they drop what passes between it and the others.
+type relays struct {
+	cut    atomic.Pointer[string]
+	mu     sync.Mutex
+	zoneOf map[string]string
+	conns  []*net.UDPConn
+}
+
+// relayed is added to the last byte of a process's address for that of its relay.
+const relayed = 150
+
+func newRelays(processes []*process, prefix string) (*relays, error) {
+	r := &relays{zoneOf: make(map[string]string)}
+	for _, p := range processes {
+		r.zoneOf[p.ip] = p.zone
+	}
+	for _, p := range processes {
+		for _, port := range []int{peerPort, peerPort + 1} {
+			if err := r.listen(p, relayIP(p.ip, prefix), port); err != nil {
+				r.close()
+				return nil, err
+			}
+		}
+	}
+	return r, nil
+}
+
+func relayIP(ip, prefix string) string {
+	var last int
+	_, _ = fmt.Sscanf(ip[len(prefix)+1:], "%d", &last)
+	return fmt.Sprintf("%s.%d", prefix, last+relayed)
+}
+
+func (r *relays) listen(p *process, ip string, port int) error {
+	front, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.ParseIP(ip), Port: port})
+	if err != nil {
+		return err
+	}
+	r.keep(front)
+	go r.forward(front, p, &net.UDPAddr{IP: net.ParseIP(p.ip), Port: port})
+	return nil
+}
+
+func (r *relays) keep(c *net.UDPConn) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.conns = append(r.conns, c)
+}
+
+func (r *relays) forward(front *net.UDPConn, p *process, target *net.UDPAddr) {
+	flows := make(map[string]*net.UDPConn)
+	buf := make([]byte, 1<<16)
+	for {
+		n, src, err := front.ReadFromUDP(buf)
+		if err != nil {
+			return
+		}
+		zone := r.zoneOf[src.IP.String()]
+		back, ok := flows[src.String()]
+		if !ok {
+			if back, err = net.DialUDP("udp4", nil, target); err != nil {
+				return
+			}
+			r.keep(back)
+			flows[src.String()] = back
+			go r.answer(front, back, src, zone, p.zone)
+		}
+		if r.passes(zone, p.zone) {
+			_, _ = back.Write(buf[:n])
+		}
+	}
+}
+
+func (r *relays) answer(front, back *net.UDPConn, src *net.UDPAddr, from, to string) {
+	buf := make([]byte, 1<<16)
+	for {
+		n, err := back.Read(buf)
+		if err != nil {
+			// A process that is down refuses datagrams; the flow stays for its next life.
+			if errors.Is(err, syscall.ECONNREFUSED) {
+				continue
+			}
+			return
+		}
+		if r.passes(from, to) {
+			_, _ = front.WriteToUDP(buf[:n], src)
+		}
+	}
+}
+
+func (r *relays) passes(a, b string) bool {
+	cut := r.cut.Load()
+	return cut == nil || a == b || (a != *cut && b != *cut)
+}
+
+func (r *relays) close() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, c := range r.conns {
+		_ = c.Close()
+	}
+}
--- a/review/standin/system.go
+++ b/review/standin/system.go
@@ -54,7 +54,7 @@
 	cores   []*process
 	fronts  []*process
 	minions []*minion
-	mu      sync.Mutex
+	relays  *relays
 }
 
 // freePrefix returns the first three bytes of loopback addresses at which nobody listens on the ports that are needed.
@@ -121,6 +121,22 @@
 	return &process{name: name, role: role, ip: ip, zone: zone, settings: settings, file: filepath.Join(s.dir, name+".json")}
 }
 
+// useRelays puts a relay before each process; it must be called before the processes start.
+func (s *system) useRelays() error {
+	all := append(append([]*process(nil), s.cores...), s.fronts...)
+	var seeds []string
+	for _, p := range s.cores[:3] {
+		seeds = append(seeds, fmt.Sprintf("%s:%d", relayIP(p.ip, s.prefix), controlPort))
+	}
+	for _, p := range all {
+		p.settings["advertise"] = fmt.Sprintf("%s:%d", relayIP(p.ip, s.prefix), peerPort)
+		p.settings["seeds"] = seeds
+	}
+	var err error
+	s.relays, err = newRelays(all, s.prefix)
+	return err
+}
+
 func (s *system) start(p *process) error {
 	b, err := json.MarshalIndent(p.settings, "", "  ")
 	if err != nil {
@@ -182,6 +198,9 @@
 	for _, m := range s.minions {
 		m.close()
 	}
+	if s.relays != nil {
+		defer s.relays.close()
+	}
 	for _, p := range append(append([]*process(nil), s.cores...), s.fronts...) {
 		if p.cmd == nil {
 			continue
