--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -24,10 +24,11 @@
 type scenario func(rec *record, trouble bool) (broken bool, seen string, err error)
 
 var scenarios = map[string]scenario{
-	"cancel":       cancelledJob,
-	"host-case":    hostCase,
-	"over-limit":   overLimit,
-	"twice-cut":    twiceAcrossCut,
+	"cancel":     cancelledJob,
+	"host-case":  hostCase,
+	"over-limit": overLimit,
+	"twice-cut":  twiceAcrossCut,
+	"thin-links": thinLinks,
 }
 
 func main() {
@@ -122,16 +123,16 @@
 
 // prepare starts a deployment with two minions in each zone.
 func prepare(rec *record, cores, fronts, minions int, config []byte, version int) (*system, error) {
-	return prepareWith(rec, cores, fronts, minions, config, version, false)
+	return prepareWith(rec, cores, fronts, minions, config, version, false, 0)
 }
 
-func prepareWith(rec *record, cores, fronts, minions int, config []byte, version int, relayed bool) (*system, error) {
+func prepareWith(rec *record, cores, fronts, minions int, config []byte, version int, relayed bool, frontMbps float64) (*system, error) {
 	s, err := newSystem(rec, cores, fronts)
 	if err != nil {
 		return nil, err
 	}
 	if relayed {
-		if err := s.useRelays(); err != nil {
+		if err := s.useRelays(frontMbps); err != nil {
 			return nil, err
 		}
 	}
--- a/review/standin/relay.go
+++ b/review/standin/relay.go
@@ -7,6 +7,7 @@
 	"sync"
 	"sync/atomic"
 	"syscall"
+	"time"
 )
 
 // relays carry the datagrams between the processes, each of which is known to the others by its relay's address. While a
@@ -16,13 +17,43 @@
 	mu     sync.Mutex
 	zoneOf map[string]string
 	conns  []*net.UDPConn
+	// links holds the links that carry less than loopback does, by address.
+	links map[string]*link
+}
+
+// link delays what a machine receives so that it gets no more than its bandwidth allows.
+type link struct {
+	mu   sync.Mutex
+	mbps float64
+	free time.Time
+}
+
+// carry waits until n bytes have passed; a nil link carries them at once.
+func (l *link) carry(n int) {
+	if l == nil {
+		return
+	}
+	l.mu.Lock()
+	now := time.Now()
+	if l.free.Before(now) {
+		l.free = now
+	}
+	l.free = l.free.Add(time.Duration(float64(n*8) / l.mbps * float64(time.Microsecond)))
+	wait := l.free.Sub(now)
+	l.mu.Unlock()
+	if wait > time.Millisecond {
+		time.Sleep(wait)
+	}
 }
 
 // relayed is added to the last byte of a process's address for that of its relay.
 const relayed = 150
 
-func newRelays(processes []*process, prefix string) (*relays, error) {
-	r := &relays{zoneOf: make(map[string]string)}
+func newRelays(processes []*process, prefix string, bandwidth map[string]float64) (*relays, error) {
+	r := &relays{zoneOf: make(map[string]string), links: make(map[string]*link)}
+	for ip, mbps := range bandwidth {
+		r.links[ip] = &link{mbps: mbps}
+	}
 	for _, p := range processes {
 		r.zoneOf[p.ip] = p.zone
 	}
@@ -78,6 +109,7 @@
 			go r.answer(front, back, src, zone, p.zone)
 		}
 		if r.passes(zone, p.zone) {
+			r.links[p.ip].carry(n)
 			_, _ = back.Write(buf[:n])
 		}
 	}
@@ -95,6 +127,7 @@
 			return
 		}
 		if r.passes(from, to) {
+			r.links[src.IP.String()].carry(n)
 			_, _ = front.WriteToUDP(buf[:n], src)
 		}
 	}
--- a/review/standin/system.go
+++ b/review/standin/system.go
@@ -121,7 +121,7 @@
 }
 
 // useRelays puts a relay before each process; it must be called before the processes start.
-func (s *system) useRelays() error {
+func (s *system) useRelays(frontMbps float64) error {
 	all := append(append([]*process(nil), s.cores...), s.fronts...)
 	var seeds []string
 	for _, p := range s.cores[:3] {
@@ -131,8 +131,14 @@
 		p.settings["advertise"] = fmt.Sprintf("%s:%d", relayIP(p.ip, s.prefix), peerPort)
 		p.settings["seeds"] = seeds
 	}
+	bandwidth := make(map[string]float64)
+	for _, p := range s.fronts {
+		if frontMbps > 0 {
+			bandwidth[p.ip] = frontMbps
+		}
+	}
 	var err error
-	s.relays, err = newRelays(all, s.prefix)
+	s.relays, err = newRelays(all, s.prefix, bandwidth)
 	return err
 }
 
--- a/review/standin/twice.go
+++ b/review/standin/twice.go
@@ -47,7 +47,7 @@
 		lateBy     = 3 * time.Second
 		taskMs     = 1200
 	)
-	s, err := prepareWith(rec, 3, 3, 6, configuration(1, newRoute("r-3hwrr6x", "nony24.example", "/lohu930/")), 1, true)
+	s, err := prepareWith(rec, 3, 3, 6, configuration(1, newRoute("r-3hwrr6x", "nony24.example", "/lohu930/")), 1, true, 0)
 	if err != nil {
 		return false, "", err
 	}
