--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -121,11 +121,12 @@
 	return map[string]string{"X-Deadline-Ms": fmt.Sprint(d.Milliseconds())}
 }
 
-// prepare starts a deployment with two minions in each zone.
+// prepare starts a deployment, its minions spread over the zones, and puts the first configuration.
 func prepare(rec *record, cores, fronts, minions int, config []byte, version int) (*system, error) {
 	return prepareWith(rec, cores, fronts, minions, config, version, false, 0)
 }
 
+// prepareWith does the same with relays between the processes, if relayed; the entry hosts' links carry frontMbps, if that is not 0.
 func prepareWith(rec *record, cores, fronts, minions int, config []byte, version int, relayed bool, frontMbps float64) (*system, error) {
 	s, err := newSystem(rec, cores, fronts)
 	if err != nil {
@@ -133,6 +134,7 @@
 	}
 	if relayed {
 		if err := s.useRelays(frontMbps); err != nil {
+			s.stop()
 			return nil, err
 		}
 	}
