Keep a start that may still come in the books of a silent worker

Cause: once the leases of a silent worker had run out, expireLeases took all its runs off the books, also those whose start had never been answered. Such a start has no lease before it is carried out. Its stop was no longer repeated and its room was given back, so a worker that came back into reach for 0.8 s was told nothing before it carried the start out.

The run now stays in the books with its room. Its worker's token is raised and its stop repeated until the worker answers either, or no order can come any more. Whatever arrives first fences every earlier order. The next planner's token does the same after a handover, and planners ask workers often that have not answered them yet.

--- a/src/convoy/claim.go
+++ b/src/convoy/claim.go
@@ -45,7 +45,7 @@
 	if t.Expired {
 		return
 	}
-	w := newWorker(t, p.firstToken(t))
+	w := newWorker(now, t, p.firstToken(t))
 	p.workers[t.ID] = w
 	p.sendHold(now, w)
 }
@@ -99,9 +99,10 @@
 	p.dropOrphans(w)
 }
 
-// releaseIfIdle releases a worker that is being handed over, once it has no runs and no task of a started job waits for it.
+// releaseIfIdle releases a worker that is being handed over, once it has no runs and no task of a started job waits for it. Starts
+// that may still come do not hold it back, as the next planner's token fences them.
 func (p *Planner) releaseIfIdle(now time.Time, w *worker) {
-	if !w.handingOver || len(w.runs) > 0 || len(w.orphans) > 0 {
+	if !w.handingOver || (len(w.runs)+len(w.orphans) > 0 && !w.hasOverdueStartsOnly()) {
 		return
 	}
 	for _, j := range p.queue {
@@ -109,6 +110,9 @@
 			return
 		}
 	}
+	for _, r := range sortedRuns(w) {
+		p.removeRun(now, w, r, false)
+	}
 	p.forgetWorker(now, w)
 	p.emit(ReleaseWorker{Target: w.target})
 }
--- a/src/convoy/event.go
+++ b/src/convoy/event.go
@@ -286,6 +286,7 @@
 	DecisionWorkerRestarted
 	DecisionStrayRun
 	DecisionStartUnanswered
+	DecisionStartOverdue
 )
 
 func (Hold) action()             {}
--- a/src/convoy/hold.go
+++ b/src/convoy/hold.go
@@ -224,7 +224,7 @@
 	p.forgetIfGone(now, w)
 }
 
-// forgetIfGone forgets a worker that has left or stopped announcing itself, once nothing runs there any more.
+// forgetIfGone forgets a worker that has left or stopped announcing itself, once nothing runs there any more or may begin.
 func (p *Planner) forgetIfGone(now time.Time, w *worker) {
 	if w.target.Expired && len(w.runs) == 0 && len(w.orphans) == 0 {
 		p.forgetWorker(now, w)
@@ -244,10 +244,34 @@
 		if now.Sub(r.startedAt) <= leaseBound(p.tuning.MaxLease) {
 			continue
 		}
+		if r.mayStillBegin() && now.Sub(r.orderedAt) <= LateOrderLimit {
+			p.keepOverdueStart(now, w, r)
+			continue
+		}
 		p.restartTask(now, w, r, "its lease expired")
 	}
 }
 
+// keepOverdueStart keeps a run in the books, with its room, whose leases have run out but whose start may still be carried out,
+// with a lease that counts from then. Its stop is repeated, under a higher token that fences every earlier order, until the worker
+// answers or the start can no longer come.
+func (p *Planner) keepOverdueStart(now time.Time, w *worker, r *run) {
+	if r.overdue {
+		return
+	}
+	r.overdue, r.state = true, runUnconfirmed
+	if r.token == w.token {
+		w.token += p.tuning.TokenStep
+	}
+	p.logDecision(DecisionStartOverdue, jobID(r.key), w.target.ID, fmt.Sprintf(
+		"%s run %d ordered %s ago, token %d now", r.key.Task, r.key.Run, now.Sub(r.orderedAt).Round(time.Millisecond), w.token))
+	if r.task != nil {
+		p.loseLateStart(now, w, r, r.task)
+		return
+	}
+	p.orderStop(now, w, r)
+}
+
 // updateTarget records the latest description of a worker and ignores one that is older than the recorded one.
 func (p *Planner) updateTarget(now time.Time, t Target) {
 	old, known := p.targets[t.ID]
--- a/src/convoy/incarnation.go
+++ b/src/convoy/incarnation.go
@@ -78,17 +78,32 @@
 }
 
 // probeBackoffLimit returns the longest backoff between hold requests to a worker that does not answer. A worker that may carry
-// out a late start must learn the new token soon after a restart.
+// out a late start must learn the new token soon after it is back or after a restart; so must one that has not answered this
+// planner yet, as its former planner may have left a start unanswered.
 func (w *worker) probeBackoffLimit(now time.Time) time.Duration {
-	if now.Before(w.lateUntil) {
-		return minProbeBackoff
+	limit := maxProbeBackoff
+	if now.Before(w.lateUntil) || (w.clockAt.IsZero() && now.Sub(w.addedAt) < LateOrderLimit) {
+		limit = minProbeBackoff
 	}
 	for _, r := range w.runs {
+		if r.overdue {
+			return overdueProbeBackoff
+		}
 		if r.mayComeLate() {
-			return minProbeBackoff
+			limit = minProbeBackoff
+		}
+	}
+	return limit
+}
+
+// hasOverdueStartsOnly reports whether a worker does not answer and nothing but starts that may still come is left of its runs.
+func (w *worker) hasOverdueStartsOnly() bool {
+	for _, r := range w.runs {
+		if !r.overdue || !r.mayStillBegin() {
+			return false
 		}
 	}
-	return maxProbeBackoff
+	return w.phase != phaseReady && len(w.orphans) == 0
 }
 
 // forgetTokens deletes the tokens of orders that can no longer be carried out.
--- a/src/convoy/judge.go
+++ b/src/convoy/judge.go
@@ -69,6 +69,9 @@
 
 func (p *Planner) everFits(j *job, s Step) bool {
 	for _, w := range p.workers {
+		if w.target.Expired && w.hasOverdueStartsOnly() {
+			continue
+		}
 		if w.target.Pool == j.Pool && s.Need.Fits(w.target.Capacity) && w.hasLabel(s.Label) {
 			return true
 		}
--- a/src/convoy/numbers_test.go
+++ b/src/convoy/numbers_test.go
@@ -48,6 +48,8 @@
 	takenOver map[*Planner]map[uint32]time.Time
 	// ignored says whether an order, given by the event that reports that it is unanswered, gets lost.
 	ignored func(Event) bool
+	// cut says that planners do not hear each other.
+	cut bool
 }
 
 // noteStart records a start order. No planner may order a start while one of another number, or on another worker, may come late.
--- a/src/convoy/run.go
+++ b/src/convoy/run.go
@@ -59,16 +59,24 @@
 	if r.state != runUnconfirmed {
 		r.state = runStopping
 	}
-	if now.Sub(r.stopSentAt) < stopRetryInterval {
+	if now.Sub(r.stopSentAt) < r.stopInterval() {
 		return
 	}
 	r.stopSentAt = now
 	p.emit(Stop{Target: w.target, Token: w.token, Key: r.key})
 }
 
+// stopInterval returns the interval at which the stop of a run is repeated.
+func (r *run) stopInterval() time.Duration {
+	if r.overdue {
+		return overdueStopInterval
+	}
+	return stopRetryInterval
+}
+
 func (p *Planner) retryStops(now time.Time, w *worker) {
 	for _, r := range sortedRuns(w) {
-		if !r.stopSentAt.IsZero() && r.stopAckedAt.IsZero() && now.Sub(r.stopSentAt) >= stopRetryInterval {
+		if !r.stopSentAt.IsZero() && r.stopAckedAt.IsZero() && now.Sub(r.stopSentAt) >= r.stopInterval() {
 			p.orderStop(now, w, r)
 		}
 	}
--- a/src/convoy/worker.go
+++ b/src/convoy/worker.go
@@ -56,7 +56,9 @@
 	// stopSentAt is the time of the last stop order, stopAckedAt of its acknowledgement: the run cannot begin after that.
 	stopSentAt  time.Time
 	stopAckedAt time.Time
-	need        Resources
+	// overdue says that the worker has been silent until its leases ran out, with no sign that the run has begun.
+	overdue bool
+	need    Resources
 }
 
 // mayComeLate reports whether a start order of the run may still be carried out. A worker that lists a run has carried out one of
@@ -69,6 +71,9 @@
 	return open > 0
 }
 
+// mayStillBegin reports whether the run may still begin at the incarnation that it was ordered from, which begins it once.
+func (r *run) mayStillBegin() bool { return r.mayComeLate() && !r.accepted && !r.listed }
+
 // unsettled returns how many start orders have neither been answered nor given up.
 func (r *run) unsettled() int { return r.orders - r.answered - r.unanswered }
 
@@ -77,6 +82,8 @@
 	target Target
 	phase  phase
 	token  int64
+	// addedAt is when the planner took the worker over.
+	addedAt time.Time
 	// handingOver workers are released once they have no runs.
 	handingOver bool
 	// clock is the worker's clock in milliseconds at the local time clockAt.
@@ -115,9 +122,9 @@
 	skipUntil     time.Time
 }
 
-func newWorker(t Target, token int64) *worker {
+func newWorker(now time.Time, t Target, token int64) *worker {
 	return &worker{
-		target: t, token: token, speed: 1,
+		target: t, token: token, speed: 1, addedAt: now,
 		runs: make(map[RunKey]*run), orphans: make(map[RunKey]time.Time),
 	}
 }
--- a/src/logbook/event.go
+++ b/src/logbook/event.go
@@ -108,6 +108,7 @@
 	WorkerRestarted   = Event{714, Info, "worker started again under its id", "none"}
 	StrayRun          = Event{715, Warn, "worker runs a task that this planner did not start there; it is stopped", "none after a handover; else look for a late start order (716)"}
 	StartUnanswered   = Event{716, Info, "start order unanswered; the worker may carry it out late", "check the worker and the network if it recurs"}
+	StartOverdue      = Event{717, Info, "worker silent until its leases ran out, with a start order that it may still carry out; its stop is repeated", "check the worker and the network if it recurs"}
 )
 
 // Catalogue returns all events in order of their numbers.
@@ -124,6 +125,6 @@
 		TargetsLoaded, TargetsUnreadable,
 		JobAccepted, JobQueued, TaskPlaced, TaskRestarted, JobGivenUp, JobAnswered, JobRefused, JobForwarded,
 		WorkerReady, WorkerSlow, WorkerLost, WorkerFenced, CancelUndelivered, JobRejected, WorkerRestarted, StrayRun,
-		StartUnanswered,
+		StartUnanswered, StartOverdue,
 	}
 }
--- a/src/wharf/plan.go
+++ b/src/wharf/plan.go
@@ -273,6 +273,7 @@
 	convoy.DecisionWorkerRestarted: logbook.WorkerRestarted,
 	convoy.DecisionStrayRun:        logbook.StrayRun,
 	convoy.DecisionStartUnanswered: logbook.StartUnanswered,
+	convoy.DecisionStartOverdue:    logbook.StartOverdue,
 }
 
 // notifyRelease tells the next planner of a part that a worker is free for it.
