Fetch the configuration in pieces sized by the link

Cause: a process fetched the whole configuration by one call of 400 ms, whatever its size and link. What had arrived by then was thrown away, and the next heartbeat began anew, so all attempts failed alike (event 614, "deadline exceeded") and took up the link beside the heartbeats. Entry hosts also fetched from each other, over links as thin as their own.

It is now fetched in pieces. Each has the limit of a call, and is sized by what the link has carried so that it takes 150 ms, less than the time between two heartbeats. The pieces that have arrived are kept over failed calls, and a version goes on being fetched while newer ones come, which the last four can be. Registry hosts are preferred as sources.

--- a/src/charter/codec.go
+++ b/src/charter/codec.go
@@ -82,5 +82,14 @@
 		c.Pools = append(c.Pools, Pool{Name: p.Name, AdmissionControl: p.AdmissionControl, MaxConnections: p.MaxConnections})
 	}
 	c.BuildIndex()
+	c.encoded = b
 	return c, nil
 }
+
+// Encoded returns the configuration as Decode read it, or else as Encode encodes it, so that all processes hold the same bytes.
+func (c *Config) Encoded() ([]byte, error) {
+	if c.encoded != nil {
+		return c.encoded, nil
+	}
+	return Encode(c)
+}
--- a/src/charter/config.go
+++ b/src/charter/config.go
@@ -52,6 +52,8 @@
 	Source []byte
 
 	byHost map[string][]Route
+	// encoded is what Decode read the configuration from.
+	encoded []byte
 }
 
 // BuildIndex prepares the configuration for Match.
--- a/src/wharf/config.go
+++ b/src/wharf/config.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -20,10 +21,15 @@
 // config is this process's copy of the configuration. Its version never decreases; newer versions are fetched from any
 // peer that has one.
 type config struct {
-	h        *helm.Kernel
-	current  atomic.Pointer[charter.Config]
-	encoded  atomic.Pointer[[]byte]
+	h       *helm.Kernel
+	current atomic.Pointer[charter.Config]
+	// encoded holds the latest versions for the peers that fetch them.
+	encoded  atomic.Pointer[documents]
 	fetching bool
+	// partial is what has arrived of a newer version, and attempts how often a fetch of it has failed. While fetching is set, the
+	// goroutine that fetches has them.
+	partial  *download
+	attempts int
 	// inForceSince is the time at which the current configuration was installed here, in milliseconds since 1970; 0
 	// before the first.
 	inForceSince atomic.Int64
@@ -34,6 +40,8 @@
 
 type configFetchedEvent struct {
 	config *charter.Config
+	// partial is what has arrived if the fetch failed.
+	partial *download
 	from   string
 	err    error
 }
@@ -64,11 +72,13 @@
 	case configCommittedEvent:
 		c.install(now, e.config, "log")
 	case configFetchedEvent:
-		c.fetching = false
+		c.fetching, c.partial = false, e.partial
 		if e.err != nil {
+			c.attempts++
 			reportUpdateFailure(c.h, "config", e.from, e.err)
 			return
 		}
+		c.attempts = 0
 		c.install(now, e.config, e.from)
 	case fleetEvent:
 		if u, ok := e.action.(flotilla.PeerUpdated); ok {
@@ -96,12 +106,17 @@
 	if cfg == nil || cfg.Version <= c.version() {
 		return
 	}
-	data, err := charter.Encode(cfg)
+	data, err := cfg.Encoded()
 	if err != nil {
 		c.h.Log.Write(logbook.HandlerPanicked, logbook.F("panic", err.Error()))
 		return
 	}
-	c.encoded.Store(&data)
+	var docs documents
+	if former := c.encoded.Load(); former != nil {
+		docs = *former
+	}
+	docs = docs.with(newDocument(cfg.Version, data))
+	c.encoded.Store(&docs)
 	c.current.Store(cfg)
 	c.inForceSince.Store(now.UnixMilli())
 	c.h.Log.Write(logbook.ConfigApplied, logbook.F("version", cfg.Version), logbook.F("routes", len(cfg.Routes)),
@@ -110,30 +125,61 @@
 	c.h.Publish(now, configInForceEvent{config: cfg})
 }
 
-// fetchIfNewer fetches a peer's configuration if it is newer; after a failure the peer's next heartbeat triggers a
-// retry.
+// fetchIfNewer fetches the configuration if a peer's is newer; after a failure the next heartbeat triggers a retry, which goes on
+// where that one ended.
 func (c *config) fetchIfNewer(p flotilla.Peer) {
 	if c.fetching || p.Member.ConfigVersion <= c.version() {
 		return
 	}
-	c.fetching = true
+	partial := c.partial
+	if partial == nil || partial.version <= c.version() {
+		partial = newDownload()
+	}
+	source := chooseSource(c.h.Fleet.Peers(), c.h.Fleet.Self(), p.Member, max(partial.version, c.version()+1), c.attempts)
+	c.fetching, c.partial = true, nil
 	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
-		defer cancel()
-		ev := configFetchedEvent{from: p.Member.Name}
-		out, err := c.h.RPC.Probe(ctx, p.Member.Address, kindFetchConfig, nil)
-		if err == nil {
-			ev.config, err = charter.Decode(out)
+		ev := configFetchedEvent{from: source.Name}
+		ev.err = partial.run(c.h.Clock.Now, func(ctx context.Context, request []byte) ([]byte, error) {
+			return c.h.RPC.Probe(ctx, source.Address, kindFetchConfig, request)
+		})
+		if ev.err == nil {
+			ev.config, ev.err = charter.Decode(partial.data)
+		} else {
+			ev.partial = partial
 		}
-		ev.err = err
 		c.h.Post(c, ev)
 	}()
 }
 
-func (c *config) onFetchConfig(context.Context, netip.AddrPort, []byte) ([]byte, error) {
-	data := c.encoded.Load()
-	if data == nil {
+// chooseSource returns the process to fetch a version from: a registry host that has it, as its link carries more, of this process's
+// domain if possible, or else the one whose heartbeat names it. After failed attempts another one is chosen.
+func chooseSource(peers []flotilla.Peer, self, heard flotilla.Member, version uint64, attempts int) flotilla.Member {
+	var near, far []flotilla.Member
+	for _, p := range peers {
+		switch {
+		case !p.Alive || p.NotReceiving || !p.Member.Registry || p.Member.ConfigVersion < version:
+		case p.Member.Domain == self.Domain:
+			near = append(near, p.Member)
+		default:
+			far = append(far, p.Member)
+		}
+	}
+	sources := slices.Concat(near, far)
+	if len(sources) == 0 {
+		return heard
+	}
+	group := len(near)
+	if group == 0 {
+		group = len(far)
+	}
+	first := int(flotilla.NameHash(self.Name) % uint32(group))
+	return sources[(first+attempts)%len(sources)]
+}
+
+func (c *config) onFetchConfig(_ context.Context, _ netip.AddrPort, request []byte) ([]byte, error) {
+	docs := c.encoded.Load()
+	if docs == nil {
 		return nil, Error.New("no configuration is known here")
 	}
-	return *data, nil
+	return docs.piece(request)
 }
