--- a/src/charter/codec.go
+++ b/src/charter/codec.go
@@ -1,9 +1,12 @@
 package charter
 
 import (
+	"bytes"
+	"sync"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
+	"github.com/klauspost/compress/zstd"
 	"github.com/zeebo/errs"
 )
 
@@ -42,7 +45,23 @@
 	Source      []byte
 }
 
-// Encode encodes a configuration as CBOR.
+// decodedLimit bounds a configuration that is decompressed, in bytes.
+const decodedLimit = 256 << 20
+
+// Configurations are compressed, because a large one consists of routes that differ by little, and holds each twice: as sent by the
+// operator, and as decoded.
+var (
+	compressor = sync.OnceValues(func() (*zstd.Encoder, error) {
+		return zstd.NewWriter(nil, zstd.WithEncoderLevel(zstd.SpeedFastest), zstd.WithEncoderConcurrency(1), zstd.WithLowerEncoderMem(true))
+	})
+	decompressor = sync.OnceValues(func() (*zstd.Decoder, error) {
+		return zstd.NewReader(nil, zstd.WithDecoderConcurrency(1), zstd.WithDecoderLowmem(true), zstd.WithDecoderMaxMemory(decodedLimit))
+	})
+	// compressedMagic are the first bytes of what is compressed; earlier versions wrote plain CBOR.
+	compressedMagic = []byte{0x28, 0xb5, 0x2f, 0xfd}
+)
+
+// Encode encodes a configuration as compressed CBOR.
 func Encode(c *Config) ([]byte, error) {
 	w := wireConfig{
 		Version: c.Version, Source: c.Source,
@@ -58,13 +77,36 @@
 		w.Pools = append(w.Pools, wirePool{Name: p.Name, AdmissionControl: p.AdmissionControl, MaxConnections: p.MaxConnections})
 	}
 	b, err := cbor.Marshal(w)
-	return b, Error.Wrap(err)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	enc, err := compressor()
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	return enc.EncodeAll(b, nil), nil
+}
+
+func decompress(b []byte) ([]byte, error) {
+	if !bytes.HasPrefix(b, compressedMagic) {
+		return b, nil
+	}
+	dec, err := decompressor()
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	out, err := dec.DecodeAll(b, nil)
+	return out, Error.Wrap(err)
 }
 
 // Decode decodes what Encode returned and builds the index for Match.
 func Decode(b []byte) (*Config, error) {
+	plain, err := decompress(b)
+	if err != nil {
+		return nil, err
+	}
 	var w wireConfig
-	if err := cbor.Unmarshal(b, &w); err != nil {
+	if err := cbor.Unmarshal(plain, &w); err != nil {
 		return nil, Error.Wrap(err)
 	}
 	c := &Config{
--- a/src/wharf/config.go
+++ b/src/wharf/config.go
@@ -42,8 +42,8 @@
 	config *charter.Config
 	// partial is what has arrived if the fetch failed.
 	partial *download
-	from   string
-	err    error
+	from    string
+	err     error
 }
 
 // configInForceEvent tells the other plug-ins that this process now serves a newer configuration.
