Send large log messages beside the heartbeats of the leader

Cause: every message of the log was one call of 400 ms, and the calls to a host went one after the other.

Large messages now go beside the others, one at a time, in batches bounded in bytes. What they may take depends on their size, and doubles while nothing is acknowledged. Heartbeats that go on meanwhile refer to an entry that the host is known to have, so that they count in any order. An order has a limit by its size, and a read sends the configuration only to a host that does not hold it.

Before: with the former limits TestLargeEntriesDoNotHoldUpHeartbeats (2 of its 4 cases) and TestSnapshotDoesNotHoldUpHeartbeats fail.

--- a/src/pilot/node.go
+++ b/src/pilot/node.go
@@ -12,10 +12,16 @@
 	HeartbeatInterval = 300 * time.Millisecond
 	// ElectionTimeout is the default of Timing.Election.
 	ElectionTimeout = 800 * time.Millisecond
-	// batchLimit is the maximum number of entries in one AppendEntries message.
+	// batchLimit is the maximum number of entries in one AppendEntries message, batchBytes the size beyond which it gets no more.
 	batchLimit = 256
-	// resendAfter is the time after which unacknowledged entries or snapshots are sent again.
-	resendAfter = 300 * time.Millisecond
+	batchBytes = 256 << 10
+	// bulkBytes is the size above which messages are sent beside the others: a link of 2 Mbit/s carries that much within a heartbeat.
+	bulkBytes = 16 << 10
+	// resendAfter is the time after which unacknowledged entries or snapshots are sent again; linkRate, in bytes a second, adds to it
+	// for their size. It is doubled up to maxResendDoublings times while nothing is acknowledged.
+	resendAfter        = 300 * time.Millisecond
+	linkRate           = 1 << 20
+	maxResendDoublings = 5
 )
 
 type role uint8
@@ -36,8 +42,12 @@
 	sentAt      time.Time
 	// ackedRound is the newest round that the host has answered.
 	ackedRound uint64
-	// inFlight reports that entries or a snapshot are unacknowledged.
-	inFlight bool
+	// inFlight reports that entries or a snapshot up to inFlightUpTo are unacknowledged, inFlightBytes their size; resends counts how
+	// often they were sent again.
+	inFlight      bool
+	inFlightUpTo  uint64
+	inFlightBytes int
+	resends       int
 }
 
 type pendingRead struct {
--- a/src/pilot/replicate.go
+++ b/src/pilot/replicate.go
@@ -37,9 +37,14 @@
 		p = &progress{next: n.log.lastIndex() + 1, lastReplyAt: now}
 		n.peers[to] = p
 	}
-	if p.inFlight && now.Sub(p.sentAt) > resendAfter {
+	if p.inFlight && now.Sub(p.sentAt) > p.resendTime() {
 		p.inFlight = false
 		p.next = p.match + 1
+		p.resends++
+	}
+	if p.inFlight && p.inFlightBytes > bulkBytes {
+		n.sendHeartbeat(to, p)
+		return
 	}
 	prev := p.next - 1
 	term, held := n.log.termAt(prev)
@@ -48,10 +53,10 @@
 		return
 	}
 	entries := n.log.entriesBetween(prev, n.log.lastIndex(), batchLimit)
+	entries = entries[:countWithin(entries, batchBytes)]
 	if len(entries) > 0 {
-		p.inFlight = true
-		p.sentAt = now
 		p.next = entries[len(entries)-1].Index + 1
+		p.addInFlight(now, p.next-1, entriesSize(entries))
 	}
 	n.send(to, AppendEntries{
 		Term: n.hardState.Term, PrevIndex: prev, PrevTerm: term,
@@ -59,13 +64,70 @@
 	})
 }
 
+// sendHeartbeat sends a heartbeat beside a bulk message that is on its way. It is accepted whichever arrives first, as it refers to
+// an entry that the host is known to have, or to the start of the log.
+func (n *Node) sendHeartbeat(to string, p *progress) {
+	prev := p.match
+	term, held := n.log.termAt(prev)
+	if !held {
+		prev, term = 0, 0
+	}
+	n.send(to, AppendEntries{Term: n.hardState.Term, PrevIndex: prev, PrevTerm: term, Commit: n.commitIndex, Round: n.round})
+}
+
 func (n *Node) sendSnapshot(now time.Time, to string, p *progress) {
 	if p.inFlight {
+		n.sendHeartbeat(to, p)
 		return
 	}
-	p.inFlight = true
-	p.sentAt = now
-	n.send(to, InstallSnapshot{Term: n.hardState.Term, Snapshot: n.log.snapshot, Round: n.round})
+	snap := n.log.snapshot
+	p.addInFlight(now, snap.Index, len(snap.Data))
+	n.send(to, InstallSnapshot{Term: n.hardState.Term, Snapshot: snap, Round: n.round})
+}
+
+// addInFlight records that entries or a snapshot up to an index have been sent.
+func (p *progress) addInFlight(now time.Time, upTo uint64, size int) {
+	if !p.inFlight {
+		p.inFlightBytes = 0
+	}
+	p.inFlight, p.inFlightUpTo, p.sentAt = true, upTo, now
+	p.inFlightBytes += size
+}
+
+// resendTime returns how long what is in flight may take; more for its size, and more after each time that was too short, as the
+// link may carry less.
+func (p *progress) resendTime() time.Duration {
+	d := resendAfter + time.Duration(float64(p.inFlightBytes)/linkRate*float64(time.Second))
+	return d << min(p.resends, maxResendDoublings)
+}
+
+// IsBulk reports whether a message is so large that others must not wait behind it.
+func IsBulk(m Message) bool {
+	switch m := m.(type) {
+	case AppendEntries:
+		return entriesSize(m.Entries) > bulkBytes
+	case InstallSnapshot:
+		return true
+	}
+	return false
+}
+
+func entriesSize(entries []Entry) int {
+	n := 0
+	for _, e := range entries {
+		n += len(e.Data)
+	}
+	return n
+}
+
+// countWithin returns how many entries fit into a size; at least one.
+func countWithin(entries []Entry, size int) int {
+	for i, e := range entries {
+		if size -= len(e.Data); size < 0 {
+			return max(1, i)
+		}
+	}
+	return len(entries)
 }
 
 func (n *Node) onAppend(now time.Time, from string, m AppendEntries) {
@@ -123,10 +185,11 @@
 	}
 	if m.Match > p.match {
 		p.match = m.Match
+		p.resends = 0
 		n.commitReplicated(now)
 	}
-	if p.match+1 >= p.next {
-		p.next = p.match + 1
+	p.next = max(p.next, p.match+1)
+	if p.inFlight && p.match >= p.inFlightUpTo {
 		p.inFlight = false
 	}
 	if p.next <= n.log.lastIndex() {
--- a/src/wharf/council.go
+++ b/src/wharf/council.go
@@ -35,13 +35,16 @@
 	registryHosts map[string]registryHost
 	lastTicket    uint64
 	proposals     map[uint64]chan requestResult
-	reads         map[uint64]chan requestResult
+	reads         map[uint64]pendingRead
 	// uncommitted holds, by log index, the proposals that are not yet committed.
 	uncommitted map[uint64]uncommittedProposal
-	senders     map[string]chan []byte
-	writes      chan []pilot.Action
-	wg          sync.WaitGroup
-	targets     *targetList
+	// senders holds, by receiver, the messages that wait to be sent; bulkSenders those that others must not wait behind.
+	senders, bulkSenders map[string]chan []byte
+	writes               chan []pilot.Action
+	wg                   sync.WaitGroup
+	targets              *targetList
+	// current is the newest configuration that this host has applied, for requests that are not served by the loop.
+	current atomic.Pointer[charter.Config]
 	// committed is the last log index known to be committed; the writer goroutine reads it.
 	committed atomic.Uint64
 	metrics   *consensusMetrics
@@ -64,7 +67,16 @@
 	done chan requestResult
 }
 
-type readLatestEvent struct{ done chan requestResult }
+// readLatestEvent asks for the newest configuration; request names the version that the caller holds.
+type readLatestEvent struct {
+	request []byte
+	done    chan requestResult
+}
+
+type pendingRead struct {
+	request []byte
+	done    chan requestResult
+}
 
 type locateEvent struct {
 	disk string
@@ -82,8 +94,8 @@
 func newConsensus(h *helm.Kernel) helm.Plugin {
 	c := &consensus{
 		h: h, registryHosts: make(map[string]registryHost),
-		proposals: make(map[uint64]chan requestResult), reads: make(map[uint64]chan requestResult),
-		uncommitted: make(map[uint64]uncommittedProposal), senders: make(map[string]chan []byte),
+		proposals: make(map[uint64]chan requestResult), reads: make(map[uint64]pendingRead),
+		uncommitted: make(map[uint64]uncommittedProposal), senders: make(map[string]chan []byte), bulkSenders: make(map[string]chan []byte),
 		writes:  make(chan []pilot.Action, writeQueueLength),
 		targets: newTargetList(h), metrics: newConsensusMetrics(h.Metrics),
 	}
@@ -134,6 +146,7 @@
 	c.h.Fleet.UpdateSelf(func(m *flotilla.Member) { m.Disk = c.disk })
 	c.wg.Go(c.runWriter)
 	if cfg := c.state.Current(); cfg != nil {
+		c.current.Store(cfg)
 		// A configuration committed before this start can be served before a leader is elected.
 		c.h.Post(nil, configCommittedEvent{config: cfg})
 	}
@@ -169,7 +182,7 @@
 		c.step(now, pilot.Propose{Ticket: c.lastTicket, Data: e.data})
 	case readLatestEvent:
 		c.lastTicket++
-		c.reads[c.lastTicket] = e.done
+		c.reads[c.lastTicket] = pendingRead{request: e.request, done: e.done}
 		c.step(now, pilot.ReadIndex{Ticket: c.lastTicket})
 	case locateEvent:
 		e.done <- c.address(e.disk)
@@ -265,6 +278,7 @@
 
 // publishIfNewer announces the current configuration to the other plug-ins if its version has changed.
 func (c *consensus) publishIfNewer(oldVersion uint64) {
+	c.current.Store(c.state.Current())
 	if version := c.version(); version != oldVersion {
 		c.h.Log.Write(logbook.ConfigStored, logbook.F("version", version))
 		c.h.Publish(c.h.Clock.Now(), configCommittedEvent{config: c.state.Current()})
@@ -285,16 +299,16 @@
 }
 
 func (c *consensus) onReadReady(r pilot.ReadReady) {
-	done, ok := c.reads[r.Ticket]
+	read, ok := c.reads[r.Ticket]
 	if !ok {
 		return
 	}
 	delete(c.reads, r.Ticket)
 	if !r.OK {
-		done <- requestResult{err: radio.NotSent.New("this host does not lead")}
+		read.done <- requestResult{err: radio.NotSent.New("this host does not lead")}
 		return
 	}
-	done <- requestResult{data: c.state.Snapshot()}
+	read.done <- requestResult{data: c.answerRead(read.request)}
 }
 
 func (c *consensus) onLeaderChanged(now time.Time, l pilot.LeaderChanged) {
--- a/src/wharf/kinds.go
+++ b/src/wharf/kinds.go
@@ -48,12 +48,18 @@
 	membershipInterval = 250 * time.Millisecond
 	// callTimeout bounds short calls between processes; they usually take a tenth of it on a busy host.
 	callTimeout = 400 * time.Millisecond
+	// slowLink is the rate, in bytes a second, that the limit of a call with a large message allows for: 0.5 Mbit/s.
+	slowLink = 64 << 10
+	// orderLink is the same for an operator's order on its way to the leader, which may have to be sent to another leader in time.
+	orderLink = 1 << 20
 	// operatorTimeout bounds an operator's request; operators give up after a second.
 	operatorTimeout = 900 * time.Millisecond
 	// leaderRetryDelay is the pause before another attempt to reach the leader.
 	leaderRetryDelay = 40 * time.Millisecond
-	// senderQueueLength bounds the messages that wait for one registry host.
+	// senderQueueLength bounds the short messages that wait for one registry host.
 	senderQueueLength = 256
+	// bulkQueueLength is the same for large ones, which the leader repeats as a whole.
+	bulkQueueLength = 1
 	// compactEntries is the log length, in entries, at which the log is replaced by a snapshot.
 	compactEntries = 64
 	// missedAnnouncements is how many announcement intervals may pass without one before a target is marked expired.
@@ -96,3 +102,9 @@
 	// most of a worker's shortest lease.
 	suspensionThreshold = 800 * time.Millisecond
 )
+
+// callTimeoutFor returns the limit of a call with a message of n bytes. A connection that is dead is noticed by the short calls
+// beside it.
+func callTimeoutFor(n int) time.Duration {
+	return callTimeout + time.Duration(float64(n)/slowLink*float64(time.Second))
+}
--- a/src/wharf/registry.go
+++ b/src/wharf/registry.go
@@ -1,7 +1,9 @@
 package wharf
 
 import (
+	"bytes"
 	"context"
+	"encoding/binary"
 	"net/netip"
 	"time"
 
@@ -28,13 +30,29 @@
 
 // LatestConfig returns the newest configuration stored at the time of the call, or nil if there is none.
 func (r *registry) LatestConfig(ctx context.Context) (*charter.Config, error) {
-	data, err := r.consensus.callLeader(ctx, kindReadLatest, nil, r.consensus.readLocally)
-	if err != nil || len(data) == 0 {
+	known := r.consensus.current.Load()
+	data, err := r.consensus.callLeader(ctx, kindReadLatest, encodeReadRequest(known), r.consensus.readLocally)
+	switch {
+	case err != nil || len(data) == 0:
 		return nil, err
+	case len(data) == versionSize:
+		// The leader confirms the version that this host holds already.
+		return known, nil
 	}
 	return charter.Decode(data)
 }
 
+// versionSize is the length of an answer that confirms the caller's version; an encoded configuration is longer.
+const versionSize = 8
+
+// encodeReadRequest names the version that the caller holds, so that the same one is not sent again.
+func encodeReadRequest(known *charter.Config) []byte {
+	if known == nil {
+		return nil
+	}
+	return binary.BigEndian.AppendUint64(nil, known.Version)
+}
+
 // Announce records a target's announcement.
 func (r *registry) Announce(t convoy.Target) netip.AddrPort {
 	r.targets.announce(t)
@@ -80,7 +98,7 @@
 	case c.disk:
 		return local(ctx, data)
 	}
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, callTimeout+time.Duration(float64(len(data))/orderLink*float64(time.Second)))
 	defer cancel()
 	return c.h.RPC.Probe(ctx, c.address(leader), kind, data)
 }
@@ -91,9 +109,9 @@
 	return c.awaitResult(ctx, done)
 }
 
-func (c *consensus) readLocally(ctx context.Context, _ []byte) ([]byte, error) {
+func (c *consensus) readLocally(ctx context.Context, request []byte) ([]byte, error) {
 	done := make(chan requestResult, 1)
-	c.h.Post(c, readLatestEvent{done: done})
+	c.h.Post(c, readLatestEvent{request: request, done: done})
 	return c.awaitResult(ctx, done)
 }
 
@@ -114,8 +132,17 @@
 	return c.proposeLocally(ctx, body)
 }
 
-func (c *consensus) onReadLatest(ctx context.Context, _ netip.AddrPort, _ []byte) ([]byte, error) {
+func (c *consensus) onReadLatest(ctx context.Context, _ netip.AddrPort, request []byte) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, operatorTimeout)
 	defer cancel()
-	return c.readLocally(ctx, nil)
+	return c.readLocally(ctx, request)
+}
+
+// answerRead returns the newest configuration, or only its version if the caller holds that one.
+func (c *consensus) answerRead(request []byte) []byte {
+	current := c.state.Current()
+	if current != nil && bytes.Equal(request, encodeReadRequest(current)) {
+		return request
+	}
+	return c.state.Snapshot()
 }
--- a/src/wharf/writer.go
+++ b/src/wharf/writer.go
@@ -92,10 +92,14 @@
 		c.h.Log.Write(logbook.HandlerPanicked, logbook.F("panic", err.Error()))
 		return
 	}
-	queue, ok := c.senders[a.To]
+	senders, length := c.senders, senderQueueLength
+	if pilot.IsBulk(a.Message) {
+		senders, length = c.bulkSenders, bulkQueueLength
+	}
+	queue, ok := senders[a.To]
 	if !ok {
-		queue = make(chan []byte, senderQueueLength)
-		c.senders[a.To] = queue
+		queue = make(chan []byte, length)
+		senders[a.To] = queue
 		c.wg.Go(func() { c.runSender(a.To, queue) })
 	}
 	select {
@@ -109,7 +113,7 @@
 	for {
 		select {
 		case body := <-queue:
-			ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+			ctx, cancel := context.WithTimeout(context.Background(), callTimeoutFor(len(body)))
 			// Raft repeats lost messages; the RPC endpoint replaces a dead connection.
 			_, _ = c.h.RPC.Probe(ctx, addr, kindRaft, append(prefixName(to), body...))
 			cancel()
