Fetch lists of targets in pages sized by the link

A list is now fetched in pages by revision, sized like the pieces of the configuration, one after the other without a pause. A page that has arrived counts, so a failure costs only the next one.

--- a/src/wharf/download.go
+++ b/src/wharf/download.go
@@ -89,12 +89,23 @@
 	sum     uint64
 	size    int
 	data    []byte
-	// piece is the size of the next piece, in bytes.
-	piece int
+	piece   pieceSize
 }
 
 func newDownload() *download { return &download{piece: firstPiece} }
 
+// pieceSize is the size of the next piece, in bytes.
+type pieceSize int
+
+// shrink follows a piece that did not arrive in time.
+func (s *pieceSize) shrink() { *s = max(minPiece, *s/pieceStep) }
+
+// adapt sizes the next piece by the time that one of n bytes took.
+func (s *pieceSize) adapt(n int, took time.Duration) {
+	fits := float64(n) * float64(pieceTime) / float64(max(took, time.Microsecond))
+	*s = min(max(pieceSize(min(fits, float64(*s*pieceStep))), minPiece), maxPiece)
+}
+
 func (d *download) request() []byte {
 	b := binary.BigEndian.AppendUint64(nil, d.version)
 	b = binary.BigEndian.AppendUint32(b, uint32(len(d.data)))
@@ -112,10 +123,10 @@
 			err = d.add(out)
 		}
 		if err != nil {
-			d.piece = max(minPiece, d.piece/pieceStep)
+			d.piece.shrink()
 			return Error.New("%d of %d bytes of version %d have arrived: %w", len(d.data), d.size, d.version, err)
 		}
-		d.adapt(len(out), now().Sub(began))
+		d.piece.adapt(len(out), now().Sub(began))
 	}
 	if xxh3.Hash(d.data) != d.sum {
 		err := Error.New("the checksum of version %d is wrong", d.version)
@@ -147,9 +158,3 @@
 	d.data = append(d.data, rest...)
 	return nil
 }
-
-// adapt sizes the next piece by the time that one of n bytes took.
-func (d *download) adapt(n int, took time.Duration) {
-	fits := float64(n) * float64(pieceTime) / float64(max(took, time.Microsecond))
-	d.piece = min(max(int(min(fits, float64(d.piece*pieceStep))), minPiece), maxPiece)
-}
--- a/src/wharf/follow.go
+++ b/src/wharf/follow.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/binary"
 	"time"
 
 	"sesamecleat/src/convoy"
@@ -27,12 +26,23 @@
 	p.lastFetch[source] = now
 	p.fetching[source] = true
 	since := p.revisions[source]
+	size, known := p.pageSizes[source]
+	if !known {
+		size = firstPiece
+	}
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 		defer cancel()
-		ev := targetsFetchedEvent{source: source}
-		out, err := p.h.RPC.Probe(ctx, m.Address, kindFetchTargets, binary.BigEndian.AppendUint64(nil, since))
-		if err == nil {
+		ev := targetsFetchedEvent{source: source, pageSize: size}
+		began := p.h.Clock.Now()
+		out, err := p.h.RPC.Probe(ctx, m.Address, kindFetchTargets, encodeTargetRequest(since, size))
+		if err != nil {
+			ev.pageSize.shrink()
+		} else {
+			// What a short answer takes says little of the link.
+			if len(out) >= int(size)/2 {
+				ev.pageSize.adapt(len(out), p.h.Clock.Now().Sub(began))
+			}
 			ev.revision, ev.entries, err = decodeTargets(p.h.Clock.Now(), out)
 		}
 		ev.err = err
@@ -50,6 +60,7 @@
 
 func (p *plan) onTargetsFetched(now time.Time, e targetsFetchedEvent) {
 	delete(p.fetching, e.source)
+	p.pageSizes[e.source] = e.pageSize
 	if e.err != nil {
 		reportUpdateFailure(p.h, "targets", e.source.name, e.err)
 		return
@@ -67,4 +78,9 @@
 		p.step(now, convoy.WorkerListed{Target: entry.target})
 	}
 	p.h.Fleet.SetWorkerCounts(p.targets.countPerDomain())
+	if peer, ok := p.h.Fleet.Peer(e.source.name); ok && len(e.entries) > 0 && e.revision < peer.Member.TargetsRevision {
+		// The rest of a list that takes several pages is not held back.
+		delete(p.lastFetch, e.source)
+		p.fetchTargets(peer.Member)
+	}
 }
--- a/src/wharf/plan.go
+++ b/src/wharf/plan.go
@@ -37,6 +37,8 @@
 	// revisions holds, by process, the revision of its list of targets that has been fetched.
 	revisions map[processRun]uint64
 	fetching  map[processRun]bool
+	// pageSizes holds, by process, how much of its list is fetched at once.
+	pageSizes map[processRun]pieceSize
 	lastFetch map[processRun]time.Time
 	lastTick  time.Time
 	freeSlots int
@@ -62,6 +64,7 @@
 	source   processRun
 	revision uint64
 	entries  []targetEntry
+	pageSize pieceSize
 	err      error
 }
 
@@ -75,7 +78,7 @@
 			TokenStep: flotilla.TokenStep, CallerPause: callerPause(h.Settings), HostSilence: overdueAfter,
 		}),
 		orders: pond.NewPool(maxOrders), waiters: make(map[jobKey]waiter), cancelled: make(map[jobKey]cancelledOffer),
-		revisions: make(map[processRun]uint64), fetching: make(map[processRun]bool),
+		revisions: make(map[processRun]uint64), fetching: make(map[processRun]bool), pageSizes: make(map[processRun]pieceSize),
 		lastFetch: make(map[processRun]time.Time), metrics: newPlannerMetrics(h.Metrics),
 		targets: newTargetList(h), lateStarts: lateStartReport{lost: make(map[uint32]time.Time)},
 	}
--- a/src/wharf/targets.go
+++ b/src/wharf/targets.go
@@ -1,9 +1,11 @@
 package wharf
 
 import (
+	"cmp"
 	"context"
 	"encoding/binary"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -212,12 +214,24 @@
 	}
 }
 
-// onFetchTargets answers with the entries that changed after the caller's revision.
+// targetRequestSize is the length of a request for targets: the revision that the caller has, and the size of the page it can take.
+const targetRequestSize = 8 + 4
+
+func encodeTargetRequest(since uint64, size pieceSize) []byte {
+	return binary.BigEndian.AppendUint32(binary.BigEndian.AppendUint64(nil, since), uint32(size))
+}
+
+// onFetchTargets answers with a page of the entries that changed after the caller's revision.
 func (t *targetList) onFetchTargets(_ context.Context, _ netip.AddrPort, body []byte) ([]byte, error) {
-	if len(body) != 8 {
-		return nil, Error.New("a mark of %d bytes", len(body))
+	if len(body) != targetRequestSize {
+		return nil, Error.New("a request of %d bytes", len(body))
 	}
-	since := binary.BigEndian.Uint64(body)
+	return encodeTargets(t.page(binary.BigEndian.Uint64(body), int(binary.BigEndian.Uint32(body[8:]))))
+}
+
+// page returns the entries that changed after a revision, oldest changes first, as many as fit into a size but at least one, and the
+// revision up to which they are all that changed.
+func (t *targetList) page(since uint64, size int) (uint64, []targetEntry) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var out []targetEntry
@@ -226,5 +240,21 @@
 			out = append(out, *e)
 		}
 	}
-	return encodeTargets(t.revision, out)
+	slices.SortFunc(out, func(a, b targetEntry) int { return cmp.Compare(a.revision, b.revision) })
+	for i, e := range out {
+		if size -= e.encodedSize(); size < 0 && i > 0 {
+			return out[i-1].revision, out[:i]
+		}
+	}
+	return t.revision, out
+}
+
+// encodedSize returns about how many bytes the entry takes in a list.
+func (e targetEntry) encodedSize() int {
+	const fixed = 64 // bytes: address, numbers, resources and lengths
+	n := fixed + len(e.target.ID) + len(e.target.Pool) + len(e.target.Domain)
+	for _, label := range e.target.Labels {
+		n += 2 + len(label)
+	}
+	return n
 }
