Compare hosts and prefixes in one form on both sides

Cause: the caller's host was turned into small letters and lost its port, the route's was not; likewise callers' paths arrive unescaped and without empty and dot segments, prefixes stayed as they were written. Two routes that no request can tell apart passed the check for one host and prefix.

Routes are now indexed, matched and checked by a form that is made by one function on both sides. Routes themselves and what operators read back stay as they were sent.

Before: TestRouteMatchesHoweverItIsSpelled (8 of 12 cases), TestCallersReachRouteAsOperatorSpellsIt (3 of 9) and 3 new cases of TestValidate fail.

--- a/src/charter/config.go
+++ b/src/charter/config.go
@@ -1,10 +1,6 @@
 package charter
 
-import (
-	"sort"
-	"strings"
-	"time"
-)
+import "time"
 
 // Route maps the jobs that callers submit under a host name and a path prefix to the pool that serves them.
 type Route struct {
@@ -51,32 +47,11 @@
 	// Source is the configuration as the operator sent it; it is what operators read back.
 	Source []byte
 
-	byHost map[string][]Route
+	byHost map[string][]indexedRoute
 	// encoded is what Decode read the configuration from.
 	encoded []byte
 }
 
-// BuildIndex prepares the configuration for Match.
-func (c *Config) BuildIndex() {
-	c.byHost = make(map[string][]Route)
-	for _, r := range c.Routes {
-		c.byHost[r.Host] = append(c.byHost[r.Host], r)
-	}
-	for _, routes := range c.byHost {
-		sort.SliceStable(routes, func(i, j int) bool { return len(routes[i].Prefix) > len(routes[j].Prefix) })
-	}
-}
-
-// Match returns the route of a host with the longest prefix of path, and the rest of the path after that prefix.
-func (c *Config) Match(host, path string) (Route, string, bool) {
-	for _, r := range c.byHost[host] {
-		if rest, ok := strings.CutPrefix(path, r.Prefix); ok {
-			return r, rest, true
-		}
-	}
-	return Route{}, "", false
-}
-
 // Validate returns what makes the configuration invalid, one message for each problem.
 func (c *Config) Validate() []string {
 	var problems []string
@@ -90,14 +65,13 @@
 		}
 		pools[p.Name] = true
 	}
-	type prefixKey struct{ host, prefix string }
-	routeByPrefix := make(map[prefixKey]string)
+	routeByKey := make(map[routeKey]string)
 	for _, r := range c.Routes {
-		key := prefixKey{r.Host, r.Prefix}
-		if other, exists := routeByPrefix[key]; exists {
+		key := keyOf(r)
+		if other, exists := routeByKey[key]; exists {
 			problems = append(problems, "routes "+other+" and "+r.Name+" share one host and prefix")
 		}
-		routeByPrefix[key] = r.Name
+		routeByKey[key] = r.Name
 		if !pools[r.Pool] {
 			problems = append(problems, "route "+r.Name+" names the unknown pool "+r.Pool)
 		}
--- a/src/wharf/council.go
+++ b/src/wharf/council.go
@@ -35,7 +35,7 @@
 	registryHosts map[string]registryHost
 	lastTicket    uint64
 	proposals     map[uint64]chan requestResult
-	reads         map[uint64]pendingRead
+	reads         map[uint64]readLatestEvent
 	// uncommitted holds, by log index, the proposals that are not yet committed.
 	uncommitted map[uint64]uncommittedProposal
 	// senders holds, by receiver, the messages that wait to be sent; bulkSenders those that others must not wait behind.
@@ -73,11 +73,6 @@
 	done    chan requestResult
 }
 
-type pendingRead struct {
-	request []byte
-	done    chan requestResult
-}
-
 type locateEvent struct {
 	disk string
 	done chan netip.AddrPort
@@ -94,7 +89,7 @@
 func newConsensus(h *helm.Kernel) helm.Plugin {
 	c := &consensus{
 		h: h, registryHosts: make(map[string]registryHost),
-		proposals: make(map[uint64]chan requestResult), reads: make(map[uint64]pendingRead),
+		proposals: make(map[uint64]chan requestResult), reads: make(map[uint64]readLatestEvent),
 		uncommitted: make(map[uint64]uncommittedProposal), senders: make(map[string]chan []byte), bulkSenders: make(map[string]chan []byte),
 		writes:  make(chan []pilot.Action, writeQueueLength),
 		targets: newTargetList(h), metrics: newConsensusMetrics(h.Metrics),
@@ -182,7 +177,7 @@
 		c.step(now, pilot.Propose{Ticket: c.lastTicket, Data: e.data})
 	case readLatestEvent:
 		c.lastTicket++
-		c.reads[c.lastTicket] = pendingRead{request: e.request, done: e.done}
+		c.reads[c.lastTicket] = e
 		c.step(now, pilot.ReadIndex{Ticket: c.lastTicket})
 	case locateEvent:
 		e.done <- c.address(e.disk)
