--- a/src/deck/kinds.go
+++ b/src/deck/kinds.go
@@ -50,6 +50,8 @@
 	raftTimeout             = 500 * time.Millisecond
 	followPollWait          = 2 * time.Second
 	followTimeout           = 3 * time.Second
+	maxFollowDoublings      = 5
+	slowLink                = 64 << 10 // bytes a second that the limit of a large message allows for
 	followRetryInterval     = 100 * time.Millisecond
 	editAttemptTimeout      = time.Second
 	editRetryInterval       = 50 * time.Millisecond
--- a/src/deck/tables.go
+++ b/src/deck/tables.go
@@ -34,6 +34,8 @@
 	ready   bool
 	stale   bool
 	failed  bool
+	// failures counts the requests for changes that failed since the last one that did not; only the follower uses it.
+	failures int
 	// savedEntries counts the entries on disk after the last snapshot.
 	savedEntries int
 }
@@ -185,13 +187,15 @@
 		t.sleep(followRetryInterval)
 		return
 	}
-	ctx, cancel := context.WithTimeout(t.ctx, followTimeout)
+	ctx, cancel := context.WithTimeout(t.ctx, followLimit(t.failures))
 	defer cancel()
 	out, err := t.h.RPC.Call(ctx, from.addr, kindFollowTables, binary.BigEndian.AppendUint64(nil, t.Revision()))
 	if err != nil {
+		t.failures++
 		t.sleep(followRetryInterval)
 		return
 	}
+	t.failures = 0
 	reply, err := decodeFollowReply(out)
 	if err != nil {
 		t.sleep(followRetryInterval)
@@ -208,6 +212,12 @@
 	t.markFresh(reply.age)
 }
 
+// followLimit returns the limit of a request for changes after some that failed: the tables may be larger than what the link carries
+// within the shorter one.
+func followLimit(failures int) time.Duration {
+	return followTimeout << min(failures, maxFollowDoublings)
+}
+
 func (t *tables) lookUpSource() (destination, bool) {
 	reply := make(chan destination, 1)
 	t.h.Post(t, sourceEvent{reply: reply})
