--- a/src/deck/disk.go
+++ b/src/deck/disk.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"time"
 
 	"sesamecleat/src/pilot"
 	"sesamecleat/src/roster"
