Repeat one stop at a time to a silent worker

One stop at a time is enough, as its token fences the other starts, and so is the former interval once the first caller is back.

Before: TestSilentWorkerGetsFewStops counts a stop for each of 8 runs in every interval. It also holds that one answer settles all of them.

--- a/src/convoy/hold.go
+++ b/src/convoy/hold.go
@@ -265,6 +265,7 @@
 	}
 	p.logDecision(DecisionStartOverdue, jobID(r.key), w.target.ID, fmt.Sprintf(
 		"%s run %d ordered %s ago, token %d now", r.key.Task, r.key.Run, now.Sub(r.orderedAt).Round(time.Millisecond), w.token))
+	w.overdueStopAt = now
 	if r.task != nil {
 		p.loseLateStart(now, w, r, r.task)
 		return
--- a/src/convoy/incarnation.go
+++ b/src/convoy/incarnation.go
@@ -81,19 +81,15 @@
 // out a late start must learn the new token soon after it is back or after a restart; so must one that has not answered this
 // planner yet, as its former planner may have left a start unanswered.
 func (w *worker) probeBackoffLimit(now time.Time) time.Duration {
-	limit := maxProbeBackoff
 	if now.Before(w.lateUntil) || (w.clockAt.IsZero() && now.Sub(w.addedAt) < LateOrderLimit) {
-		limit = minProbeBackoff
+		return minProbeBackoff
 	}
 	for _, r := range w.runs {
-		if r.overdue {
-			return overdueProbeBackoff
-		}
 		if r.mayComeLate() {
-			limit = minProbeBackoff
+			return minProbeBackoff
 		}
 	}
-	return limit
+	return maxProbeBackoff
 }
 
 // hasOverdueStartsOnly reports whether a worker does not answer and nothing but starts that may still come is left of its runs.
--- a/src/convoy/overdue_test.go
+++ b/src/convoy/overdue_test.go
@@ -118,3 +118,32 @@
 	o.run(5 * time.Second)
 	require.Equal(t, map[string]int{"ready": 2}, o.planners[1].Workers())
 }
+
+// Guards against a planner that is kept busy by the stops that it repeats to workers that have crashed.
+func TestSilentWorkerGetsFewStops(t *testing.T) {
+	sim := newSimulation(t, 1, 1)
+	w := sim.addWorker("w0", "d", 8*14_000, 1)
+	sim.step(0, PartClaimed{Part: "d", Token: tokenStep})
+	sim.run(time.Second)
+	stops := 0
+	sim.ignored = func(ev Event) bool {
+		if _, ok := ev.(StopResult); ok {
+			stops++
+		}
+		return true
+	}
+	sim.step(0, Submitted{Job: simJob(sim, "a", "r", 8, 500, 1500*time.Millisecond)})
+	require.Len(t, sim.planners[0].workers["w0"].runs, 8)
+	sim.run(2 * time.Second)
+	stops = 0
+	sim.run(2 * time.Second)
+	require.LessOrEqual(t, stops, 41)
+	stops = 0
+	sim.run(8 * time.Second)
+	require.LessOrEqual(t, stops, 81)
+	require.Greater(t, stops, 40)
+	sim.ignored = nil
+	sim.run(200 * time.Millisecond)
+	require.Equal(t, int64(0), sim.planners[0].workers["w0"].used.Milli, "one answer settles all of them")
+	require.Empty(t, w.runs)
+}
--- a/src/convoy/run.go
+++ b/src/convoy/run.go
@@ -59,24 +59,21 @@
 	if r.state != runUnconfirmed {
 		r.state = runStopping
 	}
-	if now.Sub(r.stopSentAt) < r.stopInterval() {
+	if now.Sub(r.stopSentAt) < stopRetryInterval && !r.overdue {
 		return
 	}
 	r.stopSentAt = now
 	p.emit(Stop{Target: w.target, Token: w.token, Key: r.key})
 }
 
-// stopInterval returns the interval at which the stop of a run is repeated.
-func (r *run) stopInterval() time.Duration {
-	if r.overdue {
-		return overdueStopInterval
-	}
-	return stopRetryInterval
-}
-
 func (p *Planner) retryStops(now time.Time, w *worker) {
 	for _, r := range sortedRuns(w) {
-		if !r.stopSentAt.IsZero() && r.stopAckedAt.IsZero() && now.Sub(r.stopSentAt) >= r.stopInterval() {
+		if r.stopSentAt.IsZero() || !r.stopAckedAt.IsZero() {
+			continue
+		}
+		if r.overdue {
+			p.repeatOverdueStop(now, w, r)
+		} else if now.Sub(r.stopSentAt) >= stopRetryInterval {
 			p.orderStop(now, w, r)
 		}
 	}
@@ -87,6 +84,19 @@
 	}
 }
 
+// repeatOverdueStop repeats the stop of one of a silent worker's runs that may still begin: its token fences the others, too.
+func (p *Planner) repeatOverdueStop(now time.Time, w *worker, r *run) {
+	interval := stopRetryInterval
+	if now.Sub(r.orderedAt) < overdueStopPeriod {
+		interval = overdueStopInterval
+	}
+	if now.Sub(w.overdueStopAt) < interval {
+		return
+	}
+	w.overdueStopAt = now
+	p.orderStop(now, w, r)
+}
+
 // handleStop handles the answer to a stop order: once it is acknowledged, a run that has not begun never will, and one that
 // has ends within the stop time.
 func (p *Planner) handleStop(now time.Time, e StopResult) {
--- a/src/convoy/tuning.go
+++ b/src/convoy/tuning.go
@@ -36,8 +36,10 @@
 	leaseMargin = 30 * time.Millisecond
 	// stopRetryInterval is the interval at which a stop order is repeated: four round trips and the time that a stop takes.
 	stopRetryInterval = 100 * time.Millisecond
-	// overdueStopInterval is the same while a silent worker may still begin the run: it may be in reach for a moment only.
+	// overdueStopInterval is the same for a silent worker that may still begin a run, as it may be in reach for a moment only, within
+	// overdueStopPeriod of the start: the first caller is back by then.
 	overdueStopInterval = 50 * time.Millisecond
+	overdueStopPeriod   = 4 * time.Second
 	// silentPeriod is how long a worker that has left an order unanswered is expected to lose others.
 	silentPeriod = 3 * time.Second
 	// overdueOrder is how much later than expected the answer of such a worker may be before it is asked again: ten round trips,
@@ -49,8 +51,6 @@
 	// minProbeBackoff and maxProbeBackoff bound the backoff between hold requests to a worker that does not answer.
 	minProbeBackoff = 100 * time.Millisecond
 	maxProbeBackoff = 2 * time.Second
-	// overdueProbeBackoff is the same while a silent worker may still begin a run that has to be stopped.
-	overdueProbeBackoff = 20 * time.Millisecond
 	// LateOrderLimit is how long after an unanswered order a worker may still carry it out.
 	LateOrderLimit = 15 * time.Second
 	// noRoomPause is how long a worker without free capacity gets no tasks, unless it lists an ended run earlier.
--- a/src/convoy/worker.go
+++ b/src/convoy/worker.go
@@ -103,10 +103,12 @@
 	silentAt time.Time
 	nextHold time.Time
 	// lateUntil is until when starts of runs that have left the books may still be carried out.
-	lateUntil  time.Time
-	unanswered int
-	fencedAt   time.Time
-	runs       map[RunKey]*run
+	lateUntil time.Time
+	// overdueStopAt is when the stop of a run that may still begin was last ordered since the worker's leases ran out.
+	overdueStopAt time.Time
+	unanswered    int
+	fencedAt      time.Time
+	runs          map[RunKey]*run
 	// orphans are active runs of other planners, with the time of the last stop order.
 	orphans map[RunKey]time.Time
 	used    Resources
