--- a/src/archive/journal.go
+++ b/src/archive/journal.go
@@ -16,7 +16,8 @@
 
 const (
 	journalPattern = "journal.%d"
-	// rewriteThreshold is the size in bytes at which a journal file is replaced by one with only the current state.
+	// rewriteThreshold is the size in bytes at which a journal file is replaced by one with only the current state, unless that alone
+	// takes more than half of it.
 	rewriteThreshold = 8 << 20
 	recordHeaderSize = 12       // bytes: length, then checksum
 	maxRecordSize    = 64 << 20 // bytes
@@ -37,9 +38,11 @@
 	file       *os.File
 	generation int
 	size       int64
-	identity   Identity
-	disk       pilot.PersistentState
-	commit     uint64
+	// fullSize is the part of size that the current state took when the file was begun.
+	fullSize int64
+	identity Identity
+	disk     pilot.PersistentState
+	commit   uint64
 }
 
 type wireRecord struct {
@@ -97,7 +100,7 @@
 	for _, s := range batch {
 		j.applySave(s)
 	}
-	if j.file == nil || j.size > rewriteThreshold {
+	if j.file == nil || j.size > max(rewriteThreshold, 2*j.fullSize) {
 		return j.rewrite()
 	}
 	var out []byte
@@ -181,6 +184,7 @@
 		j.file = nil
 		return Error.Wrap(err)
 	}
+	j.fullSize = j.size
 	if err := syncFolder(j.folder); err != nil {
 		return err
 	}
--- a/src/archive/journal_test.go
+++ b/src/archive/journal_test.go
@@ -132,3 +132,23 @@
 	require.Len(t, j.RaftState().Entries, 2)
 	require.NoError(t, j.Close())
 }
+
+// Guards against a journal that writes its whole state at each save because that is larger than the size at which it is rewritten.
+func TestJournalOfLargeStateIsNotRewrittenAtEachSave(t *testing.T) {
+	folder := t.TempDir()
+	j, err := OpenJournal(folder, Identity{DiskID: "a"})
+	require.NoError(t, err)
+	large := pilot.Entry{Index: 1, Term: 1, Kind: pilot.Normal, Data: make([]byte, 3*rewriteThreshold/2)}
+	require.NoError(t, j.Save([]pilot.Save{{Entries: []pilot.Entry{large}}}, 0))
+	before := j.generation
+	for i := uint64(2); i < 60; i++ {
+		require.NoError(t, j.Save([]pilot.Save{{Entries: logEntries(i, i, 1)}}, i-1))
+	}
+	require.LessOrEqual(t, j.generation-before, 1)
+	require.NoError(t, j.Close())
+	j, err = OpenJournal(folder, Identity{DiskID: "other"})
+	require.NoError(t, err)
+	require.Equal(t, "a", j.Identity().DiskID)
+	require.Len(t, j.RaftState().Entries, 59)
+	require.NoError(t, j.Close())
+}
--- a/src/pilot/node.go
+++ b/src/pilot/node.go
@@ -162,6 +162,9 @@
 // LogSize returns the number of entries after the snapshot.
 func (n *Node) LogSize() int { return len(n.log.entries) }
 
+// LogBytes returns the size of the entries after the snapshot, in bytes.
+func (n *Node) LogBytes() int { return entriesSize(n.log.entries) }
+
 // Config returns the newest membership in this host's log, committed or not.
 func (n *Node) Config() Config { return n.config }
 
--- a/src/wharf/council.go
+++ b/src/wharf/council.go
@@ -220,11 +220,14 @@
 		case <-c.h.Done():
 		}
 	}
-	if c.node.LogSize() > compactEntries {
+	if c.node.LogSize() > compactEntries || c.node.LogBytes() > compactBytes(len(c.state.Snapshot())) {
 		c.compact(now)
 	}
 }
 
+// compactBytes returns the size of the log at which it is replaced by a snapshot of n bytes. Each entry is about as large as one.
+func compactBytes(n int) int { return max(minCompactBytes, compactSnapshots*n) }
+
 func (c *consensus) compact(now time.Time) {
 	index := c.node.Applied()
 	if snapshot := c.state.Snapshot(); snapshot != nil && index > 0 {
--- a/src/wharf/kinds.go
+++ b/src/wharf/kinds.go
@@ -62,6 +62,9 @@
 	bulkQueueLength = 1
 	// compactEntries is the log length, in entries, at which the log is replaced by a snapshot.
 	compactEntries = 64
+	// compactSnapshots is the size of the log, as a multiple of the snapshot's, and minCompactBytes the least, at which it is replaced, too.
+	compactSnapshots = 4
+	minCompactBytes  = 1 << 20
 	// missedAnnouncements is how many announcement intervals may pass without one before a target is marked expired.
 	missedAnnouncements = 4
 	// refreshInterval is how often an unchanged target is published again, so that an older entry of another process's
