Read journals of any size again

The reader now takes every length that the writer can write; torn records are still told by the length of the file and by their checksum, and a record that the header cannot describe is not written.

Before: TestJournalOfAnySizeIsReadAgain gets the identity of a new disk.

--- a/src/archive/journal.go
+++ b/src/archive/journal.go
@@ -4,6 +4,7 @@
 	"encoding/binary"
 	"errors"
 	"fmt"
+	"math"
 	"os"
 	"path/filepath"
 	"slices"
@@ -19,8 +20,8 @@
 	// rewriteThreshold is the size in bytes at which a journal file is replaced by one with only the current state, unless that alone
 	// takes more than half of it.
 	rewriteThreshold = 8 << 20
-	recordHeaderSize = 12       // bytes: length, then checksum
-	maxRecordSize    = 64 << 20 // bytes
+	recordHeaderSize = 12             // bytes: length, then checksum
+	maxRecordSize    = math.MaxUint32 // bytes, what the header's length can hold
 )
 
 // Identity identifies the data folder of a registry host.
@@ -235,7 +236,7 @@
 	valid := false
 	for len(b) >= recordHeaderSize {
 		size := int(binary.BigEndian.Uint32(b))
-		if size > maxRecordSize || len(b) < recordHeaderSize+size {
+		if len(b) < recordHeaderSize+size {
 			break
 		}
 		payload := b[recordHeaderSize : recordHeaderSize+size]
@@ -306,6 +307,9 @@
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
+	if uint64(len(payload)) > maxRecordSize {
+		return nil, Error.New("a record of %d bytes", len(payload))
+	}
 	out := binary.BigEndian.AppendUint32(nil, uint32(len(payload)))
 	out = binary.BigEndian.AppendUint64(out, xxh3.Hash(payload))
 	return append(out, payload...), nil
--- a/src/archive/journal_test.go
+++ b/src/archive/journal_test.go
@@ -152,3 +152,24 @@
 	require.Len(t, j.RaftState().Entries, 59)
 	require.NoError(t, j.Close())
 }
+
+// Guards against a journal that is taken for that of a new disk, and removed, because its state is larger than a reader allows.
+func TestJournalOfAnySizeIsReadAgain(t *testing.T) {
+	folder := t.TempDir()
+	j, err := OpenJournal(folder, Identity{DiskID: "a"})
+	require.NoError(t, err)
+	snap := pilot.Snapshot{Index: 1, Term: 1, Data: make([]byte, 40<<20)}
+	require.NoError(t, j.Save([]pilot.Save{{Snapshot: &snap}}, 1))
+	large := pilot.Entry{Index: 2, Term: 1, Kind: pilot.Normal, Data: make([]byte, 40<<20)}
+	require.NoError(t, j.Save([]pilot.Save{{Entries: []pilot.Entry{large}}}, 1))
+	require.NoError(t, j.Close())
+	// The first start writes all of it as one record, which the second one reads.
+	for range 2 {
+		j, err = OpenJournal(folder, Identity{DiskID: "other"})
+		require.NoError(t, err)
+		require.Equal(t, "a", j.Identity().DiskID)
+		require.Len(t, j.RaftState().Snapshot.Data, len(snap.Data))
+		require.Len(t, j.RaftState().Entries, 1)
+		require.NoError(t, j.Close())
+	}
+}
