Send nothing but heartbeats beside a large log message

More entries now wait until the large message is acknowledged. The limit doubles only for a host that answers, and what was on its way to a host that was silent for an election time-out is sent again at its first answer.

Before: TestLargeEntriesDoNotHoldUpHeartbeats counts 2,360 and 2,554 messages where 86 and 111 are expected; without the last two changes TestHostThatIsBackGetsLargeEntriesAtOnce finds nothing applied after 1.5 s.

--- a/src/pilot/bulk_test.go
+++ b/src/pilot/bulk_test.go
@@ -19,8 +19,11 @@
 	laneFree map[string]time.Time
 	arriving []arrival
 	leaders  []string
-	bulk     int
-	applied  map[string]int
+	// bulk and others count the messages.
+	bulk, others int
+	// cut is a host that nothing reaches or leaves.
+	cut     string
+	applied map[string]int
 }
 
 type arrival struct {
@@ -80,6 +83,11 @@
 		if c.laneFree[lane].After(c.now) {
 			return
 		}
+	} else {
+		c.others++
+	}
+	if from == c.cut || s.To == c.cut {
+		return
 	}
 	free := c.laneFree[lane]
 	if free.Before(c.now) {
@@ -132,7 +140,9 @@
 				size += n
 				c.step(c.leaders[0], Propose{Ticket: uint64(i + 1), Data: make([]byte, n)})
 			}
+			others := c.others
 			c.run(tt.within)
+			require.LessOrEqual(t, c.others-others, 4+8*len(tt.entries)+int(tt.within/(20*time.Millisecond)), "heartbeats and their answers")
 			require.Equal(t, map[string]int{"a": size, "b": size, "c": size}, c.applied)
 			c.run(time.Second)
 			require.Len(t, c.leaders, 1, "the leader stays")
@@ -155,6 +165,30 @@
 	require.LessOrEqual(t, c.bulk, 3)
 }
 
+// Guards against a host that was cut off and has to wait for what was on its way then.
+func TestHostThatIsBackGetsLargeEntriesAtOnce(t *testing.T) {
+	c := newThinCluster(19e6/8, nil)
+	c.run(2 * time.Second)
+	require.Len(t, c.leaders, 1)
+	for _, name := range hostNames[:3] {
+		if name != c.leaders[0] {
+			c.cut = name
+		}
+	}
+	size := 0
+	for i := range 14 {
+		size += 100 << 10
+		c.step(c.leaders[0], Propose{Ticket: uint64(i + 1), Data: make([]byte, 100<<10)})
+		c.run(700 * time.Millisecond)
+	}
+	require.Equal(t, 0, c.applied[c.cut])
+	back := c.cut
+	c.cut = ""
+	c.run(1500 * time.Millisecond)
+	require.Equal(t, size, c.applied[back])
+	require.Len(t, c.leaders, 1)
+}
+
 func TestBatchesAreBoundedInBytes(t *testing.T) {
 	tests := map[string]struct {
 		sizes []int
--- a/src/pilot/node.go
+++ b/src/pilot/node.go
@@ -42,9 +42,10 @@
 	sentAt      time.Time
 	// ackedRound is the newest round that the host has answered.
 	ackedRound uint64
-	// inFlight reports that entries or a snapshot up to inFlightUpTo are unacknowledged, inFlightBytes their size; resends counts how
-	// often they were sent again.
+	// inFlight reports that entries or a snapshot up to inFlightUpTo are unacknowledged, inFlightBytes their size, and bulkInFlight that
+	// only heartbeats are sent meanwhile. Resends counts how often they were sent again although the host answered others.
 	inFlight      bool
+	bulkInFlight  bool
 	inFlightUpTo  uint64
 	inFlightBytes int
 	resends       int
--- a/src/pilot/replicate.go
+++ b/src/pilot/replicate.go
@@ -38,11 +38,12 @@
 		n.peers[to] = p
 	}
 	if p.inFlight && now.Sub(p.sentAt) > p.resendTime() {
-		p.inFlight = false
-		p.next = p.match + 1
-		p.resends++
+		if now.Sub(p.lastReplyAt) < resendAfter {
+			p.resends++
+		}
+		p.resend()
 	}
-	if p.inFlight && p.inFlightBytes > bulkBytes {
+	if p.bulkInFlight {
 		n.sendHeartbeat(to, p)
 		return
 	}
@@ -76,12 +77,9 @@
 }
 
 func (n *Node) sendSnapshot(now time.Time, to string, p *progress) {
-	if p.inFlight {
-		n.sendHeartbeat(to, p)
-		return
-	}
 	snap := n.log.snapshot
 	p.addInFlight(now, snap.Index, len(snap.Data))
+	p.bulkInFlight = true
 	n.send(to, InstallSnapshot{Term: n.hardState.Term, Snapshot: snap, Round: n.round})
 }
 
@@ -92,6 +90,13 @@
 	}
 	p.inFlight, p.inFlightUpTo, p.sentAt = true, upTo, now
 	p.inFlightBytes += size
+	p.bulkInFlight = p.inFlightBytes > bulkBytes
+}
+
+// resend has what is in flight sent again.
+func (p *progress) resend() {
+	p.inFlight, p.bulkInFlight = false, false
+	p.next = p.match + 1
 }
 
 // resendTime returns how long what is in flight may take; more for its size, and more after each time that was too short, as the
@@ -174,11 +179,12 @@
 	if n.role != leader || !ok {
 		return
 	}
+	silent := now.Sub(p.lastReplyAt)
 	p.lastReplyAt = now
 	p.ackedRound = max(p.ackedRound, m.Round)
 	n.serveReads()
 	if !m.OK {
-		p.inFlight = false
+		p.inFlight, p.bulkInFlight = false, false
 		p.next = max(1, min(m.Match+1, p.next))
 		n.replicate(now, from)
 		return
@@ -189,10 +195,14 @@
 		n.commitReplicated(now)
 	}
 	p.next = max(p.next, p.match+1)
-	if p.inFlight && p.match >= p.inFlightUpTo {
-		p.inFlight = false
+	switch {
+	case p.inFlight && p.match >= p.inFlightUpTo:
+		p.inFlight, p.bulkInFlight = false, false
+	case p.bulkInFlight && silent > n.timing.Election:
+		// The host was out of reach, and what was on its way is lost.
+		p.resend()
 	}
-	if p.next <= n.log.lastIndex() {
+	if p.next <= n.log.lastIndex() && !p.bulkInFlight {
 		n.replicate(now, from)
 	}
 }
