--- a/src/convoy/worker.go
+++ b/src/convoy/worker.go
@@ -71,7 +71,7 @@
 	return open > 0
 }
 
-// mayStillBegin reports whether the run may still begin at the incarnation that it was ordered from, which begins it once.
+// mayStillBegin reports whether the run may still begin at the incarnation that it was ordered at, which begins it once.
 func (r *run) mayStillBegin() bool { return r.mayComeLate() && !r.accepted && !r.listed }
 
 // unsettled returns how many start orders have neither been answered nor given up.
