--- a/src/deck/disk.go
+++ b/src/deck/disk.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"slices"
-	"time"
 
 	"sesamecleat/src/pilot"
 	"sesamecleat/src/roster"
@@ -130,11 +129,6 @@
 	_, _ = s.h.RPC.Call(ctx, target.addr, kindRaft, env) // Raft retries lost messages
 }
 
-// raftLimit returns the limit of a call with a message of n bytes.
-func raftLimit(n int) time.Duration {
-	return raftTimeout + time.Duration(float64(n)/slowLink*float64(time.Second))
-}
-
 // lookUpHost asks the control goroutine for the address of a state host, and whether its empty disk is invited.
 func (s *stateHost) lookUpHost(name string) destination {
 	reply := make(chan destination, 1)
--- a/src/deck/tables.go
+++ b/src/deck/tables.go
@@ -212,12 +212,6 @@
 	t.markFresh(reply.age)
 }
 
-// followLimit returns the limit of a request for changes after some that failed: the tables may be larger than what the link carries
-// within the shorter one.
-func followLimit(failures int) time.Duration {
-	return followTimeout << min(failures, maxFollowDoublings)
-}
-
 func (t *tables) lookUpSource() (destination, bool) {
 	reply := make(chan destination, 1)
 	t.h.Post(t, sourceEvent{reply: reply})
--- a/src/wharf/council.go
+++ b/src/wharf/council.go
@@ -220,23 +220,7 @@
 		case <-c.h.Done():
 		}
 	}
-	if c.node.LogSize() > compactEntries || c.node.LogBytes() > compactBytes(len(c.state.Snapshot())) {
-		c.compact(now)
-	}
-}
-
-// compactBytes returns the size of the log at which it is replaced by a snapshot of n bytes. Each entry is about as large as one.
-func compactBytes(n int) int { return max(minCompactBytes, compactSnapshots*n) }
-
-func (c *consensus) compact(now time.Time) {
-	index := c.node.Applied()
-	if snapshot := c.state.Snapshot(); snapshot != nil && index > 0 {
-		for _, a := range c.node.Step(now, pilot.Compact{Index: index, Data: snapshot}) {
-			if save, ok := a.(pilot.Save); ok {
-				c.writes <- []pilot.Action{save}
-			}
-		}
-	}
+	c.compactIfLarge(now)
 }
 
 func (c *consensus) apply(entries []pilot.Entry) {
