--- a/src/convoy/job.go
+++ b/src/convoy/job.go
@@ -50,7 +50,7 @@
 	Pool  string
 	// Host is the entry host that answers the caller.
 	Host string
-	// Spec is passed to every task unchanged.
+	// Spec is passed to every task unchanged, in the caller's encoding.
 	Spec  string
 	Steps []Step
 	// Priority is the priority of the route; 0 is the highest.
--- a/src/wharf/measures.go
+++ b/src/wharf/measures.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -82,9 +83,14 @@
 	m.leads.Store(leads)
 }
 
+var labelEscapes = strings.NewReplacer(`\`, `\\`, `"`, `\"`, "\n", `\n`)
+
+// labelValue quotes a label's value as Prometheus reads it, which knows fewer escapes than Go.
+func labelValue(s string) string { return `"` + labelEscapes.Replace(s) + `"` }
+
 // countAnswer counts a job's answer, its duration, and the cause if it was not completed.
 func countAnswer(set *metrics.Set, route string, a answer, elapsed time.Duration) {
-	set.GetOrCreateCounter(fmt.Sprintf(`sesamecleat_jobs_total{route=%q,outcome=%q}`, route, a.outcome)).Inc()
+	set.GetOrCreateCounter(fmt.Sprintf(`sesamecleat_jobs_total{route=%s,outcome=%q}`, labelValue(route), a.outcome)).Inc()
 	set.GetOrCreateHistogram(fmt.Sprintf(`sesamecleat_job_seconds{outcome=%q}`, a.outcome)).Update(elapsed.Seconds())
 	if a.outcome != convoy.Completed {
 		set.GetOrCreateCounter(fmt.Sprintf(`sesamecleat_unserved_total{outcome=%q,cause=%q}`, a.outcome, a.cause)).Inc()
@@ -93,7 +99,7 @@
 
 // observeWait records how long a job waited at its planner for the start of its first task.
 func (m *plannerMetrics) observeWait(started convoy.JobStarted) {
-	m.set.GetOrCreateHistogram(fmt.Sprintf(`sesamecleat_wait_seconds{route=%q}`, started.Route)).Update(started.Waited.Seconds())
+	m.set.GetOrCreateHistogram(fmt.Sprintf(`sesamecleat_wait_seconds{route=%s}`, labelValue(started.Route))).Update(started.Waited.Seconds())
 }
 
 // countRunEnd counts the end of a run, and for a completed run records the ratio of actual to expected duration.
@@ -101,7 +107,7 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`sesamecleat_ends_total{how=%q}`, ended.Result)).Inc()
 	if ended.Result == convoy.EndedDone && ended.Expected > 0 {
 		ratio := ended.Took.Seconds() / ended.Expected.Seconds()
-		m.set.GetOrCreateHistogram(fmt.Sprintf(`sesamecleat_run_ratio{route=%q}`, ended.Route)).Update(ratio)
+		m.set.GetOrCreateHistogram(fmt.Sprintf(`sesamecleat_run_ratio{route=%s}`, labelValue(ended.Route))).Update(ratio)
 	}
 }
 
--- a/src/wharf/measures_test.go
+++ b/src/wharf/measures_test.go
@@ -50,6 +50,22 @@
 	require.NotContains(t, out.String(), `cause="none"`)
 }
 
+// Guards against metrics that cannot be read because a route's name is written with Go's escapes.
+func TestRouteNamesInMetricsAreEscaped(t *testing.T) {
+	tests := map[string]string{"plain": "r", "quotation": `a "b" \n`, "a line break": "a\nb", "control": "\x1b\x00", "tags": "\U000E0067"}
+	for name, route := range tests {
+		t.Run(name, func(t *testing.T) {
+			set := metrics.NewSet()
+			countAnswer(set, route, answer{outcome: convoy.Completed}, time.Second)
+			var out strings.Builder
+			set.WritePrometheus(&out)
+			found := regexp.MustCompile(`(?m)^sesamecleat_jobs_total\{route="((?:[^"\\\n]|\\["\\n])*)",outcome="completed"\} 1$`).FindStringSubmatch(out.String())
+			require.Len(t, found, 2, out.String())
+			require.Equal(t, route, strings.NewReplacer(`\\`, `\`, `\"`, `"`, `\n`, "\n").Replace(found[1]))
+		})
+	}
+}
+
 func newEndpoint(t *testing.T) *radio.Endpoint {
 	r, err := radio.NewEndpoint(netip.MustParseAddrPort("127.0.0.1:0"), []string{"a key for these tests"}, radio.ListenUDP, radio.Callbacks{})
 	require.NoError(t, err)
