Claim the workers of lost entry hosts at once where the loss is certain

Callers saw: a task runs twice at once.

Cause: nobody is told of a start before it has gone unanswered for 100 ms, and the worker is fenced by its next planner's token. A host of another domain claimed one without entry hosts 1.5 s after it had found it so, which is later than late orders come. The delay keeps domains from being claimed in and after a cut, when their hosts fall silent and are heard again one after the other.

Now there is no delay if another process of the domain has been heard without a gap since before the last heartbeat of its entry hosts, and for three heartbeats after it. In a cut, after it and after a standstill of the observer there is such a gap, so nothing changes there. The token is on the workers 1.0 to 1.2 s after the last heartbeat.

--- a/src/flotilla/fleet.go
+++ b/src/flotilla/fleet.go
@@ -234,6 +234,9 @@
 	if m.Incarnation != p.Member.Incarnation && p.offset.stepped(now, m.SentAtMillis) {
 		p.offset = clockOffset{}
 	}
+	if joined || now.Sub(p.LastHeartbeat) > steadyGap {
+		p.steadySince = now
+	}
 	p.LastSent = p.offset.sentAt(now, m.SentAtMillis).Add(-b.Notice.Undelivered)
 	p.Member, p.LastHeartbeat, p.Alive = m, now, true
 	f.updateReceiving(now, p, b.Notice.Receives)
--- a/src/flotilla/fleet_test.go
+++ b/src/flotilla/fleet_test.go
@@ -182,6 +182,87 @@
 	require.Equal(t, []string{"entry-s1"}, s.planner("south"))
 }
 
+// A domain whose entry hosts are lost must be planned before the starts that they left on their way come late, and no other one
+// must be taken for it.
+func TestPartsOfLostEntryHostsAreClaimedAtOnce(t *testing.T) {
+	south := map[string]bool{"registry-s": true, "entry-s1": true}
+	cut := func(from, to string) bool { return south[from] != south[to] }
+	tests := map[string]struct {
+		lose func(s *simulation)
+		// after is when the parts are looked at, and want who plans them then.
+		after time.Duration
+		want  string
+	}{
+		"killed": {
+			lose:  func(s *simulation) { s.down["entry-s1"] = true },
+			after: FailureTimeout + 2*HeartbeatInterval, want: "entry-n1",
+		},
+		"frozen, as far as the others know": {
+			lose:  func(s *simulation) { s.blocked = func(from, _ string) bool { return from == "entry-s1" } },
+			after: FailureTimeout + 2*HeartbeatInterval, want: "entry-n1",
+		},
+		"cut off with its domain": {
+			lose:  func(s *simulation) { s.blocked = cut },
+			after: 2 * time.Second, want: "entry-s1",
+		},
+		"cut off with its domain, its last heartbeats lost": {
+			lose: func(s *simulation) {
+				s.blocked = func(from, _ string) bool { return from == "entry-s1" }
+				s.run(2 * HeartbeatInterval)
+				s.blocked = cut
+			},
+			after: 2 * time.Second, want: "entry-s1",
+		},
+		"its heartbeats come back after those of its domain": {
+			lose: func(s *simulation) {
+				s.blocked = cut
+				s.run(FailureTimeout - HeartbeatInterval)
+				s.blocked = func(from, _ string) bool { return from == "entry-s1" }
+				s.run(3 * HeartbeatInterval)
+				s.blocked = func(string, string) bool { return false }
+			},
+			after: 2 * time.Second, want: "entry-s1",
+		},
+		"its heartbeats are lost for less than a second": {
+			lose: func(s *simulation) {
+				s.blocked = func(from, _ string) bool { return from == "entry-s1" }
+				s.run(FailureTimeout - HeartbeatInterval)
+				s.blocked = func(string, string) bool { return false }
+			},
+			after: 2 * time.Second, want: "entry-s1",
+		},
+		"the others have stood still": {
+			lose: func(s *simulation) {
+				s.down["entry-n1"], s.down["entry-n2"] = true, true
+				s.run(2 * time.Second)
+				s.down["entry-n1"], s.down["entry-n2"] = false, false
+				s.blocked = func(from, _ string) bool { return from == "entry-s1" }
+				s.run(4 * HeartbeatInterval)
+				s.blocked = func(string, string) bool { return false }
+			},
+			after: HeartbeatInterval, want: "entry-s1",
+		},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := newTwoDomains()
+			s.events = make(map[string][]Action)
+			tt.lose(s)
+			s.run(tt.after)
+			if tt.want == "entry-s1" {
+				for name, actions := range s.events {
+					for _, a := range actions {
+						c, claimed := a.(PartClaimed)
+						require.False(t, claimed && strings.HasPrefix(c.Part, "south"), "%s claims %s", name, c.Part)
+					}
+				}
+				return
+			}
+			require.Contains(t, s.planner("south"), tt.want)
+		})
+	}
+}
+
 // When a network partition ends, the first process of a domain to become reachable need not be its planner: nobody may
 // claim the domain before the planner's first heartbeat arrives.
 func TestDomainKeepsPlannerAfterPartitionEnds(t *testing.T) {
--- a/src/flotilla/govern.go
+++ b/src/flotilla/govern.go
@@ -209,7 +209,7 @@
 // choosePlanner returns the host that should plan a part which has no planner, or whose planner is leaving or
 // overloaded: among as many of the domain's entry hosts as its workers need, strongest first, the one with the fewest
 // parts for its processor time. A host of another domain is chosen only if the domain is reachable but has no entry
-// host, and the part has been vacant for foreignClaimDelay; then it is one that plans already, as far as there are any, because
+// host, and the part has been vacant for vacancyDelay; then it is one that plans already, as far as there are any, because
 // everybody knows whether these are alive, and they know who else is.
 func (f *Fleet) choosePlanner(now time.Time, part string) string {
 	domain, _ := DomainOf(part)
@@ -221,12 +221,39 @@
 		foreign = f.foreignHosts(func(Member) bool { return true })
 	}
 	since, vacant := f.vacantSince[part]
-	if !vacant || now.Sub(since) < foreignClaimDelay || len(foreign) == 0 {
+	if !vacant || now.Sub(since) < f.vacancyDelay(domain) || len(foreign) == 0 {
 		return ""
 	}
 	return slices.Min(foreign)
 }
 
+// vacancyDelay returns how long a part of a domain without an entry host must be vacant before a host of another domain plans it.
+// A start that a lost planner had ordered without an answer may be carried out from two seconds on, and only the next planner's
+// token prevents that. So there is no delay once the domain's entry hosts are known to be lost: another process of the domain has
+// been heard all the time since, which tells their loss from that of the way there and from a standstill of this process.
+func (f *Fleet) vacancyDelay(domain string) time.Duration {
+	var entry time.Time
+	for _, p := range f.sorted {
+		if p.Member.Domain == domain && p.Member.Dispatcher {
+			entry = later(entry, p.LastHeartbeat)
+		}
+	}
+	for _, p := range f.view.alive {
+		heardOn := p.LastHeartbeat.Sub(entry) >= entryLossEvidence && !p.steadySince.After(entry)
+		if heardOn && p.Member.Domain == domain && !entry.IsZero() {
+			return 0
+		}
+	}
+	return foreignClaimDelay
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // foreignHosts returns the names of the entry hosts of any domain that are not leaving and fulfil a condition.
 func (f *Fleet) foreignHosts(suits func(m Member) bool) []string {
 	var out []string
--- a/src/flotilla/member.go
+++ b/src/flotilla/member.go
@@ -87,6 +87,8 @@
 	// AliveSince is the time of its first heartbeat, or of the first one after it had failed.
 	AliveSince time.Time
 	Alive      bool
+	// steadySince is since when no two of its heartbeats have been more than steadyGap apart.
+	steadySince time.Time
 	// NotReceiving says that the peer's heartbeats arrive but it does not receive those of this process.
 	NotReceiving bool
 }
@@ -112,6 +114,11 @@
 	settleAlone     = 800 * time.Millisecond
 	// foreignClaimDelay is how long a domain must be without an entry host before one of another domain plans there.
 	foreignClaimDelay = 1500 * time.Millisecond
+	// entryLossEvidence is how long another process of a domain must have been heard after its entry hosts for these to count as
+	// lost: three heartbeats, as the last ones before a cut come up to one interval apart and may be lost.
+	entryLossEvidence = 3 * HeartbeatInterval
+	// steadyGap is the longest time between two heartbeats of a process that counts as heard all the time: one may be lost.
+	steadyGap = 5 * HeartbeatInterval / 2
 	// reclaimDelay is how long an entry host must have run before it takes parts of its domain back from another host.
 	reclaimDelay = 1500 * time.Millisecond
 	// handoverTimeout bounds how long a leaving predecessor may hand over its workers one by one.
--- a/src/wharf/sim_faults_test.go
+++ b/src/wharf/sim_faults_test.go
@@ -51,8 +51,10 @@
 	deadline time.Duration
 	first    time.Time
 	h        *simHost
-	life     int
-	over     bool
+	// next is where the job is sent again, if set.
+	next *simHost
+	life int
+	over bool
 	// gone says that the host can see that the connection is closed.
 	gone bool
 	done bool
@@ -62,12 +64,20 @@
 
 // send hands a job in at some host.
 func (s *simWorld) send(j convoy.Job, deadline time.Duration, first time.Time) {
+	if s.now.Sub(first) > 12*time.Second {
+		return
+	}
+	s.sendTo(s.hosts[s.rnd("send", j.ID).IntN(len(s.hosts))], j, deadline, first)
+}
+
+// sendTo hands a job in at a host, and again there if it gets no answer.
+func (s *simWorld) sendTo(h *simHost, j convoy.Job, deadline time.Duration, first time.Time) {
 	if s.now.Sub(first) > 12*time.Second {
 		return
 	}
 	r := s.rnd("send", j.ID)
-	c := &simCaller{s: s, job: j, deadline: deadline, first: first, h: s.hosts[r.IntN(len(s.hosts))]}
-	h := c.h
+	r.IntN(len(s.hosts)) // the host was drawn from it
+	c := &simCaller{s: s, job: j, deadline: deadline, first: first, h: h}
 	c.life = h.life
 	if !h.up || h.leaving {
 		s.after(time.Millisecond, c.broken)
@@ -129,7 +139,13 @@
 }
 
 func (c *simCaller) again() {
-	c.s.after(simResend, func() { c.s.send(c.job, c.deadline, c.first) })
+	c.s.after(simResend, func() {
+		if c.next != nil {
+			c.s.sendTo(c.next, c.job, c.deadline, c.first)
+			return
+		}
+		c.s.send(c.job, c.deadline, c.first)
+	})
 }
 
 // answered takes the answer of the host.
--- a/src/wharf/sim_host_test.go
+++ b/src/wharf/sim_host_test.go
@@ -15,11 +15,13 @@
 type simHost struct {
 	s            *simWorld
 	name, domain string
-	addr         netip.AddrPort
-	life         int
-	up, frozen   bool
-	leaving      bool
-	backlog      []func(now time.Time)
+	// registry hosts take no callers and plan nothing.
+	registry   bool
+	addr       netip.AddrPort
+	life       int
+	up, frozen bool
+	leaving    bool
+	backlog    []func(now time.Time)
 	// skew is the error of the clock of this life, nextSkew of the machine's time of day.
 	skew, nextSkew time.Duration
 	fleet          *flotilla.Fleet
@@ -79,7 +81,7 @@
 	}
 	now := h.now()
 	self := flotilla.Member{
-		Name: h.name, Domain: h.domain, Address: h.addr, Incarnation: uint64(now.UnixMilli()), Dispatcher: true, CPUMillis: 1000,
+		Name: h.name, Domain: h.domain, Address: h.addr, Incarnation: uint64(now.UnixMilli()), Dispatcher: !h.registry, Registry: h.registry, CPUMillis: 1000,
 		ConfigVersion: 1,
 	}
 	h.fleet = flotilla.NewFleet(self, []string{"north", "south"}, contacts, now)
@@ -312,6 +314,9 @@
 		})
 	case convoy.Start:
 		s.log("%s orders start %s run %d at %s", by, a.Key.Task, a.Key.Run, a.Target.ID)
+		if s.lateBy != nil && s.carryOutLate(h, a, by) {
+			return
+		}
 		h.out(life, func() {
 			s.order(h, a.Target, fmt.Sprintf("start %s run %d token %d lease %d", a.Key.Task, a.Key.Run, a.Token, a.Lease), 100*time.Millisecond, func(w *simWorker, done func(any)) {
 				done(w.start(a, by))
--- a/src/wharf/sim_world_test.go
+++ b/src/wharf/sim_world_test.go
@@ -54,13 +54,15 @@
 	// slow holds the longest delay of messages between hosts.
 	slow      map[[2]string]time.Duration
 	newsDelay time.Duration
-	tracing   bool
-	trace     []string
-	twice     []string
-	twiceJob  string
-	starts    int
-	outcomes  map[string]int
-	jobs      int
+	// lateBy returns how much later a start is carried out that then gets no answer, if set; its lease counts from then.
+	lateBy   func(h *simHost, o convoy.Start) time.Duration
+	tracing  bool
+	trace    []string
+	twice    []string
+	twiceJob string
+	starts   int
+	outcomes map[string]int
+	jobs     int
 }
 
 func newSimWorld(seed uint64, faults simFaults) *simWorld {
@@ -193,3 +195,24 @@
 		}
 	})
 }
+
+// carryOutLate carries a start out late if lateBy says so.
+func (s *simWorld) carryOutLate(h *simHost, o convoy.Start, by string) bool {
+	late := s.lateBy(h, o)
+	if late == 0 {
+		return false
+	}
+	life := h.life
+	s.after(100*time.Millisecond, func() {
+		h.post(life, func(now time.Time) {
+			h.step(now, convoy.StartResult{ID: o.Target.ID, Key: o.Key, Token: o.Token, Result: convoy.Unanswered})
+		})
+	})
+	s.after(late, func() {
+		if w := s.at[o.Target.Address]; w != nil && w.up {
+			o.Lease += late.Milliseconds()
+			s.log("late by %s: start %s run %d of %s at %s: %s", late, o.Key.Task, o.Key.Run, by, o.Target.ID, w.start(o, by))
+		}
+	})
+	return true
+}
