Replace a registry host while it is there, not after it is gone

Operators saw: one of three registry hosts is replaced by a planned stop, its successor having been there for 6 s, and a second later another one loses its disk.

Cause: the leader replaced a voter by a caught-up learner only after 4 s of silence, also one that had announced that it leaves. Until then two live voters and one that is gone for good were left, and the loss of one more disk ends such a group.

No detection is fast enough for losses that follow at once. So a learner that has caught up, and whose disk came to its domain after a voter's, takes over that vote while both are there: it is added, then the other is removed. A voter that leaves is replaced in the same way by any learner, and its planned stop waits for that, within its drain time.

The cases of TestNextMembership are as they were, with nine more.

--- a/src/pilot/config.go
+++ b/src/pilot/config.go
@@ -36,15 +36,15 @@
 		return false
 	}
 	for _, name := range added {
-		if !n.caughtUp(name) {
+		if !n.CaughtUp(name) {
 			return false
 		}
 	}
 	return true
 }
 
-// caughtUp reports whether a learner has synced all committed entries.
-func (n *Node) caughtUp(name string) bool {
+// CaughtUp reports whether a learner has synced all committed entries; only the leader knows.
+func (n *Node) CaughtUp(name string) bool {
 	p, ok := n.peers[name]
 	return ok && slices.Contains(n.config.Learners, name) && p.match >= n.commitIndex
 }
--- a/src/wharf/council.go
+++ b/src/wharf/council.go
@@ -47,7 +47,13 @@
 	current atomic.Pointer[charter.Config]
 	// committed is the last log index known to be committed; the writer goroutine reads it.
 	committed atomic.Uint64
-	metrics   *consensusMetrics
+	// leaving says that a planned stop of this host has begun.
+	leaving bool
+	// membershipApplied says that a change of membership has been committed in this step, so that the next one may follow.
+	membershipApplied bool
+	// replaceable says that this host is a voter that a learner can replace, which a planned stop waits for.
+	replaceable atomic.Bool
+	metrics     *consensusMetrics
 }
 
 type uncommittedProposal struct {
@@ -104,7 +110,11 @@
 // Start resumes from the data folder; the hosts that found the system start the log with one common membership.
 func (c *consensus) Start() error {
 	s := c.h.Settings
-	newIdentity := archive.Identity{DiskID: diskName(s.Advertise.Addr(), uuid.NewString()[:8])}
+	now := c.h.Clock.Now()
+	newIdentity := archive.Identity{DiskID: diskName(s.Advertise.Addr(), laterDiskSuffix(now))}
+	if s.Bootstrap {
+		newIdentity.DiskID = diskName(s.Advertise.Addr(), uuid.NewString()[:8])
+	}
 	if founders := founders(s); s.Bootstrap && slices.Contains(founders, diskName(s.Advertise.Addr(), founderSuffix)) {
 		newIdentity = archive.Identity{DiskID: diskName(s.Advertise.Addr(), founderSuffix), Founders: founders}
 	}
@@ -126,7 +136,6 @@
 			}
 		}
 	}
-	now := c.h.Clock.Now()
 	seed := xxh3.HashString(c.disk) ^ c.h.Incarnation
 	c.node = pilot.NewNode(c.disk, pilot.Config{Voters: identity.Founders}, disk, seed, now)
 	c.node.SetTiming(now, pilot.Timing{Heartbeat: consensusHeartbeat, Election: electionTimeout})
@@ -185,6 +194,9 @@
 		e.done <- c.node.LeaderName()
 	case fleetEvent:
 		c.updateRegistryHost(now, e.action)
+	case helm.StopAnnounced:
+		c.leaving = true
+		c.adjustMembership(now)
 	}
 }
 
@@ -221,11 +233,16 @@
 		}
 	}
 	c.compactIfLarge(now)
+	if c.membershipApplied {
+		c.membershipApplied = false
+		c.adjustMembership(now)
+	}
 }
 
 func (c *consensus) apply(entries []pilot.Entry) {
 	oldVersion := c.version()
 	for _, e := range entries {
+		c.membershipApplied = c.membershipApplied || e.Kind == pilot.Membership
 		if e.Kind == pilot.Normal {
 			if _, err := c.state.Apply(e.Data); err != nil {
 				c.h.Log.Write(logbook.DiskDamaged, logbook.F("index", e.Index), logbook.F("error", err.Error()))
@@ -308,11 +325,11 @@
 	}
 }
 
-// trackUnseenVoters registers the voters that this host has had no heartbeat from, so that their silence counts from
-// now.
+// trackUnseenVoters registers the voters that this host has never had a heartbeat from, so that their silence counts from
+// now. That of others counts from their last heartbeat, whoever led then.
 func (c *consensus) trackUnseenVoters(now time.Time) {
 	for _, disk := range c.node.Config().Voters {
-		if host, known := c.registryHosts[disk]; !known || !host.alive {
+		if _, known := c.registryHosts[disk]; !known {
 			c.registryHosts[disk] = registryHost{disk: disk, host: diskHost(disk), lastSeen: now}
 		}
 	}
@@ -332,7 +349,9 @@
 	if !m.Registry || m.Disk == "" {
 		return
 	}
-	host := registryHost{disk: m.Disk, domain: m.Domain, host: m.Address.Addr(), lastSeen: now, alive: alive && !m.Leaving}
+	host := registryHost{
+		disk: m.Disk, domain: m.Domain, host: m.Address.Addr(), lastSeen: now, alive: alive && !m.Leaving, leaving: alive && m.Leaving,
+	}
 	if !alive {
 		host.lastSeen = c.registryHosts[m.Disk].lastSeen
 	}
@@ -346,7 +365,7 @@
 func (c *consensus) markOldDisksFailed(host registryHost) {
 	for disk, other := range c.registryHosts {
 		if disk != host.disk && other.host == host.host {
-			other.alive = false
+			other.alive, other.leaving = false, false
 			c.registryHosts[disk] = other
 		}
 	}
@@ -354,16 +373,21 @@
 
 // adjustMembership lets the leader repair the membership of the group, one change at a time.
 func (c *consensus) adjustMembership(now time.Time) {
+	config := c.node.Config()
+	c.replaceable.Store(slices.Contains(config.Voters, c.disk) && bestLearner(config, c.registryHosts) != "")
 	if !c.node.IsLeader() || c.node.ConfigPending() {
 		return
 	}
 	known := make(map[string]registryHost, len(c.registryHosts)+1)
 	for disk, host := range c.registryHosts {
+		host.behind = slices.Contains(config.Learners, disk) && !c.node.CaughtUp(disk)
 		known[disk] = host
 	}
 	self := c.h.Settings
-	known[c.disk] = registryHost{disk: c.disk, domain: self.Domain, host: self.Advertise.Addr(), lastSeen: now, alive: true}
-	next, ok := nextMembership(now, c.disk, c.node.Config(), known, 2*self.ToleratedFailures+1)
+	known[c.disk] = registryHost{
+		disk: c.disk, domain: self.Domain, host: self.Advertise.Addr(), lastSeen: now, alive: !c.leaving, leaving: c.leaving,
+	}
+	next, ok := nextMembership(now, c.disk, config, known, 2*self.ToleratedFailures+1)
 	if !ok {
 		return
 	}
@@ -371,6 +395,10 @@
 	c.step(now, pilot.Reconfigure{Config: next})
 }
 
+// Busy reports whether this host is a voter that a learner is about to replace; if it ended before, another host's loss could end
+// the group.
+func (c *consensus) Busy() bool { return c.replaceable.Load() }
+
 // address returns the address at which the host of a disk takes messages.
 func (c *consensus) address(disk string) netip.AddrPort {
 	return netip.AddrPortFrom(diskHost(disk), c.h.Settings.Peers.Port())
--- a/src/wharf/membership_test.go
+++ b/src/wharf/membership_test.go
@@ -16,6 +16,7 @@
 	at := func(disk, domain string, n byte, silent time.Duration) registryHost {
 		return registryHost{disk: disk, domain: domain, host: host(n), lastSeen: now.Add(-silent), alive: silent < time.Second}
 	}
+	later := diskName(host(4), laterDiskSuffix(now))
 	three := pilot.Config{Voters: []string{"a", "b", "c"}}
 	tests := map[string]struct {
 		config  pilot.Config
@@ -71,6 +72,55 @@
 			},
 			want: pilot.Config{Voters: []string{"a", "b", "c", "e"}, Learners: []string{"d"}}, changes: true,
 		},
+		"learner that is behind waits": {
+			config: pilot.Config{Voters: []string{"a", "b"}, Learners: []string{"c"}}, wanted: 3,
+			hosts: []registryHost{
+				at("a", "x", 1, 0), at("b", "y", 2, 0), {disk: "c", domain: "z", host: host(3), lastSeen: now, alive: true, behind: true},
+			},
+		},
+		"voter that leaves is replaced while it is there": {
+			config: pilot.Config{Voters: []string{"a", "b", "c"}, Learners: []string{"d"}}, wanted: 3,
+			hosts: []registryHost{
+				at("a", "x", 1, 0), at("b", "y", 2, 0), {disk: "c", domain: "z", host: host(3), lastSeen: now, leaving: true}, at("d", "y", 4, 0),
+			},
+			want: pilot.Config{Voters: []string{"a", "b", "c", "d"}, Learners: []string{}}, changes: true,
+		},
+		"and removed after that": {
+			config: pilot.Config{Voters: []string{"a", "b", "c", "d"}}, wanted: 3,
+			hosts: []registryHost{
+				at("a", "x", 1, 0), at("b", "y", 2, 0), {disk: "c", domain: "z", host: host(3), lastSeen: now, leaving: true}, at("d", "y", 4, 0),
+			},
+			want: pilot.Config{Voters: []string{"a", "b", "d"}, Learners: []string{"c"}}, changes: true,
+		},
+		"disk that came later to a voter's domain becomes a voter": {
+			config: pilot.Config{Voters: []string{"a", "b", "c"}, Learners: []string{later}}, wanted: 3,
+			hosts: []registryHost{at("a", "x", 1, 0), at("b", "y", 2, 0), at("c", "z", 3, 0), at(later, "z", 4, 0)},
+			want:  pilot.Config{Voters: []string{later, "a", "b", "c"}, Learners: []string{}}, changes: true,
+		},
+		"in place of the one that was there before": {
+			config: pilot.Config{Voters: []string{later, "a", "b", "c"}}, wanted: 3,
+			hosts: []registryHost{at("a", "x", 1, 0), at("b", "y", 2, 0), at("c", "z", 3, 0), at(later, "z", 4, 0)},
+			want:  pilot.Config{Voters: []string{later, "a", "b"}, Learners: []string{"c"}}, changes: true,
+		},
+		"which does not come back in its place": {
+			config: pilot.Config{Voters: []string{later, "a", "b"}, Learners: []string{"c"}}, wanted: 3,
+			hosts: []registryHost{at("a", "x", 1, 0), at("b", "y", 2, 0), at("c", "z", 3, 0), at(later, "z", 4, 0)},
+		},
+		"disk that came later waits while a voter is missing": {
+			config: pilot.Config{Voters: []string{"a", "b", "c"}, Learners: []string{later}}, wanted: 3,
+			hosts: []registryHost{at("a", "x", 1, 0), at("b", "y", 2, 2*time.Second), at("c", "z", 3, 0), at(later, "z", 4, 0)},
+		},
+		"domain without a voter gets one of a domain with two": {
+			config: pilot.Config{Voters: []string{"a", "b", "c"}, Learners: []string{"d"}}, wanted: 3,
+			hosts: []registryHost{at("a", "x", 1, 0), at("b", "y", 2, 0), at("c", "y", 3, 0), at("d", "z", 4, 0)},
+			want:  pilot.Config{Voters: []string{"a", "b", "c", "d"}, Learners: []string{}}, changes: true,
+		},
+		"surplus voter stays while the others are no majority": {
+			config: pilot.Config{Voters: []string{"a", "b", "c", "d"}}, wanted: 3,
+			hosts: []registryHost{
+				at("a", "x", 1, 0), at("b", "y", 2, 9*time.Second), at("c", "z", 3, 9*time.Second), at("d", "z", 4, 9*time.Second),
+			},
+		},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -87,6 +137,25 @@
 	}
 }
 
+// Guards against a successor that is taken for a disk of the first ones, or the other way round.
+func TestDiskBirths(t *testing.T) {
+	now := time.UnixMilli(1_700_000_000_123)
+	name := func(suffix string) string { return diskName(netip.MustParseAddr("10.1.0.16"), suffix) }
+	tests := map[string]struct {
+		disk string
+		want int64
+	}{
+		"later":                       {disk: name(laterDiskSuffix(now)), want: now.UnixMilli()},
+		"founder":                     {disk: name(founderSuffix)},
+		"begun with the system":       {disk: name("1a2b3c4d")},
+		"begun by an earlier version": {disk: name("99999999")},
+		"another format":              {disk: name("t-1")},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) { require.Equal(t, tt.want, diskBirth(tt.disk)) })
+	}
+}
+
 func TestDiskNames(t *testing.T) {
 	tests := map[string]struct {
 		disk string
