Use a restarted worker only by its own description

A worker that does not guard its room and comes back with less of it gets what fitted before.

Cause: the incarnation that a worker names in its list of runs was written into its description, whose labels, room and pool were of the former incarnation. Until the next announcement arrived, some 10 to 30 ms later, tasks were placed by these.

Now the incarnation that runs is kept apart from the one that is described. A worker is ready when the incarnation that runs has listed its runs and described itself; before that nothing is started or repeated there. Where a task had failed, and that orders were lost, is forgotten with the incarnation as well.

The case "a reported restart" of TestOrdersToEarlierIncarnationAreFenced expected a start on an incarnation that had not been described, which is the fault; it now describes the incarnation first and still asks for the higher token.

--- a/src/convoy/hold.go
+++ b/src/convoy/hold.go
@@ -74,8 +74,8 @@
 func (p *Planner) handleReport(now time.Time, w *worker, e HoldResult) {
 	w.unanswered = 0
 	if born := e.Report.Incarnation; born != 0 {
-		former := w.target.Incarnation
-		w.target.Incarnation = born
+		former := w.incarnation
+		w.incarnation = born
 		if former != 0 && born != former {
 			// An order to the former incarnation may still begin a run that these lists do not have.
 			p.beginIncarnation(now, w, former)
@@ -94,6 +94,11 @@
 		}
 	}
 	p.reconcileRuns(now, w, e)
+	if !w.described() {
+		// Nothing is started on the word of a former incarnation; the worker announces itself in a moment.
+		w.phase, w.nextHold = phaseNew, now.Add(minProbeBackoff)
+		return
+	}
 	if w.phase != phaseReady {
 		w.phase = phaseReady
 		p.logDecision(DecisionWorkerReady, "", w.target.ID, "")
@@ -138,6 +143,8 @@
 // settleUnconfirmed settles a run of which the worker lists nothing, neither that it is active nor that it has ended.
 func (p *Planner) settleUnconfirmed(now time.Time, w *worker, r *run) {
 	switch {
+	case r.token < w.holdToken && r.task != nil && !w.described():
+		// Whether the worker may still begin it is known once it has described itself.
 	case r.token < w.holdToken && w.canBegin(r):
 		// The worker refuses the former orders now, and takes the number still.
 		r.token, r.address, r.state, r.orderedAt = w.holdToken, w.target.Address, runStarting, time.Time{}
@@ -168,7 +175,7 @@
 	if !known {
 		p.orphanCounts[jobID(key)]++
 		p.logDecision(DecisionStrayRun, jobID(key), w.target.ID,
-			fmt.Sprintf("%s run %d on incarnation %d", key.Task, key.Run, w.target.Incarnation))
+			fmt.Sprintf("%s run %d on incarnation %d", key.Task, key.Run, w.incarnation))
 	}
 	w.orphans[key] = now
 	p.emit(Stop{Target: w.target, Token: w.token, Key: key})
@@ -288,19 +295,22 @@
 		}
 		return
 	}
-	former := w.target.Incarnation
+	former := w.incarnation
 	if t.Incarnation < former && !w.target.Expired {
 		return
 	}
-	moved := t.Address != w.target.Address
+	moved, awaited := t.Address != w.target.Address, !w.described()
 	w.target = t
 	switch {
 	case former != 0 && t.Incarnation != 0 && t.Incarnation != former:
+		w.incarnation = t.Incarnation
 		p.beginIncarnation(now, w, former)
 	case moved:
 		// A refusal by whoever has the former address says nothing of this worker.
 		w.token += p.tuning.TokenStep
 		p.contactAnew(now, w)
+	case awaited && !w.holdPending:
+		p.sendHold(now, w)
 	}
 }
 
--- a/src/convoy/incarnation.go
+++ b/src/convoy/incarnation.go
@@ -16,7 +16,7 @@
 // start order may have reached the new incarnation already.
 func (p *Planner) beginIncarnation(now time.Time, w *worker, former int64) {
 	p.logDecision(DecisionWorkerRestarted, "", w.target.ID, fmt.Sprintf(
-		"incarnation %d after %d, %d runs of the earlier one", w.target.Incarnation, former, len(w.runs)))
+		"incarnation %d after %d, %d runs of the earlier one, described %t", w.incarnation, former, len(w.runs), w.described()))
 	p.dropOrphans(w)
 	for _, r := range w.runs {
 		r.stopSentAt, r.stopAckedAt = time.Time{}, time.Time{}
@@ -24,7 +24,8 @@
 	w.token += p.tuning.TokenStep
 	w.ackedEnds, w.newClock = 0, true
 	w.speed, w.measuredAt = 1, time.Time{}
-	w.failuresInRow, w.skipUntil = 0, time.Time{}
+	w.failuresInRow, w.lastFailedJob = 0, ""
+	w.skipUntil, w.silentAt = time.Time{}, time.Time{}
 	p.contactAnew(now, w)
 }
 
@@ -70,7 +71,7 @@
 
 // suits reports whether a worker as it is now may run what is ordered there.
 func (w *worker) suits(r *run) bool {
-	if w.target.Leaving || w.target.Expired {
+	if w.target.Leaving || w.target.Expired || !w.described() {
 		return false
 	}
 	j := r.task.job
--- a/src/convoy/incarnation_test.go
+++ b/src/convoy/incarnation_test.go
@@ -141,7 +141,7 @@
 	for range d / tickInterval {
 		b.wait(tickInterval)
 		for _, w := range b.p.sortedWorkers() {
-			b.answerHold(w.target.ID, Report{Incarnation: w.target.Incarnation, Clock: w.clock + b.now.Sub(w.clockAt).Milliseconds()})
+			b.answerHold(w.target.ID, Report{Incarnation: w.incarnation, Clock: w.clock + b.now.Sub(w.clockAt).Milliseconds()})
 		}
 	}
 }
@@ -162,6 +162,8 @@
 			restart(b)
 			require.Greater(t, b.hold("w0").Token, before)
 			b.answerHold("w0", Report{Incarnation: 2, Clock: 10})
+			b.step(WorkerListed{Target: b.target("w0", 2)})
+			b.answerHold("w0", Report{Incarnation: 2, Clock: 20})
 			require.Greater(t, b.submit("a").Token, before)
 		})
 	}
@@ -207,6 +209,7 @@
 	b.step(WorkerListed{Target: b.target("w0", 2)})
 	b.step(HoldResult{ID: "w0", Sent: old, Result: Accepted, Report: Report{Incarnation: 1, Clock: 900_500}})
 	require.Equal(t, int64(2), b.p.workers["w0"].target.Incarnation)
+	require.Equal(t, int64(2), b.p.workers["w0"].incarnation)
 	require.Equal(t, phaseNew, b.p.workers["w0"].phase)
 }
 
--- a/src/convoy/place.go
+++ b/src/convoy/place.go
@@ -122,7 +122,7 @@
 
 // excludes reports whether a task avoids a worker on which it failed or was too slow.
 func (p *Planner) excludes(t *task, w *worker) bool {
-	return slices.Contains(t.excluded, w.target.ID) && len(t.excluded) < len(p.workers)
+	return slices.Contains(t.excluded, w.life()) && len(t.excluded) < len(p.workers)
 }
 
 // redirectJobs returns waiting jobs to their entry hosts while other planners have free slots for them.
--- a/src/convoy/planner.go
+++ b/src/convoy/planner.go
@@ -17,7 +17,7 @@
 	runNumber int64
 	failures  int
 	// excluded lists the workers on which the task failed or was too slow.
-	excluded []string
+	excluded []workerLife
 }
 
 func (t *task) ref() TaskRef { return TaskRef{Job: t.job.ID, Step: t.step, Index: t.index} }
--- a/src/convoy/run.go
+++ b/src/convoy/run.go
@@ -182,7 +182,7 @@
 // taskFailed counts a failure of the task, and of the worker if its previous failure was of another job.
 func (p *Planner) taskFailed(now time.Time, w *worker, t *task, r *run) {
 	t.failures++
-	t.excluded = append(t.excluded, w.target.ID)
+	t.excluded = append(t.excluded, w.life())
 	if w.lastFailedJob != t.job.ID {
 		w.failuresInRow++
 		w.lastFailedJob = t.job.ID
@@ -235,7 +235,7 @@
 	} else {
 		w.updateSpeed(now, newRunTime, time.Duration(float64(elapsed)+remaining))
 	}
-	r.task.excluded = append(r.task.excluded, w.target.ID)
+	r.task.excluded = append(r.task.excluded, w.life())
 	p.orderStop(now, w, r)
 }
 
--- a/src/convoy/worker.go
+++ b/src/convoy/worker.go
@@ -10,7 +10,7 @@
 type phase uint8
 
 const (
-	// phaseNew workers have not answered this planner yet.
+	// phaseNew workers have not answered this planner yet, or have begun an incarnation that is not described yet.
 	phaseNew phase = iota
 	phaseReady
 	// phaseLost workers do not answer; their runs end with their lease.
@@ -79,9 +79,11 @@
 
 // worker is the planner's state of one target.
 type worker struct {
-	target Target
-	phase  phase
-	token  int64
+	// target is the worker's latest description, by the incarnation that it is of; incarnation is the one that runs.
+	target      Target
+	incarnation int64
+	phase       phase
+	token       int64
 	// addedAt is when the planner took the worker over.
 	addedAt time.Time
 	// handingOver workers are released once they have no runs.
@@ -126,11 +128,26 @@
 
 func newWorker(now time.Time, t Target, token int64) *worker {
 	return &worker{
-		target: t, token: token, speed: 1, addedAt: now,
+		target: t, incarnation: t.Incarnation, token: token, speed: 1, addedAt: now,
 		runs: make(map[RunKey]*run), orphans: make(map[RunKey]time.Time),
 	}
 }
 
+// described reports whether the worker's description is of the incarnation that runs: another one may have other labels, other
+// room or another pool. Descriptions that name no incarnation cannot be told apart.
+func (w *worker) described() bool {
+	return w.target.Incarnation == 0 || w.target.Incarnation == w.incarnation
+}
+
+// life returns the incarnation of the worker that runs.
+func (w *worker) life() workerLife { return workerLife{id: w.target.ID, incarnation: w.incarnation} }
+
+// workerLife names one incarnation of a worker.
+type workerLife struct {
+	id          string
+	incarnation int64
+}
+
 // clockNow returns a lower bound of the worker's clock, in milliseconds.
 func (w *worker) clockNow(now time.Time) int64 {
 	if w.clockAt.IsZero() {
@@ -182,7 +199,7 @@
 
 // acceptsTasks reports whether new tasks may be placed on the worker.
 func (w *worker) acceptsTasks(now time.Time) bool {
-	return w.phase == phaseReady && w.unanswered == 0 && !w.target.Leaving && !w.target.Expired && !now.Before(w.skipUntil) && len(w.orphans) == 0
+	return w.phase == phaseReady && w.described() && w.unanswered == 0 && !w.target.Leaving && !w.target.Expired && !now.Before(w.skipUntil) && len(w.orphans) == 0
 }
 
 // speedAt returns the speed for predictions: the measured one, decaying to 1 with the age of the measurement.
--- a/src/convoy/yard_test.go
+++ b/src/convoy/yard_test.go
@@ -35,6 +35,8 @@
 	// from the defaults.
 	taskDurations map[string]float64
 	taskNeeds     map[string]int64
+	// checkStart looks at every start that a worker is about to carry out, if set.
+	checkStart func(w *fakeWorker, o Start)
 	// raise carries out a request for a higher token; holds counts the hold requests to each worker since it was cleared.
 	raise func(planner int)
 	holds map[string]int
@@ -348,6 +350,9 @@
 	for _, other := range w.runs {
 		used += other.need
 	}
+	if sim.checkStart != nil {
+		sim.checkStart(w, o)
+	}
 	if used > w.capacity.Milli {
 		sim.rejected++
 		return NoRoom
