Cancel a best-effort job in progress at whatever entry host it is

Cause: every GET and DELETE of a job was answered so, without a look at the jobs in progress.

Now such a request goes to all entry hosts that are alive, as callers may send it to any. Who has the job answers its state, or cancels it with its planner and answers its callers `cancelled`.

--- a/src/convoy/job.go
+++ b/src/convoy/job.go
@@ -115,11 +115,13 @@
 	Redirected
 	// Lost means that the job was given up although tasks may have run.
 	Lost
+	// Cancelled means that a caller has cancelled the job; planners do not answer it.
+	Cancelled
 )
 
 // String returns the outcome's name.
 func (o Outcome) String() string {
-	return [...]string{"completed", "failed", "refused", "elsewhere", "lost"}[o]
+	return [...]string{"completed", "failed", "refused", "elsewhere", "lost", "cancelled"}[o]
 }
 
 // TaskRef identifies a task of a job. The occurrence in its name is always 0, as recurring jobs are not supported.
--- a/src/helm/services.go
+++ b/src/helm/services.go
@@ -124,6 +124,10 @@
 	Config() *charter.Config
 	// Submit runs a job and returns its result; it abandons the job when ctx ends.
 	Submit(ctx context.Context, j convoy.Job) JobResult
+	// State returns the state of a job of a route, or an error if an entry host that may have it did not answer.
+	State(ctx context.Context, route, id string) (JobState, error)
+	// Cancel cancels a job of a route and returns its state then, or an error if an entry host that may have it did not answer.
+	Cancel(ctx context.Context, route, id string) (JobState, error)
 	// WaitingJobs returns how many jobs of a route wait for capacity in the whole system, as far as known here.
 	WaitingJobs(route string) int
 	// AcceptsJobs reports whether a job is accepted whose client waits until the given time; a process that drains
@@ -133,6 +137,21 @@
 	Ready() bool
 }
 
+// JobState is the state of a job that has no result yet; later states outweigh earlier ones.
+type JobState uint8
+
+// The states of jobs.
+const (
+	// JobUnknown means that the job is not in progress.
+	JobUnknown JobState = iota
+	// JobQueued means that no planner has the job yet.
+	JobQueued
+	// JobRunning means that a planner has the job.
+	JobRunning
+	// JobCancelled means that a caller has cancelled the job while it was in progress.
+	JobCancelled
+)
+
 // JobResult is the result of a job.
 type JobResult struct {
 	Outcome convoy.Outcome
--- a/src/wharf/jobs.go
+++ b/src/wharf/jobs.go
@@ -53,6 +53,8 @@
 	waitingByRoute atomic.Pointer[map[string]int]
 	undelivered    undelivered
 	unanswered     unansweredJobs
+	// cancelled holds the jobs that callers have cancelled lately, by id.
+	cancelled map[string]cancelledJob
 }
 
 type submitEvent struct {
@@ -88,7 +90,7 @@
 	j := &jobs{
 		h: h, attempts: h.Incarnation, pending: make(map[string]*pendingJob), offered: make(map[string]int),
 		lastProbe: make(map[string]time.Time), probing: make(map[string]bool), undelivered: make(undelivered),
-		unanswered: make(unansweredJobs),
+		unanswered: make(unansweredJobs), cancelled: make(map[string]cancelledJob),
 	}
 	h.Jobs = j
 	return j
@@ -97,6 +99,7 @@
 // Start starts the periodic check of pending jobs.
 func (j *jobs) Start() error {
 	j.h.RPC.Handle(kindPing, func(context.Context, netip.AddrPort, []byte) ([]byte, error) { return nil, nil })
+	j.h.RPC.Handle(kindJobRequest, j.onJobRequest)
 	j.h.Timers.Every(j.h.Clock.Now(), flotilla.HeartbeatInterval/2, j.tick)
 	return nil
 }
@@ -171,6 +174,8 @@
 		j.submit(now, e)
 	case callerGoneEvent:
 		j.cancelForCaller(e)
+	case jobRequestEvent:
+		j.handleRequest(now, e)
 	case answeredEvent:
 		j.onAnswer(now, e)
 	case probedEvent:
@@ -212,6 +217,10 @@
 }
 
 func (j *jobs) submit(now time.Time, e submitEvent) {
+	if j.wasCancelled(now, e.job) {
+		e.done <- helm.JobResult{Outcome: convoy.Cancelled, Reason: "cancelled before"}
+		return
+	}
 	if p, ok := j.pending[e.job.ID]; ok {
 		p.callers = append(p.callers, e.done)
 		return
--- a/src/wharf/kinds.go
+++ b/src/wharf/kinds.go
@@ -23,6 +23,7 @@
 	kindCancelJob
 	kindReleaseWorker
 	kindPing
+	kindJobRequest
 )
 
 // The start order of the plug-ins; the fleet is last, because its events need all the others.
