--- a/src/flotilla/fleet.go
+++ b/src/flotilla/fleet.go
@@ -226,17 +226,11 @@
 		p = f.addPeer(m.Name)
 	}
 	f.setAddress(p, m)
-	joined := !p.Alive
-	if joined {
-		p.AliveSince, f.lastJoin = now, now
-	}
+	joined := f.noteHeard(now, p)
 	wasFrequent := f.isFrequent(p.Member)
 	if m.Incarnation != p.Member.Incarnation && p.offset.stepped(now, m.SentAtMillis) {
 		p.offset = clockOffset{}
 	}
-	if joined || now.Sub(p.LastHeartbeat) > steadyGap {
-		p.steadySince = now
-	}
 	p.LastSent = p.offset.sentAt(now, m.SentAtMillis).Add(-b.Notice.Undelivered)
 	p.Member, p.LastHeartbeat, p.Alive = m, now, true
 	f.updateReceiving(now, p, b.Notice.Receives)
@@ -250,6 +244,18 @@
 	f.emit(PeerUpdated{Peer: *p})
 }
 
+// noteHeard records since when a peer is heard, and reports whether it joins.
+func (f *Fleet) noteHeard(now time.Time, p *Peer) bool {
+	joined := !p.Alive
+	if joined {
+		p.AliveSince, f.lastJoin = now, now
+	}
+	if joined || now.Sub(p.LastHeartbeat) > steadyGap {
+		p.steadySince = now
+	}
+	return joined
+}
+
 func (f *Fleet) addPeer(name string) *Peer {
 	p := &Peer{}
 	f.peers[name] = p
