Elect and keep a leader of the registry hosts on slow disks

Operators saw (once, beside heavy load; three tests failed within a minute): the registry hosts know each other and say for 20 s and more that no leader is known.

Cause, as far as it can be shown: every message waited for the syncs before it, and elections have fixed times. A candidate asked for votes after a sync of its own and got them after one of each voter, but started anew after 400 to 800 ms; a leader's heartbeats and their answers waited behind syncs, so that it lost the lead. From 400 ms a sync on there is no lasting leader. That the disks were that slow in the sighting is suspected, as no line told so; events 617 (role) and 618 (slow sync) do now.

Now a leader's messages, pre-votes and refusals do not wait for the disk, a follower whose acknowledgement has to wait tells at once that it is there, nobody campaigns while its vote is being synced, and elections are given twice the time that the last sync took.

--- a/src/logbook/event.go
+++ b/src/logbook/event.go
@@ -90,6 +90,8 @@
 
 	TargetsLoaded     = Event{615, Info, "target register loaded from disk", "none"}
 	TargetsUnreadable = Event{616, Warn, "target register on disk is unreadable; targets are registered again as they announce themselves", "none"}
+	RoleChanged       = Event{617, Info, "registry host changed its role in the group", "none; if it recurs, see 618 and the network"}
+	SaveSlow          = Event{618, Warn, "syncing the data folder is slow; elections wait for it", "check the disk"}
 
 	JobAccepted       = Event{700, Info, "job accepted", "none"}
 	JobQueued         = Event{701, Info, "job queued until workers have capacity", "none"}
@@ -122,7 +124,7 @@
 		ViewChanged, LedgerReset, CopyCaughtUp, LedgerFull,
 		PeerJoined, PeerFailed, PartClaimed, PartYielded, ConfigApplied, ConfigStored, VotersChanged, ProcessSuspended,
 		TargetListed, TargetDeparted, TargetSilent, ConfigRefused, ConfigUnconfirmed, ListenerEnded, PeerUpdateFailed,
-		TargetsLoaded, TargetsUnreadable,
+		TargetsLoaded, TargetsUnreadable, RoleChanged, SaveSlow,
 		JobAccepted, JobQueued, TaskPlaced, TaskRestarted, JobGivenUp, JobAnswered, JobRefused, JobForwarded,
 		WorkerReady, WorkerSlow, WorkerLost, WorkerFenced, CancelUndelivered, JobRejected, WorkerRestarted, StrayRun,
 		StartUnanswered, StartOverdue,
--- a/src/pilot/elect.go
+++ b/src/pilot/elect.go
@@ -17,8 +17,7 @@
 		n.role = preCandidate
 	} else {
 		n.role = candidate
-		n.hardState = HardState{Term: term, Vote: n.name}
-		n.actions = append(n.actions, Save{HardState: n.hardState})
+		n.setHardState(HardState{Term: term, Vote: n.name})
 	}
 	for _, to := range n.config.Voters {
 		if to != n.name {
@@ -37,8 +36,7 @@
 	}
 	granted := upToDate && (n.hardState.Vote == "" || n.hardState.Vote == from)
 	if granted {
-		n.hardState.Vote = from
-		n.actions = append(n.actions, Save{HardState: n.hardState})
+		n.setHardState(HardState{Term: n.hardState.Term, Vote: from})
 		n.resetElection(now)
 	}
 	n.send(from, VoteReply{Term: n.hardState.Term, Granted: granted})
--- a/src/pilot/message.go
+++ b/src/pilot/message.go
@@ -1,5 +1,7 @@
 package pilot
 
+import "time"
+
 // EntryKind is the kind of a log entry.
 type EntryKind uint8
 
@@ -92,7 +94,23 @@
 func (AppendReply) message()     {}
 func (InstallSnapshot) message() {}
 
-// Event is an input of a Node: Tick, MessageReceived, Propose, Reconfigure, ReadIndex, Saved or Compact.
+// IsUrgent reports whether a message may be sent before what was decided together with it is synced: those of a leader, whose term
+// and votes were synced before its election and who counts its own log only once it is, pre-votes, and refusals.
+func IsUrgent(m Message) bool {
+	switch m := m.(type) {
+	case AppendEntries, InstallSnapshot:
+		return true
+	case VoteRequest:
+		return m.Pre
+	case VoteReply:
+		return m.Pre || !m.Granted
+	case AppendReply:
+		return !m.OK
+	}
+	return false
+}
+
+// Event is an input of a Node: Tick, MessageReceived, Propose, Reconfigure, ReadIndex, Saved, HardStateSaved or Compact.
 type Event interface{ event() }
 
 // Tick triggers the elections and heartbeats that are due.
@@ -126,6 +144,13 @@
 	Term  uint64
 }
 
+// HardStateSaved reports that a term and vote are synced, and how long that took. A host that is told of it does not campaign
+// while its own vote is on its way to the disk, and gives the others the time that they are likely to take.
+type HardStateSaved struct {
+	State HardState
+	Took  time.Duration
+}
+
 // Compact replaces the log up to Index by a snapshot, whose Data is the state machine after that entry.
 type Compact struct {
 	Index uint64
@@ -138,6 +163,7 @@
 func (Reconfigure) event()     {}
 func (ReadIndex) event()       {}
 func (Saved) event()           {}
+func (HardStateSaved) event()  {}
 func (Compact) event()         {}
 
 // Action is an output of a Node. Actions are carried out in order, and a Send must wait until every Save before it is synced.
--- a/src/pilot/node.go
+++ b/src/pilot/node.go
@@ -83,6 +83,8 @@
 	noOpIndex uint64
 	actions   []Action
 	timing    Timing
+	// unsaved says that the term or the vote is not known to be synced yet; only with Timing.SavesReported.
+	unsaved bool
 }
 
 // Timing sets how fast a failed leader is replaced.
@@ -92,6 +94,8 @@
 	// Election is the minimum time without a message from the leader before an election; a random part of up to the same
 	// length is added.
 	Election time.Duration
+	// SavesReported says that the host reports each save of the hard state with HardStateSaved.
+	SavesReported bool
 }
 
 // PersistentState is the state that a host reads from its disk at startup.
@@ -142,12 +146,19 @@
 		n.read(now, e)
 	case Saved:
 		n.onSaved(now, e)
+	case HardStateSaved:
+		n.onHardStateSaved(now, e)
 	case Compact:
 		n.compact(e)
 	}
 	return n.actions
 }
 
+// Role returns the host's role: follower, pre-candidate, candidate or leader.
+func (n *Node) Role() string {
+	return [...]string{"follower", "pre-candidate", "candidate", "leader"}[n.role]
+}
+
 // IsLeader reports whether this host is the leader.
 func (n *Node) IsLeader() bool { return n.role == leader }
 
@@ -177,7 +188,7 @@
 		n.tickLeader(now)
 		return
 	}
-	if now.Before(n.electionDue) || !slices.Contains(n.config.Voters, n.name) {
+	if now.Before(n.electionDue) || n.unsaved || !slices.Contains(n.config.Voters, n.name) {
 		return
 	}
 	n.campaign(now, true)
@@ -249,8 +260,7 @@
 func (n *Node) becomeFollower(now time.Time, term uint64, name string) {
 	changed := n.leader != name || n.role == leader
 	if term > n.hardState.Term {
-		n.hardState = HardState{Term: term}
-		n.actions = append(n.actions, Save{HardState: n.hardState})
+		n.setHardState(HardState{Term: term})
 	}
 	n.role = follower
 	n.leader = name
@@ -264,6 +274,23 @@
 	}
 }
 
+// setHardState changes the term and vote, and has them saved.
+func (n *Node) setHardState(h HardState) {
+	n.hardState, n.unsaved = h, n.timing.SavesReported
+	n.actions = append(n.actions, Save{HardState: h})
+}
+
+// onHardStateSaved lets elections go on. The others' disks are likely to be as slow as this one, and a vote takes a sync of each side.
+func (n *Node) onHardStateSaved(now time.Time, s HardStateSaved) {
+	if s.State != n.hardState || !n.unsaved {
+		return
+	}
+	n.unsaved = false
+	if n.role != leader {
+		n.resetElection(now.Add(2 * s.Took))
+	}
+}
+
 func (n *Node) resetElection(now time.Time) {
 	spread := time.Duration(n.rng.Int64N(int64(n.timing.Election)))
 	n.electionDue = now.Add(n.timing.Election + spread)
--- a/src/pilot/schedule_test.go
+++ b/src/pilot/schedule_test.go
@@ -39,6 +39,8 @@
 	agreed   []Entry
 	proposed map[uint64]Proposed
 	trace    []string
+	// urgent says that messages which may overtake the disk do, and that saves of the hard state are reported.
+	urgent bool
 }
 
 type sent struct {
@@ -48,9 +50,11 @@
 
 var hostNames = []string{"a", "b", "c", "d", "e"}
 
-func newCluster(t require.TestingT, n int) *cluster {
+func newCluster(t require.TestingT, n int) *cluster { return newClusterOf(t, n, false) }
+
+func newClusterOf(t require.TestingT, n int, urgent bool) *cluster {
 	c := &cluster{
-		t: t, now: testStart, peers: make(map[string]*peer), isolated: make(map[string]bool),
+		t: t, urgent: urgent, now: testStart, peers: make(map[string]*peer), isolated: make(map[string]bool),
 		leaders: make(map[uint64]string), proposed: make(map[uint64]Proposed),
 	}
 	for _, name := range hostNames[:n] {
@@ -64,6 +68,9 @@
 	p := c.peers[name]
 	c.seed++
 	p.node = NewNode(name, config, p.disk, c.seed, c.now)
+	if c.urgent {
+		p.node.SetTiming(c.now, Timing{Heartbeat: HeartbeatInterval, Election: ElectionTimeout, SavesReported: true})
+	}
 	p.up = true
 	p.pending = nil
 	p.applied = nil
@@ -85,8 +92,12 @@
 	}
 	for _, a := range p.node.Step(c.now, ev) {
 		switch a := a.(type) {
-		case Save, Send:
+		case Save:
 			p.pending = append(p.pending, a)
+		case Send:
+			if !c.sendUrgent(name, a) {
+				p.pending = append(p.pending, a)
+			}
 		case Apply:
 			p.applied = append(p.applied, a.Entries...)
 			c.checkApplied(name)
@@ -103,6 +114,22 @@
 	}
 }
 
+// sendUrgent sends a message that may overtake the disk; of an acknowledgement that may not it tells that the host is there.
+func (c *cluster) sendUrgent(name string, a Send) bool {
+	if !c.urgent {
+		return false
+	}
+	if IsUrgent(a.Message) {
+		c.inTransit = append(c.inTransit, sent{name, a})
+		return true
+	}
+	if reply, ok := a.Message.(AppendReply); ok && len(c.peers[name].pending) > 0 {
+		reply.Match = 0
+		c.inTransit = append(c.inTransit, sent{name, Send{To: a.To, Message: reply}})
+	}
+	return false
+}
+
 // carryOutNext carries out the oldest pending action of a host: a Save reaches the disk, a Send the network.
 func (c *cluster) carryOutNext(name string) {
 	p := c.peers[name]
@@ -120,6 +147,9 @@
 			last := a.Entries[n-1]
 			c.step(name, Saved{Index: last.Index, Term: last.Term})
 		}
+		if c.urgent {
+			c.step(name, HardStateSaved{State: a.HardState, Took: HeartbeatInterval / 10})
+		}
 	}
 }
 
@@ -247,8 +277,14 @@
 // TestSchedules checks on random schedules of messages, syncs, crashes, isolation and compactions that a term has one
 // leader and that all hosts apply the same entries.
 func TestSchedules(t *testing.T) {
+	for name, urgent := range map[string]bool{"all messages wait for the disk": false, "urgent ones overtake it": true} {
+		t.Run(name, func(t *testing.T) { checkSchedules(t, urgent) })
+	}
+}
+
+func checkSchedules(t *testing.T, urgent bool) {
 	rapid.Check(t, func(rt *rapid.T) {
-		c := newCluster(rt, rapid.SampledFrom([]int{3, 5}).Draw(rt, "hosts"))
+		c := newClusterOf(rt, rapid.SampledFrom([]int{3, 5}).Draw(rt, "hosts"), urgent)
 		c.runFor(3 * time.Second)
 		host := func(rt *rapid.T) string { return rapid.SampledFrom(c.names()).Draw(rt, "host") }
 		note := func(format string, args ...any) { c.trace = append(c.trace, fmt.Sprintf(format, args...)) }
--- a/src/wharf/compact.go
+++ b/src/wharf/compact.go
@@ -21,7 +21,7 @@
 	if snapshot := c.state.Snapshot(); snapshot != nil && index > 0 {
 		for _, a := range c.node.Step(now, pilot.Compact{Index: index, Data: snapshot}) {
 			if save, ok := a.(pilot.Save); ok {
-				c.writes <- []pilot.Action{save}
+				c.write([]pilot.Action{save})
 			}
 		}
 	}
--- a/src/wharf/council.go
+++ b/src/wharf/council.go
@@ -40,9 +40,17 @@
 	uncommitted map[uint64]uncommittedProposal
 	// senders holds, by receiver, the messages that wait to be sent; bulkSenders those that others must not wait behind.
 	senders, bulkSenders map[string]chan []byte
-	writes               chan []pilot.Action
-	wg                   sync.WaitGroup
-	targets              *targetList
+	sendersMu            sync.Mutex
+	// transmit sends a message; tests carry it themselves.
+	transmit func(pilot.Send)
+	// unsynced counts the saves that the writer has not synced yet.
+	unsynced atomic.Int64
+	// role is the host's role as last logged; slowLoggedAt is when a slow save was last logged, by the writer.
+	role         string
+	slowLoggedAt time.Time
+	writes       chan []pilot.Action
+	wg           sync.WaitGroup
+	targets      *targetList
 	// current is the newest configuration that this host has applied, for requests that are not served by the loop.
 	current atomic.Pointer[charter.Config]
 	// committed is the last log index known to be committed; the writer goroutine reads it.
@@ -100,6 +108,7 @@
 		writes:  make(chan []pilot.Action, writeQueueLength),
 		targets: newTargetList(h), metrics: newConsensusMetrics(h.Metrics),
 	}
+	c.transmit = c.send
 	h.Registry = &registry{consensus: c, targets: c.targets}
 	return c
 }
@@ -138,7 +147,7 @@
 	}
 	seed := xxh3.HashString(c.disk) ^ c.h.Incarnation
 	c.node = pilot.NewNode(c.disk, pilot.Config{Voters: identity.Founders}, disk, seed, now)
-	c.node.SetTiming(now, pilot.Timing{Heartbeat: consensusHeartbeat, Election: electionTimeout})
+	c.node.SetTiming(now, consensusTiming)
 	c.h.RPC.Handle(kindRaft, c.onRaftMessage)
 	c.h.RPC.Handle(kindPropose, c.onPropose)
 	c.h.RPC.Handle(kindReadLatest, c.onReadLatest)
@@ -208,8 +217,12 @@
 	var io []pilot.Action
 	for _, a := range actions {
 		switch a := a.(type) {
-		case pilot.Save, pilot.Send:
+		case pilot.Save:
 			io = append(io, a)
+		case pilot.Send:
+			if !c.sendAtOnce(a) {
+				io = append(io, a)
+			}
 		case pilot.Apply:
 			c.apply(a.Entries)
 		case pilot.LoadSnapshot:
@@ -227,11 +240,9 @@
 		io = append(io, pilot.Save{HardState: c.node.HardState()})
 	}
 	if len(io) > 0 {
-		select {
-		case c.writes <- io:
-		case <-c.h.Done():
-		}
+		c.write(io)
 	}
+	c.logRole()
 	c.compactIfLarge(now)
 	if c.membershipApplied {
 		c.membershipApplied = false
@@ -239,6 +250,40 @@
 	}
 }
 
+// write hands a batch to the writer.
+func (c *consensus) write(io []pilot.Action) {
+	c.unsynced.Add(int64(len(savesOf(io))))
+	select {
+	case c.writes <- io:
+	case <-c.h.Done():
+	}
+}
+
+// sendAtOnce sends a message that need not wait for the disk. Of an acknowledgement that has to wait behind earlier saves it tells the
+// leader at once that this host is there: a leader that hears of nobody steps down.
+func (c *consensus) sendAtOnce(a pilot.Send) bool {
+	if pilot.IsUrgent(a.Message) {
+		c.transmit(a)
+		return true
+	}
+	if reply, ok := a.Message.(pilot.AppendReply); ok && c.unsynced.Load() > 0 {
+		reply.Match = 0
+		c.transmit(pilot.Send{To: a.To, Message: reply})
+	}
+	return false
+}
+
+// logRole logs a change of the host's role in the group.
+func (c *consensus) logRole() {
+	role := c.node.Role()
+	if role == c.role {
+		return
+	}
+	c.h.Log.Write(logbook.RoleChanged, logbook.F("role", role), logbook.F("before", c.role), logbook.F("term", c.node.Term()),
+		logbook.F("leader", c.node.LeaderName()))
+	c.role = role
+}
+
 func (c *consensus) apply(entries []pilot.Entry) {
 	oldVersion := c.version()
 	for _, e := range entries {
--- a/src/wharf/council_test.go
+++ b/src/wharf/council_test.go
@@ -170,3 +170,43 @@
 		})
 	}
 }
+
+// Disks that take longer to sync than elections take must not leave the group without a leader, nor the leader without the lead.
+func TestSlowDisksKeepALeader(t *testing.T) {
+	losses := map[string]func(s *simCouncil){
+		"all go on":          func(*simCouncil) {},
+		"the leader is lost": func(s *simCouncil) { s.leader().kill() },
+		"a follower is lost": func(s *simCouncil) { s.pick("follower", nil).kill() },
+		"all are killed once": func(s *simCouncil) {
+			for _, r := range s.hosts {
+				r.kill()
+				s.after(time.Second, r.begin)
+			}
+		},
+		"the leader leaves": func(s *simCouncil) { s.leader().leave(func() {}) },
+	}
+	for name, lose := range losses {
+		for _, sync := range []time.Duration{simSync, 100, 250, 400, 600, 1000, 2000, 5000} {
+			if sync != simSync {
+				sync *= time.Millisecond
+			}
+			t.Run(fmt.Sprintf("%s, %s a sync", name, sync), func(t *testing.T) {
+				s := newSimCouncil(uint64(sync), "north", "south", "west")
+				s.run(3 * time.Second)
+				require.True(t, s.put(7, 5*time.Second))
+				s.sync = sync
+				lose(s)
+				// Two elections, as the first may be split; each takes a sync of the candidate and one of the voters.
+				s.run(4*time.Second + 2*4*sync)
+				first := s.leader()
+				require.NotNil(t, first)
+				require.True(t, s.put(8, 2*time.Second+8*sync))
+				for range 100 {
+					s.run(200 * time.Millisecond)
+					require.Same(t, first, s.leader())
+				}
+				require.Equal(t, uint64(8), s.stored())
+			})
+		}
+	}
+}
--- a/src/wharf/kinds.go
+++ b/src/wharf/kinds.go
@@ -6,6 +6,7 @@
 	"github.com/zeebo/errs"
 
 	"sesamecleat/src/helm"
+	"sesamecleat/src/pilot"
 	"sesamecleat/src/radio"
 )
 
@@ -110,6 +111,9 @@
 	suspensionThreshold = 800 * time.Millisecond
 )
 
+// consensusTiming is the timing of the Raft group.
+var consensusTiming = pilot.Timing{Heartbeat: consensusHeartbeat, Election: electionTimeout, SavesReported: true}
+
 // callTimeoutFor returns the limit of a call with a message of n bytes. A connection that is dead is noticed by the short calls
 // beside it.
 func callTimeoutFor(n int) time.Duration {
--- a/src/wharf/sim_council_test.go
+++ b/src/wharf/sim_council_test.go
@@ -13,7 +13,7 @@
 )
 
 const (
-	// simSync is how long a disk takes to sync, simHop a message to another registry host.
+	// simSync is how long an ordinary disk takes to sync, simHop a message to another registry host.
 	simSync = 9 * time.Millisecond
 	simHop  = time.Millisecond
 	// simDrain bounds a planned stop.
@@ -31,6 +31,9 @@
 	c       *consensus
 	disk    string
 	state   pilot.PersistentState
+	// queued are the actions that wait while the disk is busy with those before.
+	queued  []pilot.Action
+	writing bool
 	// lastHeard holds when each other host was heard, and whether it still counts as alive.
 	lastHeard map[*simRegistry]time.Time
 	// logged is the membership, and whether the host leads, as last logged.
@@ -44,11 +47,13 @@
 	founders []string
 	hosts    []*simRegistry
 	acked    uint64
+	// sync is how long the disks take to sync.
+	sync time.Duration
 }
 
 // newSimCouncil founds a group with a host in each of some domains.
 func newSimCouncil(seed uint64, domains ...string) *simCouncil {
-	s := &simCouncil{simWorld: newSimWorld(seed, nil)}
+	s := &simCouncil{simWorld: newSimWorld(seed, nil), sync: simSync}
 	for i := range domains {
 		s.founders = append(s.founders, diskName(registryAddress(i).Addr(), founderSuffix))
 	}
@@ -94,7 +99,8 @@
 	h := newTestKernel(s.now)
 	h.Settings.Domain, h.Settings.Advertise, h.Settings.ToleratedFailures = r.domain, r.addr, 1
 	c := newConsensus(h).(*consensus)
-	c.disk = r.disk
+	c.disk, c.transmit = r.disk, func(a pilot.Send) { s.send(r, a) }
+	r.queued, r.writing = nil, false
 	var founders []string
 	if slices.Contains(s.founders, r.disk) {
 		founders = s.founders
@@ -102,7 +108,7 @@
 	state := r.state
 	state.Entries = slices.Clone(state.Entries)
 	c.node = pilot.NewNode(r.disk, pilot.Config{Voters: founders}, state, uint64(s.rnd("council", r.disk).Int64()), s.now)
-	c.node.SetTiming(s.now, pilot.Timing{Heartbeat: consensusHeartbeat, Election: electionTimeout})
+	c.node.SetTiming(s.now, consensusTiming)
 	r.c = c
 	s.log("%s begins", r.disk)
 	r.every(consensusTick, func() { c.step(s.now, pilot.Tick{}) })
@@ -127,30 +133,49 @@
 		r.logged = now
 		r.council.log("%s in %s: voters and learners %s", r.disk, r.domain, now)
 	}
-	s, life := r.council, r.life
 	for {
 		select {
 		case actions := <-r.c.writes:
-			s.after(simSync, func() {
-				if r.up && r.life == life {
-					r.carryOut(actions)
-				}
-			})
+			r.queued = append(r.queued, actions...)
 		default:
+			r.writeQueued()
 			return
 		}
 	}
 }
 
-func (r *simRegistry) carryOut(actions []pilot.Action) {
-	for _, a := range actions {
-		switch a := a.(type) {
-		case pilot.Save:
-			r.save(a)
-		case pilot.Send:
-			r.council.send(r, a)
-		}
+// writeQueued has the disk take all that waits, in one sync; what is to be sent with it is sent then.
+func (r *simRegistry) writeQueued() {
+	if r.writing || len(r.queued) == 0 {
+		return
 	}
+	s, life, batch := r.council, r.life, r.queued
+	r.queued, r.writing = nil, true
+	took := time.Duration(0)
+	saves := savesOf(batch)
+	if len(saves) > 0 {
+		took = s.sync
+	}
+	s.after(took, func() {
+		if !r.up || r.life != life {
+			return
+		}
+		r.writing = false
+		for _, save := range saves {
+			r.save(save)
+		}
+		r.do(func() {
+			if len(saves) > 0 {
+				r.c.unsynced.Add(-int64(len(saves)))
+				r.c.step(s.now, pilot.HardStateSaved{State: saves[len(saves)-1].HardState, Took: took})
+			}
+			for _, a := range batch {
+				if send, ok := a.(pilot.Send); ok {
+					s.send(r, send)
+				}
+			}
+		})
+	})
 }
 
 func (r *simRegistry) save(a pilot.Save) {
@@ -256,7 +281,7 @@
 		}
 		done := make(chan requestResult, 1)
 		leader.do(func() { leader.c.Handle(s.now, proposeEvent{data: data, done: done}) })
-		s.run(100 * time.Millisecond)
+		s.run(100*time.Millisecond + 3*s.sync)
 		select {
 		case r := <-done:
 			if r.err == nil {
--- a/src/wharf/writer.go
+++ b/src/wharf/writer.go
@@ -43,25 +43,29 @@
 // writeBatch retries the save until the disk accepts it: Raft messages may be sent only after it, and a silent host
 // does no harm.
 func (c *consensus) writeBatch(actions []pilot.Action) bool {
-	var saves []pilot.Save
-	for _, a := range actions {
-		if save, ok := a.(pilot.Save); ok {
-			saves = append(saves, save)
-		}
-	}
-	if len(saves) > 0 && !c.save(saves) {
+	if saves := savesOf(actions); len(saves) > 0 && !c.save(saves) {
 		return false
 	}
 	for _, a := range actions {
 		if send, ok := a.(pilot.Send); ok {
-			c.send(send)
+			c.transmit(send)
 		}
 	}
 	return true
 }
 
+func savesOf(actions []pilot.Action) []pilot.Save {
+	var saves []pilot.Save
+	for _, a := range actions {
+		if save, ok := a.(pilot.Save); ok {
+			saves = append(saves, save)
+		}
+	}
+	return saves
+}
+
 func (c *consensus) save(saves []pilot.Save) bool {
-	batch := saves
+	batch, began := saves, c.h.Clock.Now()
 	for {
 		err := c.journal.Save(batch, c.committed.Load())
 		if err == nil {
@@ -76,13 +80,28 @@
 			return false
 		}
 	}
+	c.reportSaved(saves, c.h.Clock.Now().Sub(began))
+	return true
+}
+
+// slowSave is the time from which on a save is logged: half of the shortest election time-out.
+const slowSave = electionTimeout / 2
+
+// reportSaved tells the node what is synced.
+func (c *consensus) reportSaved(saves []pilot.Save, took time.Duration) {
+	c.unsynced.Add(-int64(len(saves)))
+	now := c.h.Clock.Now()
+	if took >= slowSave && now.Sub(c.slowLoggedAt) >= time.Second {
+		c.slowLoggedAt = now
+		c.h.Log.Write(logbook.SaveSlow, logbook.F("took", took.String()), logbook.F("saves", len(saves)))
+	}
 	for _, s := range saves {
 		if n := len(s.Entries); n > 0 {
 			last := s.Entries[n-1]
 			c.h.Post(c, raftEvent{pilot.Saved{Index: last.Index, Term: last.Term}})
 		}
 	}
-	return true
+	c.h.Post(c, raftEvent{pilot.HardStateSaved{State: saves[len(saves)-1].HardState, Took: took}})
 }
 
 // send queues a message for its receiver; a full queue drops it, which the protocol treats as a loss on the network.
@@ -96,6 +115,8 @@
 	if pilot.IsBulk(a.Message) {
 		senders, length = c.bulkSenders, bulkQueueLength
 	}
+	c.sendersMu.Lock()
+	defer c.sendersMu.Unlock()
 	queue, ok := senders[a.To]
 	if !ok {
 		queue = make(chan []byte, length)
