Name the cause of cancelled jobs, and ask a described worker only while it waits for that

Jobs cancelled by a caller were counted without a cause in sesamecleat_unserved_total. A worker that is lost or fenced keeps its own pace of holds when its description arrives. Both were found by reading the change; the tests of convoy and of cancels hold.

--- a/src/convoy/hold.go
+++ b/src/convoy/hold.go
@@ -309,7 +309,7 @@
 		// A refusal by whoever has the former address says nothing of this worker.
 		w.token += p.tuning.TokenStep
 		p.contactAnew(now, w)
-	case awaited && !w.holdPending:
+	case awaited && w.phase == phaseNew && !w.holdPending:
 		p.sendHold(now, w)
 	}
 }
--- a/src/wharf/requests.go
+++ b/src/wharf/requests.go
@@ -153,7 +153,7 @@
 	}
 	const reason = "cancelled by a caller"
 	j.notifyCancelled(p, reason)
-	j.finish(p, answer{outcome: convoy.Cancelled, reason: reason})
+	j.finish(p, answer{outcome: convoy.Cancelled, cause: convoy.CauseCallerGone, reason: reason})
 }
 
 // state returns what this process knows of a job.
