Let settings name the policies of planners

Planners had one way to order, admit, place and spread jobs.

Checked: go test ./src/manifest ./src/convoy.

--- a/src/convoy/place.go
+++ b/src/convoy/place.go
@@ -125,20 +125,6 @@
 	return slices.Contains(t.excluded, w.life()) && len(t.excluded) < len(p.workers)
 }
 
-// redirectJobs returns waiting jobs to their entry hosts while other planners have free slots for them.
-func (p *Planner) redirectJobs(now time.Time) {
-	if p.remoteSlots <= 0 {
-		return
-	}
-	for _, j := range append([]*job(nil), p.queue...) {
-		if j.started || j.Pinned || now.Sub(j.Arrived) < redirectDelay || j.Tasks() > p.remoteSlots {
-			continue
-		}
-		p.remoteSlots -= j.Tasks()
-		p.endJob(now, j, Redirected, CauseRedirected, "another planner has room", 0)
-	}
-}
-
 // unusedShare returns the fraction of a typical task that remains unused when the free CPU is filled with typical tasks.
 func (p *Planner) unusedShare(left int64) float64 {
 	rest := math.Mod(float64(left), p.typicalMilli)
--- a/src/convoy/tuning.go
+++ b/src/convoy/tuning.go
@@ -4,6 +4,8 @@
 
 // Tuning holds the limits of the deployment.
 type Tuning struct {
+	// Policies decide on order, admission and placement.
+	Policies Policies
 	// MaxLease is the longest lease that a worker grants.
 	MaxLease time.Duration
 	// StopTime is the longest time that a worker takes to stop a run.
--- a/src/manifest/settings.go
+++ b/src/manifest/settings.go
@@ -4,6 +4,7 @@
 	"net/netip"
 	"os"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/tailscale/hujson"
@@ -37,6 +38,18 @@
 	RoundRobin PlacementPolicy = "robin"
 )
 
+// Policy names the rules by which planners schedule jobs; an empty one is the default.
+type Policy struct {
+	// Order is "load" (default) or "urgency".
+	Order string
+	// Admission is "slots" (default) or "room".
+	Admission string
+	// Placement is "next" (default) or "ahead".
+	Placement string
+	// Pooling is what planners tell each other of their room: "slots" (default) or "room".
+	Pooling string
+}
+
 // Settings is the content of a settings file; docs/OPERATIONS.md describes its keys.
 type Settings struct {
 	Name      string
@@ -53,6 +66,7 @@
 	Weight    int
 	Placement PlacementPolicy
 	Limits    Limits
+	Policy    Policy
 	// Ready is the address where a dispatch process answers the load balancer's readiness checks.
 	Ready netip.AddrPort
 	// Control is the address where a registry process serves targets and operators.
@@ -211,6 +225,7 @@
 		"weight":  r.Int(&s.Weight, 1, MaxWeight),
 		"placing": placementField(r, &s.Placement),
 		"limits":  func(v *hujson.Value) { r.Object(v, limitFields(r, &s.Limits)) },
+		"policy":  func(v *hujson.Value) { r.Object(v, policyFields(r, &s.Policy)) },
 		"ready":   r.AddrPort(&s.Ready),
 		"control": r.AddrPort(&s.Control),
 		"metrics": r.AddrPort(&s.Metrics),
@@ -228,6 +243,28 @@
 	}
 }
 
+func policyFields(r *survey.Reader, p *Policy) survey.Fields {
+	return survey.Fields{
+		"order": choiceField(r, &p.Order, "load", "urgency"),
+		"admit": choiceField(r, &p.Admission, "slots", "room"),
+		"place": choiceField(r, &p.Placement, "next", "ahead"),
+		"pool":  choiceField(r, &p.Pooling, "slots", "room"),
+	}
+}
+
+// choiceField accepts one of several words.
+func choiceField(r *survey.Reader, dst *string, known ...string) survey.Field {
+	return func(v *hujson.Value) {
+		var s string
+		r.String(&s, chart.NameLimit)(v)
+		if !slices.Contains(known, s) {
+			r.Addf(v, "%q is unknown; known are %s", s, strings.Join(known, ", "))
+			return
+		}
+		*dst = s
+	}
+}
+
 func limitFields(r *survey.Reader, l *Limits) survey.Fields {
 	return survey.Fields{
 		"body":        r.Int(&l.Body, 1024, 64<<20),
--- a/src/manifest/settings_test.go
+++ b/src/manifest/settings_test.go
@@ -35,6 +35,7 @@
 		"state without data": {`{` + base + `, "voters": ["a"], "roles": ["state"]}`, `key "data" is missing`},
 		"voter without role": {`{` + base + `, "voters": ["a"]}`, `role state and voters disagree about "a"`},
 		"null number":        {`{` + base + `, "voters": ["b"], "weight": null}`, "a whole number is expected"},
+		"policy":             {`{` + base + `, "voters": ["b"], "policy": {"order": "age"}}`, `"age" is unknown; known are load, urgency`},
 		"placing":            {`{` + base + `, "voters": ["b"], "placing": "best"}`, `placing "best" is unknown`},
 	}
 	for name, tt := range tests {
@@ -50,12 +51,12 @@
 	page, err := os.ReadFile("../../docs/OPERATIONS.md")
 	require.NoError(t, err)
 	known := regexp.MustCompile(`known are ([a-z, ]+)`)
-	for text, prefix := range map[string]string{`{"?": 1}`: "`", `{"limits": {"?": 1}}`: "."} {
+	for text, prefix := range map[string]string{`{"?": 1}`: "`", `{"limits": {"?": 1}}`: ".", `{"policy": {"?": 1}}`: "policy."} {
 		_, err := Parse("f", []byte(text))
 		found := known.FindStringSubmatch(err.Error())
 		require.NotNil(t, found)
 		for key := range strings.SplitSeq(found[1], ", ") {
-			if key != "limits" {
+			if key != "limits" && key != "policy" {
 				require.Contains(t, string(page), prefix+key+"`")
 			}
 		}
--- a/src/wharf/plan.go
+++ b/src/wharf/plan.go
@@ -76,7 +76,7 @@
 		h: h, planner: convoy.NewPlanner(convoy.Tuning{
 			MaxLease: h.Settings.Lease, StopTime: h.Settings.StopTimeout, Host: h.Settings.Name, SuspensionLimit: suspensionThreshold,
 			TokenStep: flotilla.TokenStep, CallerPause: callerPause(h.Settings), HostSilence: overdueAfter,
-			CallerCheck: callerCheckPeriod,
+			CallerCheck: callerCheckPeriod, Policies: policies(h.Settings.Policy),
 		}),
 		orders: pond.NewPool(maxOrders), waiters: make(map[jobKey]waiter), cancelled: make(map[jobKey]cancelledOffer),
 		revisions: make(map[processRun]uint64), fetching: make(map[processRun]bool), pageSizes: make(map[processRun]pieceSize),
@@ -85,6 +85,21 @@
 	}
 }
 
+// policies returns the policies that the settings name.
+func policies(p manifest.Policy) convoy.Policies {
+	out := convoy.Policies{Order: convoy.OrderByLoad{}, Admission: convoy.AdmitBySlots{}, Placement: convoy.PlaceNext{}}
+	if p.Order == "urgency" {
+		out.Order = convoy.OrderByUrgency{}
+	}
+	if p.Admission == "room" {
+		out.Admission = convoy.AdmitByRoom{}
+	}
+	if p.Placement == "ahead" {
+		out.Placement = convoy.PlaceAhead{}
+	}
+	return out
+}
+
 // callerPause returns the pause of callers that leases are fitted into, 0 if the settings name none.
 func callerPause(s manifest.Settings) time.Duration {
 	if s.CallerPause == 0 {
