Publish a target anew only when its entry may be outweighed

Cause: the refresh of three seconds, without which an entry that expires at the registry host that a target has left would replace the one of its present host, as that one may be older. A gap in the sequence of announcements tells that now: only then the target is published anew, together with the two announcements after it, and otherwise once a minute as a safeguard. The labels, which came with the refresh alone, count as a change of their own.

--- a/src/wharf/kinds.go
+++ b/src/wharf/kinds.go
@@ -70,9 +70,11 @@
 	minCompactBytes  = 1 << 20
 	// missedAnnouncements is how many announcement intervals may pass without one before a target is marked expired.
 	missedAnnouncements = 4
-	// refreshInterval is how often an unchanged target is published again, so that an older entry of another process's
-	// list does not replace it.
-	refreshInterval = 3 * time.Second
+	// settlingAnnouncements is how many announcements of a target are published that follow one out of sequence. Those missing may
+	// have reached another registry host, whose entry must not outweigh this one once it has expired.
+	settlingAnnouncements = 2
+	// refreshInterval is how often an unchanged target is published again for all that, as a safeguard.
+	refreshInterval = time.Minute
 	// plannerWait is how long a job waits for a known planner before it is refused.
 	plannerWait = time.Second
 	// stopMargin is the part of the drain time reserved for sending the last answers; it covers one retransmission of a
--- a/src/wharf/targets.go
+++ b/src/wharf/targets.go
@@ -27,7 +27,9 @@
 	// revision is the list's revision when this entry last changed, publishedAt the time of that change.
 	revision    uint64
 	publishedAt time.Time
-	departed    bool
+	// unsettled counts the next announcements that are published although nothing else has changed.
+	unsettled int
+	departed  bool
 }
 
 // targetList is a list of targets: at a registry host, those that announced themselves to it; at a dispatch process,
@@ -83,6 +85,7 @@
 	now := t.h.Clock.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	unsettled := settlingAnnouncements
 	e, known := t.entries[target.ID]
 	if known {
 		old := e.target
@@ -95,7 +98,12 @@
 		}
 		e.lastAnnounced = now
 		e.target.Sequence = target.Sequence
-		if sameState(old, target) && !e.departed && now.Sub(e.publishedAt) < refreshInterval {
+		unsettled = max(0, e.unsettled-1)
+		if target.Incarnation != old.Incarnation || target.Sequence > old.Sequence+1 {
+			unsettled = settlingAnnouncements
+		}
+		settled := e.unsettled == 0 && unsettled == 0 && now.Sub(e.publishedAt) < refreshInterval
+		if sameState(old, target) && !e.departed && settled {
 			return
 		}
 		if !sameState(old, target) || e.departed {
@@ -111,7 +119,7 @@
 		t.changes++
 		t.logListed(target)
 	}
-	*e = targetEntry{target: target, lastAnnounced: now}
+	*e = targetEntry{target: target, lastAnnounced: now, unsettled: unsettled}
 	t.markChanged(now, e)
 }
 
@@ -129,7 +137,7 @@
 
 func sameState(a, b convoy.Target) bool {
 	return a.Incarnation == b.Incarnation && a.Address == b.Address && a.Leaving == b.Leaving && a.Pool == b.Pool &&
-		a.Domain == b.Domain && a.Capacity == b.Capacity && !a.Expired
+		a.Domain == b.Domain && a.Capacity == b.Capacity && slices.Equal(a.Labels, b.Labels) && !a.Expired
 }
 
 func (t *targetList) markDeparted(id string) {
