Exchange frequent heartbeats only with processes that share work

Cause: every planner and every registry host exchanged a heartbeat with every process of all domains five times a second, and all processes of a domain with each other.

Two processes are near now if one of them counts on the other, which each heartbeat tells its recipient: planners and registry hosts among each other; each with its domain; an entry host with eight planners of other domains, chosen by the hash of the names, and with whom it has a job; in a domain of more than 24 processes only with those that plan, keep the register or would plan next. The rest is distant: a heartbeat every 2 to 8 s, by the size of the fleet. An offer to a distant planner waits for its answer to a heartbeat. A process that knows of late starts is near to all planners.

A planner of another domain no longer hears a domain's idle hosts often enough to notice that all are lost; the registry hosts there tell how long none has been heard, so that the domain is taken over as fast as before.

A new planner is recognized by its claim, not by the flag alone.

--- a/src/flotilla/codec.go
+++ b/src/flotilla/codec.go
@@ -39,11 +39,18 @@
 	SentAtMillis    int64
 	Frequent        bool
 	LateStarts      []uint32
+	EntrySilence    int
 }
 
-// noticeSize is the length of an encoded notice in bytes: a flag, and an age in steps.
+// noticeSize is the length of an encoded notice in bytes: flags, and an age in steps.
 const noticeSize = 2
 
+// The flags of a notice.
+const (
+	flagReceives = 1 << iota
+	flagCountsOn
+)
+
 // EncodeHeartbeat encodes a heartbeat: its notice, then all else as CBOR. A heartbeat to many recipients is encoded once;
 // ReplaceNotice adapts it to each.
 func EncodeHeartbeat(b Heartbeat) ([]byte, error) {
@@ -57,6 +64,7 @@
 		Dispatcher: m.Dispatcher, Registry: m.Registry, Disk: m.Disk, Leaving: m.Leaving, ConfigVersion: m.ConfigVersion,
 		TargetsRevision: m.TargetsRevision, FreeSlots: m.FreeSlots, WaitingJobs: m.WaitingJobs,
 		Slots: m.Slots, CPUMillis: m.CPUMillis, SentAtMillis: m.SentAtMillis, Frequent: m.Frequent, LateStarts: m.LateStarts,
+		EntrySilence: int(m.EntrySilence / silenceStep),
 	}
 	for _, c := range m.Claims {
 		w.Claims = append(w.Claims, wireClaim{Part: c.Part, Token: c.Token})
@@ -77,11 +85,14 @@
 }
 
 func encodeNotice(n Notice) []byte {
-	receives := byte(0)
+	flags := byte(0)
 	if n.Receives {
-		receives = 1
+		flags |= flagReceives
+	}
+	if n.CountsOn {
+		flags |= flagCountsOn
 	}
-	return []byte{receives, byte(n.Undelivered / undeliveredStep)}
+	return []byte{flags, byte(n.Undelivered / undeliveredStep)}
 }
 
 // DecodeHeartbeat decodes what EncodeHeartbeat returned; it fails if the name or the address is missing.
@@ -97,11 +108,12 @@
 	if err := address.UnmarshalBinary(w.Address); err != nil || w.Name == "" {
 		return Heartbeat{}, Error.New("heartbeat has no name or no valid address")
 	}
-	notice := Notice{Receives: data[0] == 1, Undelivered: time.Duration(data[1]) * undeliveredStep}
+	notice := Notice{Receives: data[0]&flagReceives != 0, CountsOn: data[0]&flagCountsOn != 0, Undelivered: time.Duration(data[1]) * undeliveredStep}
 	b := Heartbeat{Notice: notice, From: Member{
 		Name: w.Name, Domain: w.Domain, Address: address, Incarnation: w.Incarnation,
 		Dispatcher: w.Dispatcher, Registry: w.Registry, Disk: w.Disk, Leaving: w.Leaving, ConfigVersion: w.ConfigVersion,
 		TargetsRevision: w.TargetsRevision, FreeSlots: w.FreeSlots, WaitingJobs: w.WaitingJobs, Slots: w.Slots, CPUMillis: w.CPUMillis, SentAtMillis: w.SentAtMillis, Frequent: w.Frequent, LateStarts: w.LateStarts,
+		EntrySilence: time.Duration(min(max(0, w.EntrySilence), int(maxEntrySilence/silenceStep))) * silenceStep,
 	}}
 	for _, c := range w.Claims {
 		b.From.Claims = append(b.From.Claims, Claim{Part: c.Part, Token: c.Token})
--- a/src/flotilla/fleet.go
+++ b/src/flotilla/fleet.go
@@ -104,8 +104,12 @@
 	// view is the state of the peers as of the last round of claims.
 	view      peerView
 	startedAt time.Time
-	// busy says that jobs of other hosts are in progress here.
-	busy bool
+	// busy says that jobs of other hosts are in progress here; leaving is what the others have been told of that last.
+	busy, leaving bool
+	// warm holds the planners in other domains that this process counts on, standby the hosts of a large domain that its hosts do.
+	warm, standby map[string]bool
+	// seed is a hash of this process's name.
+	seed uint64
 	// announceUntil is until when all peers get frequent heartbeats, because this process has begun or ceased to plan.
 	announceUntil time.Time
 	// lastJoin is when a peer joined last.
@@ -124,7 +128,8 @@
 	return &Fleet{
 		self: self, parts: parts(domains), contacts: contacts, startedAt: now,
 		peers: make(map[string]*Peer), nameByAddress: make(map[netip.AddrPort]string), claims: make(map[string]*claim),
-		workers:       make(map[string]int),
+		workers: make(map[string]int),
+		warm:    make(map[string]bool), seed: xxh3.HashString(self.Name),
 		highestTokens: make(map[string]int64), vacantSince: make(map[string]time.Time),
 	}
 }
@@ -138,9 +143,12 @@
 		f.expirePeers(now)
 		f.updateClaims(now)
 		f.updateFrequent(now)
+		f.updateStandby()
+		f.updateNear(now)
 		f.sendHeartbeats(now)
 	case SelfChanged:
 		f.updateFrequent(now)
+		f.updateNear(now)
 		f.sendExtraHeartbeats(now)
 	case HeartbeatReceived:
 		f.applyHeartbeat(now, e.Heartbeat)
@@ -219,26 +227,29 @@
 		f.highestTokens[c.Part] = max(f.highestTokens[c.Part], c.Token)
 	}
 	if known && p.Alive && m.Incarnation > p.Member.Incarnation {
-		p.Alive = false
-		f.emit(PeerFailed{Peer: *p, Reason: "restarted"})
+		f.failPeer(p, "restarted")
 	}
 	if !known {
 		p = f.addPeer(m.Name)
 	}
 	f.setAddress(p, m)
 	joined := f.noteHeard(now, p)
-	wasFrequent := f.isFrequent(p.Member)
+	wasNear, planned := p.near, len(p.Member.Claims) > 0
 	if m.Incarnation != p.Member.Incarnation && p.offset.stepped(now, m.SentAtMillis) {
 		p.offset = clockOffset{}
 	}
 	p.LastSent = p.offset.sentAt(now, m.SentAtMillis).Add(-b.Notice.Undelivered)
-	p.Member, p.LastHeartbeat, p.Alive = m, now, true
+	p.Member, p.LastHeartbeat, p.Alive, p.countsOnUs = m, now, true, b.Notice.CountsOn
+	if plans := len(m.Claims) > 0; plans != planned || plans && joined {
+		f.updateWarm()
+	}
+	f.updatePeerNear(now, p)
 	f.updateReceiving(now, p, b.Notice.Receives)
 	if joined {
 		f.emit(PeerJoined{Peer: *p})
 	}
 	// A planner needs a recent sign of life before it starts anything for this process.
-	if joined || !wasFrequent && f.isFrequent(m) {
+	if joined || !wasNear && p.near || !p.near && !b.Notice.Receives {
 		f.emit(SendHeartbeat{To: m.Address, Notice: f.notice(now, p)})
 	}
 	f.emit(PeerUpdated{Peer: *p})
@@ -315,12 +326,21 @@
 	for _, p := range f.sorted {
 		silent, limit := f.silence(now, p)
 		if p.Alive && silent > limit {
-			p.Alive = false
-			f.emit(PeerFailed{Peer: *p, Reason: "silent"})
+			f.failPeer(p, "silent")
 		}
 	}
 }
 
+// failPeer marks a peer failed. What a distant one has told of late starts is old; the processes near to it go on with it.
+func (f *Fleet) failPeer(p *Peer, reason string) {
+	p.Alive = false
+	lost := *p
+	if !p.near {
+		lost.Member.LateStarts = nil
+	}
+	f.emit(PeerFailed{Peer: lost, Reason: reason})
+}
+
 func (f *Fleet) alivePeers() []*Peer {
 	out := make([]*Peer, 0, len(f.sorted))
 	for _, p := range f.sorted {
--- a/src/flotilla/govern.go
+++ b/src/flotilla/govern.go
@@ -22,16 +22,22 @@
 	holders  map[string]holder
 	hosts    map[string][]Member
 	assigned map[assignment]int
+	// witnesses holds, by domain, the near processes that accept no jobs and tell how long its entry hosts have been silent.
+	witnesses map[string][]*Peer
+	now       time.Time
 }
 
 type assignment struct{ host, domain string }
 
-func (f *Fleet) collectView() peerView {
+func (f *Fleet) collectView(now time.Time) peerView {
 	view := peerView{
 		alive: f.alivePeers(), holders: make(map[string]holder), hosts: make(map[string][]Member),
-		assigned: make(map[assignment]int),
+		assigned: make(map[assignment]int), witnesses: make(map[string][]*Peer), now: now,
 	}
 	for _, p := range view.alive {
+		if m := p.Member; p.near && !m.Dispatcher {
+			view.witnesses[m.Domain] = append(view.witnesses[m.Domain], p)
+		}
 		for _, c := range p.Member.Claims {
 			if best, held := view.holders[c.Part]; !held || c.Token > best.token {
 				view.holders[c.Part] = holder{member: p.Member, token: c.Token}
@@ -46,7 +52,7 @@
 	if !f.self.Dispatcher {
 		return
 	}
-	f.view = f.collectView()
+	f.view = f.collectView(now)
 	for _, part := range f.parts {
 		f.finishHandover(now, part)
 		f.updateClaim(now, part)
@@ -195,7 +201,9 @@
 	}
 	add(f.self)
 	for _, p := range f.view.alive {
-		add(p.Member)
+		if p.Member.Domain == domain && !f.toldLost(p) {
+			add(p.Member)
+		}
 	}
 	if len(informed) > 0 {
 		all = informed
@@ -238,6 +246,9 @@
 			entry = later(entry, p.LastHeartbeat)
 		}
 	}
+	for _, w := range f.view.witnesses[domain] {
+		entry = later(entry, w.LastHeartbeat.Add(-w.Member.EntrySilence))
+	}
 	for _, p := range f.view.alive {
 		heardOn := p.LastHeartbeat.Sub(entry) >= entryLossEvidence && !p.steadySince.After(entry)
 		if heardOn && p.Member.Domain == domain && !entry.IsZero() {
--- a/src/flotilla/heartbeat.go
+++ b/src/flotilla/heartbeat.go
@@ -9,6 +9,7 @@
 // join need all of them soon, so the list is longer for a while.
 func (f *Fleet) Heartbeat(now time.Time) Heartbeat {
 	b := Heartbeat{From: f.self}
+	b.From.EntrySilence = f.entrySilence(now)
 	alive := f.alivePeers()
 	n := min(steadyContacts, len(alive))
 	if now.Sub(f.lastJoin) < joinPeriod {
@@ -23,7 +24,7 @@
 
 // notice returns what the next heartbeat tells a peer alone.
 func (f *Fleet) notice(now time.Time, p *Peer) Notice {
-	n := Notice{Receives: p.Alive}
+	n := Notice{Receives: p.Alive, CountsOn: f.countsOn(now, p)}
 	hash := NameHash(p.Member.Name)
 	for _, u := range f.undelivered {
 		if u.Planner == hash {
@@ -55,7 +56,7 @@
 
 func (f *Fleet) sendExtraHeartbeats(now time.Time) {
 	for _, p := range f.sorted {
-		if p.Alive && (f.isFrequent(p.Member) || now.Before(f.announceUntil)) {
+		if p.Alive && (p.near || now.Before(f.announceUntil)) {
 			f.emit(SendHeartbeat{To: p.Member.Address, Notice: f.notice(now, p)})
 		}
 	}
--- a/src/flotilla/member.go
+++ b/src/flotilla/member.go
@@ -45,8 +45,11 @@
 	WaitingJobs map[string]int
 	// LateStarts holds the hashes of its planner's jobs of which a start may still be carried out.
 	LateStarts []uint32
-	// Frequent says that the process exchanges heartbeats with all others at every HeartbeatInterval.
+	// Frequent says that the process exchanges heartbeats at every HeartbeatInterval with its domain and all others that say so.
 	Frequent bool
+	// EntrySilence is how long a process that accepts no jobs has heard no entry host of its domain, in whole silenceSteps and at most
+	// maxEntrySilence.
+	EntrySilence time.Duration
 }
 
 // Undelivered is a planner, by the hash of its name, and the time of the oldest cancellation that it has not confirmed, in
@@ -68,6 +71,8 @@
 type Notice struct {
 	// Receives says that the sender receives the recipient's heartbeats.
 	Receives bool
+	// CountsOn says that the sender needs a heartbeat of the recipient at every HeartbeatInterval.
+	CountsOn bool
 	// Undelivered is a bound on the age of the sender's oldest cancellation that the recipient has not confirmed, and right after
 	// a suspension of the sender on its beginning, as callers may have left since; a multiple of undeliveredStep, 0 if there is none.
 	Undelivered time.Duration
@@ -82,8 +87,13 @@
 	// undelivered, as its caller may be back before the cancellation is here.
 	LastSent time.Time
 	offset   clockOffset
-	// frequentSince is when this process began to exchange frequent heartbeats with it; zero if that was with its first one.
-	frequentSince time.Time
+	// near says that it and this process exchange heartbeats at every HeartbeatInterval, since nearSince, because it counts on
+	// these (countsOnUs) or this process does.
+	near, countsOnUs bool
+	nearSince        time.Time
+	// workUntil is until when this process counts on its heartbeats for the work between them, tellUntil until when it is told in
+	// every heartbeat that it is distant now.
+	workUntil, tellUntil time.Time
 	// AliveSince is the time of its first heartbeat, or of the first one after it had failed.
 	AliveSince time.Time
 	Alive      bool
@@ -117,6 +127,9 @@
 	// entryLossEvidence is how long another process of a domain must have been heard after its entry hosts for these to count as
 	// lost: three heartbeats, as the last ones before a cut come up to one interval apart and may be lost.
 	entryLossEvidence = 3 * HeartbeatInterval
+	// silenceStep is the unit of what is told of silent entry hosts, maxEntrySilence the longest silence that is told.
+	silenceStep     = 50 * time.Millisecond
+	maxEntrySilence = 10 * time.Second
 	// steadyGap is the longest time between two heartbeats of a process that counts as heard all the time: one may be lost.
 	steadyGap = 5 * HeartbeatInterval / 2
 	// reclaimDelay is how long an entry host must have run before it takes parts of its domain back from another host.
--- a/src/helm/services.go
+++ b/src/helm/services.go
@@ -109,6 +109,9 @@
 	SetWorkerCounts(workers map[string]int)
 	// SetBusy sets whether jobs of other hosts are in progress at this process's planner.
 	SetBusy(busy bool)
+	// WorkWith has a peer and this process exchange heartbeats at every interval from now on, as a job is offered to it or by it. It
+	// reports whether they did not before: the peer's answer then tells more of it within a round trip.
+	WorkWith(name string) bool
 	// SetUndelivered sets the planners that have not confirmed a cancellation yet, for the next regular heartbeats.
 	SetUndelivered(u []flotilla.Undelivered)
 	// RequestHigherToken requests a higher fencing token for a part that this process plans.
--- a/src/wharf/fleet.go
+++ b/src/wharf/fleet.go
@@ -149,6 +149,14 @@
 // SetBusy sets whether jobs of other hosts are in progress here.
 func (f *fleet) SetBusy(busy bool) { f.fleet.SetBusy(busy) }
 
+// WorkWith has a peer and this process exchange heartbeats at every interval, and reports whether they did not before.
+func (f *fleet) WorkWith(name string) bool {
+	now := f.h.Clock.Now()
+	actions, wasDistant := f.fleet.WorkWith(now, name)
+	f.carryOut(now, actions)
+	return wasDistant
+}
+
 // SetWorkerCounts sets the number of known workers of each domain.
 func (f *fleet) SetWorkerCounts(workers map[string]int) { f.fleet.SetWorkerCounts(workers) }
 
@@ -190,7 +198,10 @@
 }
 
 func (f *fleet) step(now time.Time, ev flotilla.Event) {
-	actions := f.fleet.Step(now, ev)
+	f.carryOut(now, f.fleet.Step(now, ev))
+}
+
+func (f *fleet) carryOut(now time.Time, actions []flotilla.Action) {
 	var data []byte
 	signed := make(map[flotilla.Notice][]byte)
 	for _, a := range actions {
--- a/src/wharf/jobs.go
+++ b/src/wharf/jobs.go
@@ -32,6 +32,8 @@
 	offeredAt time.Time
 	offers    int
 	declined  map[string]bool
+	// awaited is the planner whose answer to a heartbeat the offer waits for.
+	awaited string
 }
 
 // jobs accepts callers' jobs, offers each to one planner at a time, and answers the callers.
@@ -48,8 +50,10 @@
 	// offered counts, by planner, the tasks offered to it since its last heartbeat.
 	offered map[string]int
 	// lastProbe is when the connection to a planner was last probed; probing holds the planners with a probe in flight.
-	lastProbe      map[string]time.Time
-	probing        map[string]bool
+	lastProbe map[string]time.Time
+	probing   map[string]bool
+	// awaited holds the planners whose answer to a heartbeat offers wait for.
+	awaited        map[string]bool
 	waitingByRoute atomic.Pointer[map[string]int]
 	undelivered    undelivered
 	unanswered     unansweredJobs
@@ -90,7 +94,7 @@
 	j := &jobs{
 		h: h, attempts: h.Incarnation, pending: make(map[string]*pendingJob), offered: make(map[string]int),
 		lastProbe: make(map[string]time.Time), probing: make(map[string]bool), undelivered: make(undelivered),
-		unanswered: make(unansweredJobs), cancelled: make(map[string]cancelledJob),
+		unanswered: make(unansweredJobs), awaited: make(map[string]bool), cancelled: make(map[string]cancelledJob),
 	}
 	h.Jobs = j
 	return j
@@ -197,6 +201,7 @@
 	switch a := a.(type) {
 	case flotilla.PeerUpdated:
 		delete(j.offered, a.Peer.Member.Name)
+		j.offerAwaiting(now, a.Peer.Member.Name)
 	case flotilla.PeerFailed:
 		j.failPlannerJobs(now, a.Peer.Member.Name)
 		jobs := j.unanswered.take(now, a.Peer.Member.Name)
@@ -206,6 +211,19 @@
 	}
 }
 
+// offerAwaiting offers the jobs that have waited for a planner's answer to a heartbeat.
+func (j *jobs) offerAwaiting(now time.Time, planner string) {
+	if !j.awaited[planner] {
+		return
+	}
+	delete(j.awaited, planner)
+	for _, p := range j.pending {
+		if p.planner == "" && p.awaited == planner {
+			j.offer(now, p)
+		}
+	}
+}
+
 func (j *jobs) updateWaiting() {
 	sum := make(map[string]int)
 	for _, m := range j.h.Fleet.Planners() {
@@ -251,7 +269,13 @@
 		p.planner = ""
 		return
 	}
-	p.planner = m.Name
+	if j.h.Fleet.WorkWith(m.Name) {
+		// What is known of it may be too old for an offer; it is made when the planner has answered.
+		p.planner, p.awaited = "", m.Name
+		j.awaited[m.Name] = true
+		return
+	}
+	p.planner, p.awaited = m.Name, ""
 	p.offers++
 	j.attempts++
 	p.attempt, p.offeredAt = j.attempts, now
@@ -363,11 +387,15 @@
 
 func (j *jobs) tick(now time.Time) {
 	j.updateWaiting()
+	for planner := range j.undelivered {
+		j.h.Fleet.WorkWith(planner)
+	}
 	for _, p := range j.pending {
 		if p.planner == "" {
 			j.offer(now, p)
 			continue
 		}
+		j.h.Fleet.WorkWith(p.planner)
 		if now.Sub(p.offeredAt) >= probeAfter {
 			j.probe(now, p.planner)
 		}
--- a/src/wharf/offers.go
+++ b/src/wharf/offers.go
@@ -51,6 +51,7 @@
 		e.done <- answer{outcome: convoy.Redirected, cause: convoy.CauseStale, reason: "this host would not notice the loss of the entry host"}
 		return
 	}
+	p.h.Fleet.WorkWith(e.offer.job.Host)
 	if previous, waits := p.waiters[key]; waits {
 		previous.done <- answer{outcome: convoy.Lost, cause: convoy.CauseCallerGone, reason: "asked for again by the same host"}
 	}
--- a/src/wharf/plan_test.go
+++ b/src/wharf/plan_test.go
@@ -37,6 +37,7 @@
 func (l *singleFleet) UpdateSelf(change func(m *flotilla.Member)) { change(&l.self) }
 func (l *singleFleet) RequestHigherToken(string)                  {}
 func (l *singleFleet) SetWorkerCounts(map[string]int)             {}
+func (l *singleFleet) WorkWith(string) bool                       { return false }
 func (l *singleFleet) SetBusy(bool)                               {}
 func (l *singleFleet) SetUndelivered(u []flotilla.Undelivered)    { l.undelivered = u }
 
