Start nothing on the workers of emptied domains

A planner that is told which failure domains are emptied starts and repeats nothing on their workers, counts them as no room, and returns jobs that fit only there: unstarted ones to their entry host, for a planner of another domain; of started ones it is known that they will not be completed. What runs there ends by itself. Without emptied domains the decisions are as before.

--- a/src/convoy/claim.go
+++ b/src/convoy/claim.go
@@ -47,6 +47,7 @@
 	}
 	w := newWorker(now, t, p.firstToken(t))
 	p.workers[t.ID] = w
+	w.emptied = p.emptied[t.Domain]
 	p.sendHold(now, w)
 }
 
--- a/src/convoy/event.go
+++ b/src/convoy/event.go
@@ -174,6 +174,9 @@
 // RemoteCapacity carries how many tasks of typical size other planners could start at once.
 type RemoteCapacity struct{ Tasks int }
 
+// DomainsEmptied carries the names of all failure domains that operators have emptied: nothing is started on their workers.
+type DomainsEmptied struct{ Domains []string }
+
 // Stopping says that this process is shutting down: it accepts no new jobs and hands all its partitions over.
 type Stopping struct{}
 
@@ -197,6 +200,7 @@
 func (HostHeard) event()          {}
 func (LateStartsReported) event() {}
 func (RemoteCapacity) event()     {}
+func (DomainsEmptied) event()     {}
 func (Stopping) event()           {}
 func (ProcessResumed) event()     {}
 func (Tick) event()               {}
@@ -287,6 +291,8 @@
 	DecisionStrayRun
 	DecisionStartUnanswered
 	DecisionStartOverdue
+	DecisionDomainClosed
+	DecisionDomainReopened
 )
 
 func (Hold) action()             {}
--- a/src/convoy/hold.go
+++ b/src/convoy/hold.go
@@ -301,6 +301,7 @@
 	}
 	moved, awaited := t.Address != w.target.Address, !w.described()
 	w.target = t
+	p.updateEmptied(w)
 	switch {
 	case former != 0 && t.Incarnation != 0 && t.Incarnation != former:
 		w.incarnation = t.Incarnation
--- a/src/convoy/incarnation.go
+++ b/src/convoy/incarnation.go
@@ -71,7 +71,7 @@
 
 // suits reports whether a worker as it is now may run what is ordered there.
 func (w *worker) suits(r *run) bool {
-	if w.target.Leaving || w.target.Expired || !w.described() {
+	if w.emptied || w.target.Leaving || w.target.Expired || !w.described() {
 		return false
 	}
 	j := r.task.job
--- a/src/convoy/judge.go
+++ b/src/convoy/judge.go
@@ -18,7 +18,7 @@
 func (p *Planner) checkAdmission(now time.Time, j *job) (refusal, bool) {
 	for _, s := range j.Steps {
 		if len(p.workers) > 0 && !p.everFits(j, s) {
-			reason := fmt.Sprintf("no worker of pool %s has the room or the label that a task needs", j.Pool)
+			reason := fmt.Sprintf("no worker of pool %s has the room or the label that a task needs%s", j.Pool, p.emptiedNote())
 			return refusal{cause: CauseNeverFits, reason: reason, retry: maxRetryDelay, neverFits: true}, false
 		}
 	}
@@ -60,7 +60,7 @@
 func (p *Planner) prospectiveSlots() int {
 	n := 0
 	for _, w := range p.workers {
-		if (w.phase == phaseReady || w.phase == phaseNew) && !w.target.Leaving && !w.handingOver {
+		if (w.phase == phaseReady || w.phase == phaseNew) && !w.target.Leaving && !w.handingOver && !w.emptied {
 			n += w.slots(p.typicalMilli)
 		}
 	}
@@ -69,7 +69,7 @@
 
 func (p *Planner) everFits(j *job, s Step) bool {
 	for _, w := range p.workers {
-		if w.target.Expired && w.hasOverdueStartsOnly() {
+		if w.emptied || (w.target.Expired && w.hasOverdueStartsOnly()) {
 			continue
 		}
 		if w.target.Pool == j.Pool && s.Need.Fits(w.target.Capacity) && w.hasLabel(s.Label) {
--- a/src/convoy/planner.go
+++ b/src/convoy/planner.go
@@ -70,9 +70,11 @@
 	heard     map[string]time.Time
 	lastSweep time.Time
 	// lastStep is the time of the last call of Step.
-	lastStep     time.Time
-	standstill   standstill
-	remoteSlots  int
+	lastStep    time.Time
+	standstill  standstill
+	remoteSlots int
+	// emptied holds the failure domains on whose workers nothing is started.
+	emptied      map[string]bool
 	typicalMilli float64
 	// medianSpeed is the median speed of the ready workers.
 	medianSpeed float64
@@ -130,6 +132,8 @@
 		p.hostLost(now, e.Host)
 	case RemoteCapacity:
 		p.remoteSlots = e.Tasks
+	case DomainsEmptied:
+		p.setEmptied(now, e)
 	case Stopping:
 		p.beginShutdown(now)
 	case ProcessResumed:
@@ -145,7 +149,7 @@
 func (p *Planner) FreeSlots() int {
 	n := 0
 	for _, w := range p.workers {
-		if w.phase == phaseReady && !w.target.Leaving && !w.handingOver && len(w.orphans) == 0 {
+		if w.phase == phaseReady && !w.target.Leaving && !w.handingOver && !w.emptied && len(w.orphans) == 0 {
 			n += int(max(0, w.freeCapacity().Milli) / int64(p.typicalMilli))
 		}
 	}
@@ -156,7 +160,7 @@
 func (p *Planner) Slots() int {
 	n := 0
 	for _, w := range p.workers {
-		if w.phase == phaseReady && !w.target.Leaving && !w.handingOver {
+		if w.phase == phaseReady && !w.target.Leaving && !w.handingOver && !w.emptied {
 			n += w.slots(p.typicalMilli)
 		}
 	}
@@ -236,6 +240,7 @@
 		}
 		p.releaseIfIdle(now, w)
 	}
+	p.returnStranded(now)
 	p.expireJobs(now)
 	p.sweep(now)
 }
--- a/src/convoy/worker.go
+++ b/src/convoy/worker.go
@@ -86,6 +86,8 @@
 	token       int64
 	// addedAt is when the planner took the worker over.
 	addedAt time.Time
+	// emptied workers are of an emptied failure domain: nothing is started there.
+	emptied bool
 	// handingOver workers are released once they have no runs.
 	handingOver bool
 	// clock is the worker's clock in milliseconds at the local time clockAt.
@@ -199,7 +201,7 @@
 
 // acceptsTasks reports whether new tasks may be placed on the worker.
 func (w *worker) acceptsTasks(now time.Time) bool {
-	return w.phase == phaseReady && w.described() && w.unanswered == 0 && !w.target.Leaving && !w.target.Expired && !now.Before(w.skipUntil) && len(w.orphans) == 0
+	return w.phase == phaseReady && !w.emptied && w.described() && w.unanswered == 0 && !w.target.Leaving && !w.target.Expired && !now.Before(w.skipUntil) && len(w.orphans) == 0
 }
 
 // speedAt returns the speed for predictions: the measured one, decaying to 1 with the age of the measurement.
--- a/src/logbook/event.go
+++ b/src/logbook/event.go
@@ -93,6 +93,11 @@
 	RoleChanged       = Event{617, Info, "registry host changed its role in the group", "none; if it recurs, see 618 and the network"}
 	SaveSlow          = Event{618, Warn, "syncing the data folder is slow; elections wait for it", "check the disk"}
 
+	DomainsStored          = Event{620, Info, "order for a failure domain stored", "none"}
+	DomainsApplied         = Event{621, Info, "emptied failure domains applied", "none"}
+	DomainOrderRefused     = Event{622, Warn, "order for a failure domain refused because the settings name no such domain", "correct the name"}
+	DomainOrderUnconfirmed = Event{623, Warn, "order for a failure domain not confirmed; it may or may not be stored", "send it again"}
+
 	JobAccepted       = Event{700, Info, "job accepted", "none"}
 	JobQueued         = Event{701, Info, "job queued until workers have capacity", "none"}
 	TaskPlaced        = Event{702, Info, "task placed", "none"}
@@ -111,6 +116,8 @@
 	StrayRun          = Event{715, Warn, "worker runs a task that this planner did not start there; it is stopped", "none after a handover; else look for a late start order (716)"}
 	StartUnanswered   = Event{716, Info, "start order unanswered; the worker may carry it out late", "check the worker and the network if it recurs"}
 	StartOverdue      = Event{717, Info, "worker silent until its leases ran out, with a start order that it may still carry out; its stop is repeated", "check the worker and the network if it recurs"}
+	DomainClosed      = Event{718, Info, "nothing more is started on an emptied domain's workers", "none"}
+	DomainReopened    = Event{719, Info, "workers of a domain that was taken back are used again", "none"}
 )
 
 // Catalogue returns all events in order of their numbers.
@@ -125,8 +132,9 @@
 		PeerJoined, PeerFailed, PartClaimed, PartYielded, ConfigApplied, ConfigStored, VotersChanged, ProcessSuspended,
 		TargetListed, TargetDeparted, TargetSilent, ConfigRefused, ConfigUnconfirmed, ListenerEnded, PeerUpdateFailed,
 		TargetsLoaded, TargetsUnreadable, RoleChanged, SaveSlow,
+		DomainsStored, DomainsApplied, DomainOrderRefused, DomainOrderUnconfirmed,
 		JobAccepted, JobQueued, TaskPlaced, TaskRestarted, JobGivenUp, JobAnswered, JobRefused, JobForwarded,
 		WorkerReady, WorkerSlow, WorkerLost, WorkerFenced, CancelUndelivered, JobRejected, WorkerRestarted, StrayRun,
-		StartUnanswered, StartOverdue,
+		StartUnanswered, StartOverdue, DomainClosed, DomainReopened,
 	}
 }
