Store orders for failure domains and tell every process

An order is acknowledged once the registry's log has it. The giver first learns the domain's revision from the leader, and gives the order only while its caller still waits for it. What is emptied goes with the heartbeats under its revision; the highest one is in force, and whoever hears of it passes it on, so that it reaches planners that have just started, or that hear of no registry host.

--- a/src/flotilla/codec.go
+++ b/src/flotilla/codec.go
@@ -39,6 +39,8 @@
 	SentAtMillis    int64
 	Frequent        bool
 	LateStarts      []uint32
+	DomainsRevision uint64
+	EmptiedDomains  []string
 }
 
 // noticeSize is the length of an encoded notice in bytes: a flag, and an age in steps.
@@ -57,6 +59,7 @@
 		Dispatcher: m.Dispatcher, Registry: m.Registry, Disk: m.Disk, Leaving: m.Leaving, ConfigVersion: m.ConfigVersion,
 		TargetsRevision: m.TargetsRevision, FreeSlots: m.FreeSlots, WaitingJobs: m.WaitingJobs,
 		Slots: m.Slots, CPUMillis: m.CPUMillis, SentAtMillis: m.SentAtMillis, Frequent: m.Frequent, LateStarts: m.LateStarts,
+		DomainsRevision: m.DomainsRevision, EmptiedDomains: m.EmptiedDomains,
 	}
 	for _, c := range m.Claims {
 		w.Claims = append(w.Claims, wireClaim{Part: c.Part, Token: c.Token})
@@ -102,6 +105,7 @@
 		Name: w.Name, Domain: w.Domain, Address: address, Incarnation: w.Incarnation,
 		Dispatcher: w.Dispatcher, Registry: w.Registry, Disk: w.Disk, Leaving: w.Leaving, ConfigVersion: w.ConfigVersion,
 		TargetsRevision: w.TargetsRevision, FreeSlots: w.FreeSlots, WaitingJobs: w.WaitingJobs, Slots: w.Slots, CPUMillis: w.CPUMillis, SentAtMillis: w.SentAtMillis, Frequent: w.Frequent, LateStarts: w.LateStarts,
+		DomainsRevision: w.DomainsRevision, EmptiedDomains: w.EmptiedDomains,
 	}}
 	for _, c := range w.Claims {
 		b.From.Claims = append(b.From.Claims, Claim{Part: c.Part, Token: c.Token})
--- a/src/flotilla/member.go
+++ b/src/flotilla/member.go
@@ -47,6 +47,10 @@
 	LateStarts []uint32
 	// Frequent says that the process exchanges heartbeats with all others at every HeartbeatInterval.
 	Frequent bool
+	// DomainsRevision is the highest revision of operators' orders for failure domains that the process knows, EmptiedDomains the
+	// domains that are emptied by it.
+	DomainsRevision uint64
+	EmptiedDomains  []string
 }
 
 // Undelivered is a planner, by the hash of its name, and the time of the oldest cancellation that it has not confirmed, in
--- a/src/helm/services.go
+++ b/src/helm/services.go
@@ -167,6 +167,11 @@
 	PutConfig(ctx context.Context, c *charter.Config) error
 	// LatestConfig returns the newest configuration stored at the time of the call, or nil if there is none.
 	LatestConfig(ctx context.Context) (*charter.Config, error)
+	// OrderDomain empties a failure domain or takes it back, unless wanted reports false when the order is about to be given; after
+	// an error it is unknown whether the order was stored.
+	OrderDomain(ctx context.Context, domain string, empty bool, wanted func() bool) error
+	// Domains returns the orders for failure domains stored at the time of the call.
+	Domains(ctx context.Context) (charter.Domains, error)
 	// Announce processes a target's announcement and returns the address for later ones if it differs from this host's.
 	Announce(t convoy.Target) netip.AddrPort
 	// RemoveTarget removes a target that announced its departure.
--- a/src/wharf/council.go
+++ b/src/wharf/council.go
@@ -35,7 +35,7 @@
 	registryHosts map[string]registryHost
 	lastTicket    uint64
 	proposals     map[uint64]chan requestResult
-	reads         map[uint64]readLatestEvent
+	reads         map[uint64]readEvent
 	// uncommitted holds, by log index, the proposals that are not yet committed.
 	uncommitted map[uint64]uncommittedProposal
 	// senders holds, by receiver, the messages that wait to be sent; bulkSenders those that others must not wait behind.
@@ -81,10 +81,10 @@
 	done chan requestResult
 }
 
-// readLatestEvent asks for the newest configuration; request names the version that the caller holds.
-type readLatestEvent struct {
-	request []byte
-	done    chan requestResult
+// readEvent asks for what answer returns of the newest state.
+type readEvent struct {
+	answer func() []byte
+	done   chan requestResult
 }
 
 type locateEvent struct {
@@ -94,16 +94,16 @@
 
 type leaderEvent struct{ done chan string }
 
-func (raftEvent) KernelEvent()       {}
-func (proposeEvent) KernelEvent()    {}
-func (readLatestEvent) KernelEvent() {}
-func (locateEvent) KernelEvent()     {}
-func (leaderEvent) KernelEvent()     {}
+func (raftEvent) KernelEvent()    {}
+func (proposeEvent) KernelEvent() {}
+func (readEvent) KernelEvent()    {}
+func (locateEvent) KernelEvent()  {}
+func (leaderEvent) KernelEvent()  {}
 
 func newConsensus(h *helm.Kernel) helm.Plugin {
 	c := &consensus{
 		h: h, registryHosts: make(map[string]registryHost),
-		proposals: make(map[uint64]chan requestResult), reads: make(map[uint64]readLatestEvent),
+		proposals: make(map[uint64]chan requestResult), reads: make(map[uint64]readEvent),
 		uncommitted: make(map[uint64]uncommittedProposal), senders: make(map[string]chan []byte), bulkSenders: make(map[string]chan []byte),
 		writes:  make(chan []pilot.Action, writeQueueLength),
 		targets: newTargetList(h), metrics: newConsensusMetrics(h.Metrics),
@@ -151,6 +151,7 @@
 	c.h.RPC.Handle(kindRaft, c.onRaftMessage)
 	c.h.RPC.Handle(kindPropose, c.onPropose)
 	c.h.RPC.Handle(kindReadLatest, c.onReadLatest)
+	c.h.RPC.Handle(kindReadDomains, c.onReadDomains)
 	c.h.Timers.Every(now, consensusTick, func(now time.Time) { c.step(now, pilot.Tick{}) })
 	c.h.Timers.Every(now.Add(membershipInterval), membershipInterval, func(now time.Time) {
 		c.metrics.update(c.node)
@@ -163,6 +164,9 @@
 		// A configuration committed before this start can be served before a leader is elected.
 		c.h.Post(nil, configCommittedEvent{config: cfg})
 	}
+	if d := c.state.Domains(); d.Revision > 0 {
+		c.h.Post(nil, domainsCommittedEvent{domains: d})
+	}
 	return nil
 }
 
@@ -193,7 +197,7 @@
 		c.lastTicket++
 		c.proposals[c.lastTicket] = e.done
 		c.step(now, pilot.Propose{Ticket: c.lastTicket, Data: e.data})
-	case readLatestEvent:
+	case readEvent:
 		c.lastTicket++
 		c.reads[c.lastTicket] = e
 		c.step(now, pilot.ReadIndex{Ticket: c.lastTicket})
@@ -285,7 +289,7 @@
 }
 
 func (c *consensus) apply(entries []pilot.Entry) {
-	oldVersion := c.version()
+	oldVersion, oldDomains := c.version(), c.state.Domains()
 	for _, e := range entries {
 		c.membershipApplied = c.membershipApplied || e.Kind == pilot.Membership
 		if e.Kind == pilot.Normal {
@@ -296,21 +300,23 @@
 		if proposal, ok := c.uncommitted[e.Index]; ok {
 			delete(c.uncommitted, e.Index)
 			if proposal.term == e.Term {
-				proposal.done <- requestResult{}
+				proposal.done <- requestResult{data: c.encodeDomains()}
 			} else {
 				proposal.done <- requestResult{err: radio.Unanswered.New("another leader's entry stands at the order's position")}
 			}
 		}
 	}
 	c.publishIfNewer(oldVersion)
+	c.publishDomainsIfNewer(oldDomains)
 }
 
 func (c *consensus) loadSnapshot(snap pilot.Snapshot) {
-	oldVersion := c.version()
+	oldVersion, oldDomains := c.version(), c.state.Domains()
 	if err := c.state.Restore(snap.Data); err != nil {
 		c.h.Log.Write(logbook.DiskDamaged, logbook.F("index", snap.Index), logbook.F("error", err.Error()))
 	}
 	c.publishIfNewer(oldVersion)
+	c.publishDomainsIfNewer(oldDomains)
 }
 
 func (c *consensus) version() uint64 {
@@ -352,7 +358,7 @@
 		read.done <- requestResult{err: radio.NotSent.New("this host does not lead")}
 		return
 	}
-	read.done <- requestResult{data: c.answerRead(read.request)}
+	read.done <- requestResult{data: read.answer()}
 }
 
 func (c *consensus) onLeaderChanged(now time.Time, l pilot.LeaderChanged) {
--- a/src/wharf/kinds.go
+++ b/src/wharf/kinds.go
@@ -25,6 +25,7 @@
 	kindReleaseWorker
 	kindPing
 	kindJobRequest
+	kindReadDomains
 )
 
 // The start order of the plug-ins; the fleet is last, because its events need all the others.
@@ -32,6 +33,7 @@
 	startOrderConsensus = iota + 1
 	startOrderTargets
 	startOrderConfig
+	startOrderDomains
 	startOrderPlan
 	startOrderJobs
 	startOrderFleet
--- a/src/wharf/plan.go
+++ b/src/wharf/plan.go
@@ -146,6 +146,8 @@
 		p.onTargetsFetched(now, e)
 	case configInForceEvent:
 		p.config = e.config
+	case domainsInForceEvent:
+		p.step(now, convoy.DomainsEmptied{Domains: e.emptied})
 	case resumedEvent:
 		p.step(now, convoy.ProcessResumed{})
 	case helm.StopAnnounced:
@@ -293,6 +295,8 @@
 	convoy.DecisionStrayRun:        logbook.StrayRun,
 	convoy.DecisionStartUnanswered: logbook.StartUnanswered,
 	convoy.DecisionStartOverdue:    logbook.StartOverdue,
+	convoy.DecisionDomainClosed:    logbook.DomainClosed,
+	convoy.DecisionDomainReopened:  logbook.DomainReopened,
 }
 
 // notifyRelease tells the next planner of a part that a worker is free for it.
--- a/src/wharf/registry.go
+++ b/src/wharf/registry.go
@@ -111,7 +111,7 @@
 
 func (c *consensus) readLocally(ctx context.Context, request []byte) ([]byte, error) {
 	done := make(chan requestResult, 1)
-	c.h.Post(c, readLatestEvent{request: request, done: done})
+	c.h.Post(c, readEvent{answer: func() []byte { return c.answerRead(request) }, done: done})
 	return c.awaitResult(ctx, done)
 }
 
@@ -144,5 +144,5 @@
 	if current != nil && bytes.Equal(request, encodeReadRequest(current)) {
 		return request
 	}
-	return c.state.Snapshot()
+	return c.state.Encoded()
 }
--- a/src/wharf/sim_council_test.go
+++ b/src/wharf/sim_council_test.go
@@ -107,6 +107,11 @@
 	}
 	state := r.state
 	state.Entries = slices.Clone(state.Entries)
+	if state.Snapshot.Index > 0 {
+		if err := c.state.Restore(state.Snapshot.Data); err != nil {
+			panic(err)
+		}
+	}
 	c.node = pilot.NewNode(r.disk, pilot.Config{Voters: founders}, state, uint64(s.rnd("council", r.disk).Int64()), s.now)
 	c.node.SetTiming(s.now, consensusTiming)
 	r.c = c
