--- a/src/flotilla/codec.go
+++ b/src/flotilla/codec.go
@@ -40,6 +40,8 @@
 	Frequent        bool
 	LateStarts      []uint32
 	EntrySilence    int
+	DomainsRevision uint64
+	EmptiedDomains  []string
 }
 
 // noticeSize is the length of an encoded notice in bytes: flags, and an age in steps.
@@ -65,6 +67,7 @@
 		TargetsRevision: m.TargetsRevision, FreeSlots: m.FreeSlots, WaitingJobs: m.WaitingJobs,
 		Slots: m.Slots, CPUMillis: m.CPUMillis, SentAtMillis: m.SentAtMillis, Frequent: m.Frequent, LateStarts: m.LateStarts,
 		EntrySilence: int(m.EntrySilence / silenceStep),
+		DomainsRevision: m.DomainsRevision, EmptiedDomains: m.EmptiedDomains,
 	}
 	for _, c := range m.Claims {
 		w.Claims = append(w.Claims, wireClaim{Part: c.Part, Token: c.Token})
@@ -114,6 +117,7 @@
 		Dispatcher: w.Dispatcher, Registry: w.Registry, Disk: w.Disk, Leaving: w.Leaving, ConfigVersion: w.ConfigVersion,
 		TargetsRevision: w.TargetsRevision, FreeSlots: w.FreeSlots, WaitingJobs: w.WaitingJobs, Slots: w.Slots, CPUMillis: w.CPUMillis, SentAtMillis: w.SentAtMillis, Frequent: w.Frequent, LateStarts: w.LateStarts,
 		EntrySilence: time.Duration(min(max(0, w.EntrySilence), int(maxEntrySilence/silenceStep))) * silenceStep,
+		DomainsRevision: w.DomainsRevision, EmptiedDomains: w.EmptiedDomains,
 	}}
 	for _, c := range w.Claims {
 		b.From.Claims = append(b.From.Claims, Claim{Part: c.Part, Token: c.Token})
--- a/src/flotilla/member.go
+++ b/src/flotilla/member.go
@@ -50,6 +50,10 @@
 	// EntrySilence is how long a process that accepts no jobs has heard no entry host of its domain, in whole silenceSteps and at most
 	// maxEntrySilence.
 	EntrySilence time.Duration
+	// DomainsRevision is the highest revision of operators' orders for failure domains that the process knows, EmptiedDomains the
+	// domains that are emptied by it.
+	DomainsRevision uint64
+	EmptiedDomains  []string
 }
 
 // Undelivered is a planner, by the hash of its name, and the time of the oldest cancellation that it has not confirmed, in
