Let heartbeats carry what a planner tells of its room

Planners told one number of free slots of a typical size. Where tasks differ in size, it counts gaps that no waiting task fits into.

A digest tells, by size class, how many tasks could start, and by route, how long a job waits.

--- a/Makefile
+++ b/Makefile
@@ -36,6 +36,7 @@
 	go test ./src/jetty -run '^$$' -fuzz FuzzParseTarget -fuzztime 30s
 	go test ./src/flotilla -run '^$$' -fuzz FuzzDecodeBeat -fuzztime 30s
 	go test ./src/wharf -run '^$$' -fuzz FuzzDecodeOffer -fuzztime 30s
+	go test ./src/convoy -run '^$$' -fuzz FuzzDecodeDigest -fuzztime 30s
 	go test ./src/wharf -run '^$$' -fuzz FuzzTargetList -fuzztime 30s
 	go test ./platform -run '^$$' -fuzz FuzzDecodeTarget -fuzztime 30s
 	go test ./src/deck -run '^$$' -fuzz FuzzDecode -fuzztime 30s
--- a/src/flotilla/codec.go
+++ b/src/flotilla/codec.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -41,10 +42,13 @@
 	LateStarts      []uint32
 }
 
+// maxDigestBytes bounds the digest that a heartbeat carries.
+const maxDigestBytes = 64
+
 // noticeSize is the length of an encoded notice in bytes: a flag, and an age in steps.
 const noticeSize = 2
 
-// EncodeHeartbeat encodes a heartbeat: its notice, then all else as CBOR. A heartbeat to many recipients is encoded once;
+// EncodeHeartbeat encodes a heartbeat: its notice, then all else as CBOR, then the planner's digest if there is one. A heartbeat to many recipients is encoded once;
 // ReplaceNotice adapts it to each.
 func EncodeHeartbeat(b Heartbeat) ([]byte, error) {
 	m := b.From
@@ -68,7 +72,7 @@
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
-	return append(encodeNotice(b.Notice), out...), nil
+	return append(append(encodeNotice(b.Notice), out...), m.Digest...), nil
 }
 
 // ReplaceNotice returns an encoded heartbeat with another notice.
@@ -90,9 +94,13 @@
 		return Heartbeat{}, Error.New("heartbeat of %d bytes has no notice", len(data))
 	}
 	var w wireHeartbeat
-	if err := cbor.Unmarshal(data[noticeSize:], &w); err != nil {
+	digest, err := cbor.UnmarshalFirst(data[noticeSize:], &w)
+	if err != nil {
 		return Heartbeat{}, Error.Wrap(err)
 	}
+	if len(digest) > maxDigestBytes {
+		return Heartbeat{}, Error.New("digest of %d bytes is too long", len(digest))
+	}
 	var address netip.AddrPort
 	if err := address.UnmarshalBinary(w.Address); err != nil || w.Name == "" {
 		return Heartbeat{}, Error.New("heartbeat has no name or no valid address")
@@ -106,7 +114,9 @@
 	for _, c := range w.Claims {
 		b.From.Claims = append(b.From.Claims, Claim{Part: c.Part, Token: c.Token})
 	}
-	var err error
+	if len(digest) > 0 {
+		b.From.Digest = slices.Clone(digest)
+	}
 	if b.Contacts, err = decodeContacts(w.Contacts); err != nil {
 		return Heartbeat{}, Error.Wrap(err)
 	}
--- a/src/flotilla/fleet_test.go
+++ b/src/flotilla/fleet_test.go
@@ -1,6 +1,7 @@
 package flotilla
 
 import (
+	"bytes"
 	"fmt"
 	"maps"
 	"math/rand/v2"
@@ -451,6 +452,9 @@
 func TestHeartbeatRoundTrip(t *testing.T) {
 	tests := map[string]Heartbeat{
 		"minimal": {From: Member{Name: "a", Address: netip.MustParseAddrPort("10.0.0.1:1")}},
+		"planner with a digest": {
+			From: Member{Name: "a", Address: netip.MustParseAddrPort("10.0.0.1:1"), Digest: bytes.Repeat([]byte{0xff}, maxDigestBytes)},
+		},
 		"planner with IPv4 and IPv6 contacts": {
 			From: Member{
 				Name: "b", Domain: "north", Address: netip.MustParseAddrPort("[fd00::1]:7000"), Incarnation: 7,
@@ -476,6 +480,21 @@
 	}
 }
 
+// A heartbeat without a digest is as long as it was before there were digests, and one with a digest is at most 64 bytes longer.
+func TestDigestAddsOnlyItsOwnBytes(t *testing.T) {
+	b := Heartbeat{From: Member{Name: "a", Address: netip.MustParseAddrPort("10.0.0.1:1")}}
+	without, err := EncodeHeartbeat(b)
+	require.NoError(t, err)
+	for n := range maxDigestBytes + 2 {
+		b.From.Digest = make([]byte, n)
+		with, err := EncodeHeartbeat(b)
+		require.NoError(t, err)
+		require.Len(t, with, len(without)+n)
+		_, err = DecodeHeartbeat(with)
+		require.Equal(t, n > maxDigestBytes, err != nil, "%d bytes", n)
+	}
+}
+
 func TestTruncatedContactsAreRejected(t *testing.T) {
 	encoded, err := encodeContacts([]netip.AddrPort{netip.MustParseAddrPort("10.0.0.2:7000")})
 	require.NoError(t, err)
--- a/src/flotilla/member.go
+++ b/src/flotilla/member.go
@@ -41,6 +41,8 @@
 	FreeSlots int
 	// Slots is how many ordinary tasks fit on all its workers together.
 	Slots int
+	// Digest is what its planner tells of its room, as convoy.EncodeDigest encodes it; empty where planners do not pool it.
+	Digest []byte
 	// WaitingJobs counts, by route, its jobs of which no task has started.
 	WaitingJobs map[string]int
 	// LateStarts holds the hashes of its planner's jobs of which a start may still be carried out.
