Pool the room of planners where the settings ask for it

Callers were refused at one planner while another had room: entry hosts compared planners by free slots of a typical size, all of them sent to the same one between two of its heartbeats, and a planner returned jobs by the same number, as often as it ticked.

With policy.pool: room entry hosts choose the planner where the whole job fits by its sizes or ends in time, with two choices out of all others, and take off what they have offered since. Planners return jobs that they would refuse or that wait while others can start them; planners that wait share an idle one. A job is returned once at most, and only before anything of it has started. Unset, all is decided as before.

--- a/src/convoy/event.go
+++ b/src/convoy/event.go
@@ -172,7 +172,11 @@
 type LateStartsReported struct{ Jobs []uint32 }
 
 // RemoteCapacity carries how many tasks of typical size other planners could start at once.
-type RemoteCapacity struct{ Tasks int }
+type RemoteCapacity struct {
+	Tasks int
+	// Planners holds what the other planners tell of their room, where planners pool it; nil elsewhere.
+	Planners []PlannerRoom
+}
 
 // Stopping says that this process is shutting down: it accepts no new jobs and hands all its partitions over.
 type Stopping struct{}
@@ -287,6 +291,7 @@
 	DecisionStrayRun
 	DecisionStartUnanswered
 	DecisionStartOverdue
+	DecisionMoved
 )
 
 func (Hold) action()             {}
--- a/src/convoy/planner.go
+++ b/src/convoy/planner.go
@@ -70,9 +70,16 @@
 	heard     map[string]time.Time
 	lastSweep time.Time
 	// lastStep is the time of the last call of Step.
-	lastStep     time.Time
-	standstill   standstill
-	remoteSlots  int
+	lastStep    time.Time
+	standstill  standstill
+	remoteSlots int
+	// remote holds the room of the other planners by name, where planners pool it; nil elsewhere.
+	remote map[string]*RemoteRoom
+	// sizesAsked holds when tasks of a size class were last asked for, lastOfRoute the last job of each route.
+	sizesAsked  map[int]time.Time
+	lastOfRoute map[string]Job
+	// lastMove is when waiting jobs were last compared with the room of other planners.
+	lastMove     time.Time
 	typicalMilli float64
 	// medianSpeed is the median speed of the ready workers.
 	medianSpeed float64
@@ -90,6 +97,7 @@
 		orphanCounts: make(map[string]int), results: make(map[string]result),
 		usedTokens: make(map[string]usedToken), heard: make(map[string]time.Time),
 		lateStarts: make(map[uint32]time.Time), remoteLateStarts: make(map[uint32]time.Time),
+		sizesAsked: make(map[int]time.Time), lastOfRoute: make(map[string]Job),
 	}
 }
 
@@ -129,7 +137,7 @@
 	case HostLost:
 		p.hostLost(now, e.Host)
 	case RemoteCapacity:
-		p.remoteSlots = e.Tasks
+		p.updateRemote(e)
 	case Stopping:
 		p.beginShutdown(now)
 	case ProcessResumed:
--- a/src/convoy/submit.go
+++ b/src/convoy/submit.go
@@ -32,9 +32,9 @@
 	p.noteOwnCaller(j, in)
 	p.routeStats(j.Route).addJob(now, j)
 	p.updateTypicalMilli(j)
+	p.noteSizes(now, in)
 	refusal, ok := p.checkAdmission(now, j)
-	if !ok && !j.Pinned && (p.remoteSlots >= j.Tasks() || refusal.neverFits) {
-		p.remoteSlots = max(0, p.remoteSlots-j.Tasks())
+	if !ok && !j.Pinned && p.returnsRefused(now, j, refusal.neverFits) {
 		p.emit(Answer{ID: in.ID, Host: in.Host, Outcome: Redirected, Cause: refusal.cause, Reason: refusal.reason})
 		return
 	}
--- a/src/logbook/event.go
+++ b/src/logbook/event.go
@@ -111,6 +111,10 @@
 	StrayRun          = Event{715, Warn, "worker runs a task that this planner did not start there; it is stopped", "none after a handover; else look for a late start order (716)"}
 	StartUnanswered   = Event{716, Info, "start order unanswered; the worker may carry it out late", "check the worker and the network if it recurs"}
 	StartOverdue      = Event{717, Info, "worker silent until its leases ran out, with a start order that it may still carry out; its stop is repeated", "check the worker and the network if it recurs"}
+	JobMoved          = Event{730, Info, "waiting job returned to its entry host for a planner with room", "none"}
+	MoveRefused       = Event{731, Info, "planner refused a job that had been returned for its room", "none; if it recurs, the planners' room changes faster than their heartbeats tell"}
+	RefusedBesideRoom = Event{732, Warn, "job refused although another planner had told of room for it", "none; if it recurs, add workers where the job was refused"}
+	RoomUnknown       = Event{733, Warn, "planner tells nothing of its room; planners are compared by free slots until it does", "set policy.pool alike at all dispatch processes"}
 )
 
 // Catalogue returns all events in order of their numbers.
@@ -127,6 +131,6 @@
 		TargetsLoaded, TargetsUnreadable, RoleChanged, SaveSlow,
 		JobAccepted, JobQueued, TaskPlaced, TaskRestarted, JobGivenUp, JobAnswered, JobRefused, JobForwarded,
 		WorkerReady, WorkerSlow, WorkerLost, WorkerFenced, CancelUndelivered, JobRejected, WorkerRestarted, StrayRun,
-		StartUnanswered, StartOverdue,
+		StartUnanswered, StartOverdue, JobMoved, MoveRefused, RefusedBesideRoom, RoomUnknown,
 	}
 }
--- a/src/wharf/jobs.go
+++ b/src/wharf/jobs.go
@@ -45,8 +45,7 @@
 	// attempts is the number of the last offer. It starts at the incarnation of this process, so that numbers rise over
 	// its restarts.
 	attempts uint64
-	// offered counts, by planner, the tasks offered to it since its last heartbeat.
-	offered map[string]int
+	offering *offering
 	// lastProbe is when the connection to a planner was last probed; probing holds the planners with a probe in flight.
 	lastProbe      map[string]time.Time
 	probing        map[string]bool
@@ -88,7 +87,7 @@
 
 func newJobs(h *helm.Kernel) helm.Plugin {
 	j := &jobs{
-		h: h, attempts: h.Incarnation, pending: make(map[string]*pendingJob), offered: make(map[string]int),
+		h: h, attempts: h.Incarnation, pending: make(map[string]*pendingJob), offering: newOffering(h.Settings.Policy.Pooling == "room", h.Settings.Domain),
 		lastProbe: make(map[string]time.Time), probing: make(map[string]bool), undelivered: make(undelivered),
 		unanswered: make(unansweredJobs), cancelled: make(map[string]cancelledJob),
 	}
@@ -196,7 +195,7 @@
 func (j *jobs) onFleetAction(now time.Time, a flotilla.Action) {
 	switch a := a.(type) {
 	case flotilla.PeerUpdated:
-		delete(j.offered, a.Peer.Member.Name)
+		j.offering.heard(a.Peer.Member.Name)
 	case flotilla.PeerFailed:
 		j.failPlannerJobs(now, a.Peer.Member.Name)
 		jobs := j.unanswered.take(now, a.Peer.Member.Name)
@@ -237,12 +236,12 @@
 
 // offer gives a job to the best planner, or keeps it for plannerWait while none is known.
 func (j *jobs) offer(now time.Time, p *pendingJob) {
-	candidates := candidatePlanners(now, j.h.Fleet)
-	m, ok := choosePlanner(candidates, j.offered, p, j.h.Settings.Domain)
+	m, ok := j.offering.choose(now, j.h.Fleet, p)
+	j.reportSilent()
 	if !ok && len(p.declined) > 0 {
 		// A planner that declined for lack of slots may queue the job now.
 		clear(p.declined)
-		m, ok = choosePlanner(candidates, j.offered, p, j.h.Settings.Domain)
+		m, ok = j.offering.choose(now, j.h.Fleet, p)
 	}
 	if !ok {
 		if now.Sub(p.job.Arrived) > plannerWait {
@@ -255,7 +254,9 @@
 	p.offers++
 	j.attempts++
 	p.attempt, p.offeredAt = j.attempts, now
-	j.offered[m.Name] += p.job.Tasks()
+	if age, known := j.offering.offered(now, m.Name, p.job); known {
+		j.h.Metrics.GetOrCreateHistogram("sesamecleat_room_age_seconds").Update(age.Seconds())
+	}
 	attempt := p.attempt
 	done := make(chan answer, 2)
 	o := offer{job: p.job, version: p.version, attempt: attempt, plannerSentAt: m.SentAtMillis}
@@ -298,12 +299,15 @@
 		p.job.Pinned = true
 		j.h.Log.Write(logbook.JobForwarded, logbook.F("id", e.id), logbook.F("from", p.planner), logbook.F("why", e.answer.reason))
 		if p.offers >= maxOffers {
-			j.finish(p, answer{outcome: convoy.Refused, cause: convoy.CauseNoPlanner, reason: "no planner has room", retryAfter: time.Second})
+			a := answer{outcome: convoy.Refused, cause: convoy.CauseNoPlanner, reason: "no planner has room", retryAfter: time.Second}
+			j.observeRefusal(now, p, a)
+			j.finish(p, a)
 			return
 		}
 		j.offer(now, p)
 		return
 	}
+	j.observeRefusal(now, p, e.answer)
 	if e.mayRun {
 		j.notifyCancelled(p, "the connection to the planner broke")
 	}
--- a/src/wharf/plan.go
+++ b/src/wharf/plan.go
@@ -44,6 +44,7 @@
 	freeSlots int
 	slots     int
 	waiting   map[string]int
+	told      toldRooms
 	// lateStarts is what this process tells of late starts.
 	lateStarts lateStartReport
 	metrics    *plannerMetrics
@@ -81,7 +82,7 @@
 		orders: pond.NewPool(maxOrders), waiters: make(map[jobKey]waiter), cancelled: make(map[jobKey]cancelledOffer),
 		revisions: make(map[processRun]uint64), fetching: make(map[processRun]bool), pageSizes: make(map[processRun]pieceSize),
 		lastFetch: make(map[processRun]time.Time), metrics: newPlannerMetrics(h.Metrics),
-		targets: newTargetList(h), lateStarts: lateStartReport{lost: make(map[uint32]time.Time)},
+		targets: newTargetList(h), told: make(toldRooms), lateStarts: lateStartReport{lost: make(map[uint32]time.Time)},
 	}
 }
 
@@ -124,8 +125,11 @@
 		return
 	}
 	p.lastTick = now
-	p.step(now, convoy.RemoteCapacity{Tasks: p.otherPlannerSlots(now)})
+	p.step(now, p.remoteCapacity(now))
 	p.step(now, convoy.Tick{})
+	if p.pooled() {
+		publishDigest(p.h.Fleet, p.planner.Digest(now))
+	}
 	p.h.Fleet.SetBusy(p.planner.Jobs() > 0)
 	p.metrics.update(p.planner)
 }
@@ -178,6 +182,18 @@
 	}
 }
 
+// pooled reports whether the settings have planners pool their room.
+func (p *plan) pooled() bool { return p.h.Settings.Policy.Pooling == "room" }
+
+// remoteCapacity returns what the other planners have told of their room.
+func (p *plan) remoteCapacity(now time.Time) convoy.RemoteCapacity {
+	out := convoy.RemoteCapacity{Tasks: p.otherPlannerSlots(now)}
+	if p.pooled() {
+		out.Planners = otherPlannerRooms(now, p.h.Fleet, p.told)
+	}
+	return out
+}
+
 // otherPlannerSlots returns the largest number of free slots at another planner.
 func (p *plan) otherPlannerSlots(now time.Time) int {
 	best := 0
@@ -268,6 +284,9 @@
 func (p *plan) logDecision(n convoy.Decision) {
 	event, known := decisionEvents[n.Kind]
 	p.metrics.countDecision(event.Number)
+	if n.Kind == convoy.DecisionMoved {
+		p.h.Metrics.GetOrCreateCounter("sesamecleat_moved_jobs_total").Inc()
+	}
 	if !known || (event.Level == logbook.Info && n.Job != "" && !p.h.Sampler.Keep(n.Job, p.h.Clock.Now())) {
 		return
 	}
@@ -293,6 +312,7 @@
 	convoy.DecisionStrayRun:        logbook.StrayRun,
 	convoy.DecisionStartUnanswered: logbook.StartUnanswered,
 	convoy.DecisionStartOverdue:    logbook.StartOverdue,
+	convoy.DecisionMoved:           logbook.JobMoved,
 }
 
 // notifyRelease tells the next planner of a part that a worker is free for it.
--- a/src/wharf/sim_faults_test.go
+++ b/src/wharf/sim_faults_test.go
@@ -35,6 +35,8 @@
 	faultHeld     = "held"     // callers' requests arrive seconds late
 	faultAgain    = "again"    // a request arrives again after its answer
 	faultOutage   = "outage"   // a host is killed, and workers restart around its death
+	// planPooled is no fault: planners pool their room.
+	planPooled = "pooled"
 )
 
 var simKinds = []string{
@@ -170,7 +172,7 @@
 // simDay plays one day.
 func simDay(seed uint64, faults simFaults, tracing bool) *simWorld {
 	s := newSimWorld(seed, faults)
-	s.tracing = tracing
+	s.tracing, s.pooled = tracing, faults[planPooled]
 	r := rand.New(rand.NewPCG(seed, 7))
 	s.now = s.now.Add(time.Duration(r.Int64N(int64(time.Second))))
 	for i := range 4 {
--- a/src/wharf/sim_host_test.go
+++ b/src/wharf/sim_host_test.go
@@ -34,7 +34,8 @@
 	lastTick       time.Time
 	pending        map[string]*simPending
 	attempts       uint64
-	offered        map[string]int
+	offering       *offering
+	told           toldRooms
 	waiters        map[jobKey]*simReply
 	cancelled      map[jobKey]cancelledOffer
 	conns          map[string]*simConn
@@ -89,7 +90,7 @@
 		MaxLease: simLease, StopTime: simStopTime, Host: h.name, SuspensionLimit: suspensionThreshold,
 		TokenStep: flotilla.TokenStep, CallerPause: simResend, HostSilence: overdueAfter, CallerCheck: callerCheckPeriod,
 	})
-	h.known, h.offered = make(map[string]bool), make(map[string]int)
+	h.known, h.offering, h.told = make(map[string]bool), newOffering(s.pooled, h.domain), make(toldRooms)
 	h.pending, h.waiters = make(map[string]*simPending), make(map[jobKey]*simReply)
 	h.cancelled, h.conns = make(map[jobKey]cancelledOffer), make(map[string]*simConn)
 	h.probing, h.lastProbe, h.silentOrders = make(map[string]bool), make(map[string]time.Time), make(map[string]int)
@@ -189,8 +190,15 @@
 			best = max(best, m.FreeSlots)
 		}
 	}
-	h.step(now, convoy.RemoteCapacity{Tasks: best})
+	capacity := convoy.RemoteCapacity{Tasks: best}
+	if h.s.pooled {
+		capacity.Planners = otherPlannerRooms(now, h, h.told)
+	}
+	h.step(now, capacity)
 	h.step(now, convoy.Tick{})
+	if h.s.pooled {
+		publishDigest(h, h.planner.Digest(now))
+	}
 	h.SetBusy(h.planner.Jobs() > 0)
 }
 
@@ -272,7 +280,7 @@
 			if len(a.Peer.Member.LateStarts) > 0 {
 				h.step(now, convoy.LateStartsReported{Jobs: a.Peer.Member.LateStarts})
 			}
-			delete(h.offered, a.Peer.Member.Name)
+			h.offering.heard(a.Peer.Member.Name)
 		}
 	}
 }
--- a/src/wharf/sim_jobs_test.go
+++ b/src/wharf/sim_jobs_test.go
@@ -163,11 +163,10 @@
 }
 
 func (h *simHost) offer(now time.Time, p *simPending) {
-	candidates := candidatePlanners(now, h)
-	m, ok := choosePlanner(candidates, h.offered, &p.pendingJob, h.domain)
+	m, ok := h.offering.choose(now, h, &p.pendingJob)
 	if !ok && len(p.declined) > 0 {
 		clear(p.declined)
-		m, ok = choosePlanner(candidates, h.offered, &p.pendingJob, h.domain)
+		m, ok = h.offering.choose(now, h, &p.pendingJob)
 	}
 	if !ok {
 		if now.Sub(p.job.Arrived) > plannerWait {
@@ -180,7 +179,7 @@
 	p.offers++
 	h.attempts++
 	p.attempt, p.offeredAt = h.attempts, now
-	h.offered[m.Name] += p.job.Tasks()
+	h.offering.offered(now, m.Name, p.job)
 	id, attempt, life := p.job.ID, p.attempt, h.life
 	o := offer{job: p.job, version: 1, attempt: p.attempt, plannerSentAt: m.SentAtMillis}
 	h.s.log("%s offers %s to %s attempt %d", h.name, id, m.Name, p.attempt)
@@ -254,6 +253,7 @@
 		return
 	}
 	if a.outcome == convoy.Redirected {
+		h.s.returned++
 		p.declined[p.planner] = true
 		p.job.Pinned = true
 		if p.offers >= maxOffers {
--- a/src/wharf/sim_world_test.go
+++ b/src/wharf/sim_world_test.go
@@ -55,7 +55,10 @@
 	slow      map[[2]string]time.Duration
 	newsDelay time.Duration
 	// lateBy returns how much later a start is carried out that then gets no answer, if set; its lease counts from then.
-	lateBy   func(h *simHost, o convoy.Start) time.Duration
+	lateBy func(h *simHost, o convoy.Start) time.Duration
+	// pooled says that planners pool their room; returned counts the jobs that came back to their entry host.
+	pooled   bool
+	returned int
 	tracing  bool
 	trace    []string
 	twice    []string
