Test a mixed load on planners that pool their room

Plays short wide, long and small jobs on eight planners, at the usual load, half as much again and two and a half times that, with CPU requests that differ by a fifth, run times up to seven times the mean, estimates that are off by two fifths, and callers that move to one domain.

--- a/src/wharf/sim_faults_test.go
+++ b/src/wharf/sim_faults_test.go
@@ -160,6 +160,10 @@
 		c.over = true
 		c.s.log("caller of %s at %s is answered %s", c.job.ID, c.h.name, o)
 		c.s.outcomes[o.String()]++
+		aim := time.Duration(c.job.Stretch*float64(c.job.Chain())) + c.job.TargetLatency
+		if o == convoy.Completed && c.s.now.Sub(c.first) <= aim {
+			c.s.inTime[c.job.Route]++
+		}
 		if o == convoy.Lost {
 			c.again()
 		}
--- a/src/wharf/sim_host_test.go
+++ b/src/wharf/sim_host_test.go
@@ -1,6 +1,7 @@
 package wharf
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
 	"net/netip"
@@ -16,7 +17,9 @@
 	s            *simWorld
 	name, domain string
 	// registry hosts take no callers and plan nothing.
-	registry   bool
+	registry bool
+	// cpuMillis is the host's processor time; 0 is enough to plan for all workers.
+	cpuMillis  int
 	addr       netip.AddrPort
 	life       int
 	up, frozen bool
@@ -82,7 +85,7 @@
 	}
 	now := h.now()
 	self := flotilla.Member{
-		Name: h.name, Domain: h.domain, Address: h.addr, Incarnation: uint64(now.UnixMilli()), Dispatcher: !h.registry, Registry: h.registry, CPUMillis: 1000,
+		Name: h.name, Domain: h.domain, Address: h.addr, Incarnation: uint64(now.UnixMilli()), Dispatcher: !h.registry, Registry: h.registry, CPUMillis: cmp.Or(h.cpuMillis, 1000),
 		ConfigVersion: 1,
 	}
 	h.fleet = flotilla.NewFleet(self, []string{"north", "south"}, contacts, now)
@@ -213,7 +216,7 @@
 }
 
 func (h *simHost) extraHeartbeat(now time.Time) {
-	if !h.changed || now.Sub(h.lastSent) < extraHeartbeatInterval {
+	if !h.changed || now.Sub(h.lastSent) < max(h.s.extraInterval, extraHeartbeatInterval) {
 		return
 	}
 	h.changed, h.lastSent = false, now
--- a/src/wharf/sim_rooms_test.go
+++ b/src/wharf/sim_rooms_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"math"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -107,3 +109,87 @@
 		})
 	}
 }
+
+// mixedLoad plays eight seconds of a mix of short wide, long and small jobs on 32 workers of eight planners. CPU requests differ by
+// a fifth, a task runs up to seven times as long as the mean, estimates are off by two fifths, and for two seconds all callers
+// are in one domain.
+func mixedLoad(seed uint64, load float64, pooled bool) (s *simWorld, asked map[string]int) {
+	s = newSimWorld(seed, simFaults{})
+	s.pooled, s.extraInterval = pooled, 125*time.Millisecond
+	for i := range 8 {
+		s.addHost(fmt.Sprintf("host-%c", 'a'+i), []string{"north", "south"}[i%2], byte(i+1)).cpuMillis = 26
+	}
+	for _, h := range s.hosts {
+		h.begin()
+	}
+	for i := range 32 {
+		s.newWorker(fmt.Sprintf("w%02d", i), []string{"north", "south"}[i%2], simAddress(i))
+	}
+	s.run(3 * time.Second)
+	r := rand.New(rand.NewPCG(seed, 11))
+	asked = make(map[string]int)
+	kinds := []struct {
+		route string
+		rate  float64
+		tasks int
+		ms    float64
+	}{{"wide", 17, 8, 51}, {"long", 3, 4, 760}, {"small", 48, 2, 170}}
+	for _, k := range kinds {
+		for at := 0.0; at < 8; at += r.ExpFloat64() / (k.rate * load) {
+			s.jobs++
+			asked[k.route]++
+			ms := k.ms * min(7, math.Exp(0.5*r.NormFloat64()))
+			need := int64(4000 * (0.8 + 0.4*r.Float64()))
+			j := convoy.Job{
+				ID: fmt.Sprintf("%s%04d", k.route, s.jobs), Route: k.route, Pool: "pool", Spec: fmt.Sprintf("%d/%d", int(ms), need), Attempts: 3,
+				Stretch: 2, TargetLatency: 60 * time.Millisecond,
+				Steps: []convoy.Step{{
+					Count: k.tasks, Need: convoy.Resources{Milli: need, Memory: 64},
+					Estimate: time.Duration(ms*math.Exp(0.4*r.NormFloat64())) * time.Millisecond,
+				}},
+			}
+			h := s.hosts[r.IntN(len(s.hosts))]
+			if at > 3 && at < 5 {
+				h = s.hosts[2*r.IntN(len(s.hosts)/2)]
+			}
+			s.after(time.Duration(at*float64(time.Second)), func() { s.sendTo(h, j, 1500*time.Millisecond, s.now) })
+		}
+	}
+	s.run(14 * time.Second)
+	return s, asked
+}
+
+// Of jobs that come in time when planners are compared by free slots, all kinds keep their share where room is pooled, and under more
+// load than there is room for wide jobs gain, which find no planner with a free slot for each task. Fewer jobs are returned.
+func TestPooledRoomServesMixedLoad(t *testing.T) {
+	tests := map[string]struct {
+		load float64
+		// wide is the least gain of wide jobs.
+		wide float64
+	}{
+		"usual load":                {load: 1, wide: 1},
+		"half as much again":        {load: 1.5, wide: 1},
+		"two and a half times that": {load: 2.5, wide: 1.15},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			sum := map[bool]map[string]int{false: {}, true: {}}
+			for _, pooled := range []bool{false, true} {
+				for seed := range uint64(2) {
+					s, asked := mixedLoad(seed, tt.load, pooled)
+					t.Logf("pooled %v: %v asked, in time %v, %v, %d returned", pooled, asked, s.inTime, s.outcomes, s.returned)
+					for route, n := range s.inTime {
+						sum[pooled][route] += n
+					}
+					sum[pooled]["returned"] += s.returned
+					require.Empty(t, s.twice)
+				}
+			}
+			slots, room := sum[false], sum[true]
+			require.GreaterOrEqual(t, float64(room["wide"]), tt.wide*float64(slots["wide"]))
+			require.GreaterOrEqual(t, float64(room["small"]), 0.99*float64(slots["small"]))
+			require.GreaterOrEqual(t, room["long"], slots["long"]-5, "of few")
+			require.Less(t, 2*room["returned"], slots["returned"])
+		})
+	}
+}
--- a/src/wharf/sim_worker_test.go
+++ b/src/wharf/sim_worker_test.go
@@ -193,7 +193,13 @@
 		w.extend(o.Lease)
 		return convoy.Outdated
 	}
-	used := int64(4000)
+	// A job's spec is its run time in milliseconds, and the CPU request of its tasks if that is not the usual one.
+	spec, size, sized := strings.Cut(o.Spec, "/")
+	need := int64(4000)
+	if sized {
+		need, _ = strconv.ParseInt(size, 10, 64)
+	}
+	used := need
 	for _, r := range w.runs {
 		used += r.need
 	}
@@ -204,9 +210,9 @@
 	w.s.checkStart(w, o.Key, by)
 	w.s.log("%s STARTS %s run %d by %s", w.target.ID, o.Key.Task, o.Key.Run, by)
 	w.s.starts++
-	w.runs[o.Key] = &simRun{key: o.Key, by: by, need: 4000}
+	w.runs[o.Key] = &simRun{key: o.Key, by: by, need: need}
 	w.watchLease(w.born)
-	ms, _ := strconv.Atoi(o.Spec)
+	ms, _ := strconv.Atoi(spec)
 	r := w.s.rnd("run", o.Key.Task, w.target.ID)
 	how := convoy.EndedDone
 	if r.Float64() < 0.02 {
--- a/src/wharf/sim_world_test.go
+++ b/src/wharf/sim_world_test.go
@@ -54,6 +54,8 @@
 	// slow holds the longest delay of messages between hosts.
 	slow      map[[2]string]time.Duration
 	newsDelay time.Duration
+	// extraInterval is the least time between a heartbeat and one ahead of schedule, if it is longer than that of few processes.
+	extraInterval time.Duration
 	// lateBy returns how much later a start is carried out that then gets no answer, if set; its lease counts from then.
 	lateBy func(h *simHost, o convoy.Start) time.Duration
 	// pooled says that planners pool their room; returned counts the jobs that came back to their entry host.
@@ -66,12 +68,14 @@
 	starts   int
 	outcomes map[string]int
 	jobs     int
+	// inTime counts, by route, the jobs that were completed by their objective.
+	inTime map[string]int
 }
 
 func newSimWorld(seed uint64, faults simFaults) *simWorld {
 	s := &simWorld{
 		seed: seed, now: time.Unix(1_700_000_000, 0), faults: faults, at: make(map[netip.AddrPort]*simWorker),
-		cut: make(map[[2]string]int), slow: make(map[[2]string]time.Duration), outcomes: make(map[string]int),
+		cut: make(map[[2]string]int), slow: make(map[[2]string]time.Duration), outcomes: make(map[string]int), inTime: make(map[string]int),
 	}
 	return s
 }
