Let exactly one waiting planner have its turn at an idle one

The planners that wait now draw among their names, which the heartbeats tell, so that one of them has its turn.

--- a/src/convoy/redirect.go
+++ b/src/convoy/redirect.go
@@ -81,8 +81,8 @@
 		return
 	}
 	p.lastMove = now
-	remote, waiting := p.idleRemote()
-	if len(remote) == 0 {
+	targets := p.moveTargets()
+	if len(targets) == 0 {
 		return
 	}
 	rate := p.endRate()
@@ -92,29 +92,34 @@
 		if j.started || j.Pinned || now.Sub(j.Arrived) < redirectDelay || waitFor(ahead, rate) < minMoveWait || !j.EndsUseful(now, minMoveWait) {
 			continue
 		}
-		i := slices.IndexFunc(remote, func(r *RemoteRoom) bool { return r.mayMove(j.Job, p.tuning.Host, waiting) })
+		i := slices.IndexFunc(targets, func(m moveTarget) bool { return m.takes(j.Job) })
 		if i < 0 {
 			continue
 		}
-		remote[i].Take(now, j.Job)
+		targets[i].Take(now, j.Job)
 		ahead -= j.waiting
-		p.logDecision(DecisionMoved, j.ID, "", remote[i].Name+" has room")
+		p.logDecision(DecisionMoved, j.ID, "", targets[i].Name+" has room")
 		p.endJob(now, j, Redirected, CauseRedirected, "another planner has room", 0)
 	}
 }
 
-// idleRemote returns the other planners that have told of room, and how many planners have work waiting, this one included.
-func (p *Planner) idleRemote() (idle []*RemoteRoom, waiting int) {
-	waiting = 1
+// moveTargets returns the other planners that have told of room.
+func (p *Planner) moveTargets() []moveTarget {
+	var idle []*RemoteRoom
+	var rivals []string
 	for _, r := range p.sortedRemote() {
 		if slices.ContainsFunc(r.Digest.Sizes, func(s SizeRoom) bool { return s.Tasks > 0 }) {
 			idle = append(idle, r)
 		}
 		if slices.ContainsFunc(r.Digest.Waits, func(w RouteWait) bool { return w.Wait > 0 }) {
-			waiting++
+			rivals = append(rivals, r.Name)
 		}
 	}
-	return idle, waiting
+	out := make([]moveTarget, 0, len(idle))
+	for _, r := range idle {
+		out = append(out, newMoveTarget(r, p.tuning.Host, rivals))
+	}
+	return out
 }
 
 func (p *Planner) sortedRemote() []*RemoteRoom {
--- a/src/convoy/redirect_test.go
+++ b/src/convoy/redirect_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -95,22 +96,27 @@
 	now := time.Unix(1_700_000_000, 0)
 	j := Job{ID: "a", Route: "r", Steps: []Step{{Count: 8, Need: Resources{Milli: 16_000}, Estimate: 50 * time.Millisecond}}}
 	const planners = 8
-	total, most := 0, 0
+	var names []string
+	for i := range planners {
+		names = append(names, fmt.Sprint("p", i))
+	}
+	total := 0
 	for turn := range 200 {
 		sent := 0
 		for i := range planners {
 			r := &RemoteRoom{PlannerRoom: idleRoom("idle", 20, now.Add(time.Duration(turn)*turnLength))}
-			for r.mayMove(j, fmt.Sprint("p", i), planners) {
+			rivals := slices.DeleteFunc(slices.Clone(names), func(name string) bool { return name == names[i] })
+			for m := newMoveTarget(r, names[i], rivals); m.takes(j); {
 				r.Take(r.SentAt, j)
 				sent += 8
 			}
 		}
-		total, most = total+sent, max(most, sent)
+		require.LessOrEqual(t, sent, 20)
+		total += sent
 	}
-	require.LessOrEqual(t, total, 200*20, "on the whole no more than there was room for")
-	require.Greater(t, total, 200*20/3, "the room is used")
+	require.Equal(t, 200*16, total, "two jobs of eight tasks each time")
 	r := &RemoteRoom{PlannerRoom: idleRoom("idle", 20, now)}
-	require.True(t, r.mayMove(j, "p", 1))
+	require.True(t, newMoveTarget(r, "p", nil).takes(j))
 }
 
 // The load: jobs come where all is busy. A refusal is given only if no planner in reach has room in time, and a job that was
--- a/src/convoy/remote.go
+++ b/src/convoy/remote.go
@@ -1,6 +1,8 @@
 package convoy
 
 import (
+	"slices"
+	"strconv"
 	"time"
 
 	"github.com/zeebo/xxh3"
@@ -110,24 +112,38 @@
 	return time.Duration(max(1, j.Stretch)*float64(j.Chain())) + j.TargetLatency
 }
 
-// mayMove reports whether a planner that waits itself may send a job to an idle one. All planners that wait hear of the idle one
-// at the same time; each sends its part of the room, and where that is less than the job, one of them does.
-func (r *RemoteRoom) mayMove(j Job, self string, waiting int) bool {
-	spare := r.Spare(j)
-	if spare < 0 {
-		return false
+// moveTarget is an idle planner as one that waits sees it. All planners that wait hear of the idle one at the same time: each sends
+// its part of the room, and where that is less than a job, only the one whose turn it is does.
+type moveTarget struct {
+	*RemoteRoom
+	parts int
+	turn  bool
+}
+
+// turnLength is how long a planner that waits has its turn; the usual time between two heartbeats of a busy planner.
+const turnLength = 100 * time.Millisecond
+
+// newMoveTarget returns an idle planner as self sees it, which waits beside its rivals; their names draw whose turn it is.
+func newMoveTarget(r *RemoteRoom, self string, rivals []string) moveTarget {
+	turn := strconv.FormatInt(r.SentAt.UnixMilli()/int64(turnLength/time.Millisecond), 36)
+	draw := func(name string) uint64 { return xxh3.HashString(name + "|" + r.Name + "|" + turn) }
+	own := draw(self)
+	return moveTarget{
+		RemoteRoom: r, parts: len(rivals) + 1,
+		turn: !slices.ContainsFunc(rivals, func(name string) bool { return draw(name) > own }),
+	}
+}
+
+// takes reports whether a job may be sent to the idle planner.
+func (m moveTarget) takes(j Job) bool {
+	spare := m.Spare(j)
+	if spare < 0 || m.turn {
+		return spare >= 0
 	}
 	_, tasks := j.firstTasks()
 	sent := 0
-	for _, t := range r.taken {
+	for _, t := range m.taken {
 		sent += t.tasks
 	}
-	if waiting <= 1 || (spare+tasks+sent)/waiting >= sent+tasks {
-		return true
-	}
-	turn := xxh3.HashString(self+"|"+r.Name) + uint64(r.SentAt.UnixMilli()/int64(turnLength/time.Millisecond))
-	return turn%uint64(waiting) == 0
+	return (spare+tasks+sent)/m.parts >= sent+tasks
 }
-
-// turnLength is how long one of the waiting planners may send to an idle one whose room is too little for all; a heartbeat.
-const turnLength = 200 * time.Millisecond
