--- a/src/convoy/event.go
+++ b/src/convoy/event.go
@@ -172,7 +172,11 @@
 type LateStartsReported struct{ Jobs []uint32 }
 
 // RemoteCapacity carries how many tasks of typical size other planners could start at once.
-type RemoteCapacity struct{ Tasks int }
+type RemoteCapacity struct {
+	Tasks int
+	// Planners holds what the other planners tell of their room, where planners pool it; nil elsewhere.
+	Planners []PlannerRoom
+}
 
 // DomainsEmptied carries the names of all failure domains that operators have emptied: nothing is started on their workers.
 type DomainsEmptied struct{ Domains []string }
@@ -293,6 +297,7 @@
 	DecisionStartOverdue
 	DecisionDomainClosed
 	DecisionDomainReopened
+	DecisionMoved
 )
 
 func (Hold) action()             {}
--- a/src/convoy/planner.go
+++ b/src/convoy/planner.go
@@ -74,7 +74,14 @@
 	standstill  standstill
 	remoteSlots int
 	// emptied holds the failure domains on whose workers nothing is started.
-	emptied      map[string]bool
+	emptied map[string]bool
+	// remote holds the room of the other planners by name, where planners pool it; nil elsewhere.
+	remote map[string]*RemoteRoom
+	// sizesAsked holds when tasks of a size class were last asked for, lastOfRoute the last job of each route.
+	sizesAsked  map[int]time.Time
+	lastOfRoute map[string]Job
+	// lastMove is when waiting jobs were last compared with the room of other planners.
+	lastMove     time.Time
 	typicalMilli float64
 	// medianSpeed is the median speed of the ready workers.
 	medianSpeed float64
@@ -92,6 +99,7 @@
 		orphanCounts: make(map[string]int), results: make(map[string]result),
 		usedTokens: make(map[string]usedToken), heard: make(map[string]time.Time),
 		lateStarts: make(map[uint32]time.Time), remoteLateStarts: make(map[uint32]time.Time),
+		sizesAsked: make(map[int]time.Time), lastOfRoute: make(map[string]Job),
 	}
 }
 
@@ -131,7 +139,7 @@
 	case HostLost:
 		p.hostLost(now, e.Host)
 	case RemoteCapacity:
-		p.remoteSlots = e.Tasks
+		p.updateRemote(e)
 	case DomainsEmptied:
 		p.setEmptied(now, e)
 	case Stopping:
--- a/src/flotilla/codec.go
+++ b/src/flotilla/codec.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -44,6 +45,9 @@
 	EmptiedDomains  []string
 }
 
+// maxDigestBytes bounds the digest that a heartbeat carries.
+const maxDigestBytes = 64
+
 // noticeSize is the length of an encoded notice in bytes: flags, and an age in steps.
 const noticeSize = 2
 
@@ -53,8 +57,8 @@
 	flagCountsOn
 )
 
-// EncodeHeartbeat encodes a heartbeat: its notice, then all else as CBOR. A heartbeat to many recipients is encoded once;
-// ReplaceNotice adapts it to each.
+// EncodeHeartbeat encodes a heartbeat: its notice, then all else as CBOR, then the planner's digest if there is one. A heartbeat to many
+// recipients is encoded once; ReplaceNotice adapts it to each.
 func EncodeHeartbeat(b Heartbeat) ([]byte, error) {
 	m := b.From
 	address, err := m.Address.MarshalBinary()
@@ -66,7 +70,7 @@
 		Dispatcher: m.Dispatcher, Registry: m.Registry, Disk: m.Disk, Leaving: m.Leaving, ConfigVersion: m.ConfigVersion,
 		TargetsRevision: m.TargetsRevision, FreeSlots: m.FreeSlots, WaitingJobs: m.WaitingJobs,
 		Slots: m.Slots, CPUMillis: m.CPUMillis, SentAtMillis: m.SentAtMillis, Frequent: m.Frequent, LateStarts: m.LateStarts,
-		EntrySilence: int(m.EntrySilence / silenceStep),
+		EntrySilence:    int(m.EntrySilence / silenceStep),
 		DomainsRevision: m.DomainsRevision, EmptiedDomains: m.EmptiedDomains,
 	}
 	for _, c := range m.Claims {
@@ -79,7 +83,7 @@
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
-	return append(encodeNotice(b.Notice), out...), nil
+	return append(append(encodeNotice(b.Notice), out...), m.Digest...), nil
 }
 
 // ReplaceNotice returns an encoded heartbeat with another notice.
@@ -104,9 +108,13 @@
 		return Heartbeat{}, Error.New("heartbeat of %d bytes has no notice", len(data))
 	}
 	var w wireHeartbeat
-	if err := cbor.Unmarshal(data[noticeSize:], &w); err != nil {
+	digest, err := cbor.UnmarshalFirst(data[noticeSize:], &w)
+	if err != nil {
 		return Heartbeat{}, Error.Wrap(err)
 	}
+	if len(digest) > maxDigestBytes {
+		return Heartbeat{}, Error.New("digest of %d bytes is too long", len(digest))
+	}
 	var address netip.AddrPort
 	if err := address.UnmarshalBinary(w.Address); err != nil || w.Name == "" {
 		return Heartbeat{}, Error.New("heartbeat has no name or no valid address")
@@ -116,13 +124,15 @@
 		Name: w.Name, Domain: w.Domain, Address: address, Incarnation: w.Incarnation,
 		Dispatcher: w.Dispatcher, Registry: w.Registry, Disk: w.Disk, Leaving: w.Leaving, ConfigVersion: w.ConfigVersion,
 		TargetsRevision: w.TargetsRevision, FreeSlots: w.FreeSlots, WaitingJobs: w.WaitingJobs, Slots: w.Slots, CPUMillis: w.CPUMillis, SentAtMillis: w.SentAtMillis, Frequent: w.Frequent, LateStarts: w.LateStarts,
-		EntrySilence: time.Duration(min(max(0, w.EntrySilence), int(maxEntrySilence/silenceStep))) * silenceStep,
+		EntrySilence:    time.Duration(min(max(0, w.EntrySilence), int(maxEntrySilence/silenceStep))) * silenceStep,
 		DomainsRevision: w.DomainsRevision, EmptiedDomains: w.EmptiedDomains,
 	}}
 	for _, c := range w.Claims {
 		b.From.Claims = append(b.From.Claims, Claim{Part: c.Part, Token: c.Token})
 	}
-	var err error
+	if len(digest) > 0 {
+		b.From.Digest = slices.Clone(digest)
+	}
 	if b.Contacts, err = decodeContacts(w.Contacts); err != nil {
 		return Heartbeat{}, Error.Wrap(err)
 	}
--- a/src/logbook/event.go
+++ b/src/logbook/event.go
@@ -118,6 +118,10 @@
 	StartOverdue      = Event{717, Info, "worker silent until its leases ran out, with a start order that it may still carry out; its stop is repeated", "check the worker and the network if it recurs"}
 	DomainClosed      = Event{718, Info, "nothing more is started on an emptied domain's workers", "none"}
 	DomainReopened    = Event{719, Info, "workers of a domain that was taken back are used again", "none"}
+	JobMoved          = Event{730, Info, "waiting job returned to its entry host for a planner with room", "none"}
+	MoveRefused       = Event{731, Info, "planner refused a job that had been returned for its room", "none; if it recurs, the planners' room changes faster than their heartbeats tell"}
+	RefusedBesideRoom = Event{732, Warn, "job refused although another planner had told of room for it", "none; if it recurs, add workers where the job was refused"}
+	RoomUnknown       = Event{733, Warn, "planner tells nothing of its room; planners are compared by free slots until it does", "set policy.pool alike at all dispatch processes"}
 )
 
 // Catalogue returns all events in order of their numbers.
@@ -136,5 +140,6 @@
 		JobAccepted, JobQueued, TaskPlaced, TaskRestarted, JobGivenUp, JobAnswered, JobRefused, JobForwarded,
 		WorkerReady, WorkerSlow, WorkerLost, WorkerFenced, CancelUndelivered, JobRejected, WorkerRestarted, StrayRun,
 		StartUnanswered, StartOverdue, DomainClosed, DomainReopened,
+		StartUnanswered, StartOverdue, JobMoved, MoveRefused, RefusedBesideRoom, RoomUnknown,
 	}
 }
--- a/src/wharf/sim_host_test.go
+++ b/src/wharf/sim_host_test.go
@@ -1,6 +1,7 @@
 package wharf
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
 	"net/netip"
@@ -16,7 +17,9 @@
 	s            *simWorld
 	name, domain string
 	// registry hosts take no callers and plan nothing.
-	registry   bool
+	registry bool
+	// cpuMillis is the host's processor time; 0 is enough to plan for all workers.
+	cpuMillis  int
 	addr       netip.AddrPort
 	life       int
 	up, frozen bool
@@ -34,7 +37,8 @@
 	lastTick       time.Time
 	pending        map[string]*simPending
 	attempts       uint64
-	offered        map[string]int
+	offering       *offering
+	told           toldRooms
 	waiters        map[jobKey]*simReply
 	cancelled      map[jobKey]cancelledOffer
 	conns          map[string]*simConn
@@ -81,7 +85,7 @@
 	}
 	now := h.now()
 	self := flotilla.Member{
-		Name: h.name, Domain: h.domain, Address: h.addr, Incarnation: uint64(now.UnixMilli()), Dispatcher: !h.registry, Registry: h.registry, CPUMillis: 1000,
+		Name: h.name, Domain: h.domain, Address: h.addr, Incarnation: uint64(now.UnixMilli()), Dispatcher: !h.registry, Registry: h.registry, CPUMillis: cmp.Or(h.cpuMillis, 1000),
 		ConfigVersion: 1,
 	}
 	h.fleet = flotilla.NewFleet(self, []string{"north", "south"}, contacts, now)
@@ -89,7 +93,7 @@
 		MaxLease: simLease, StopTime: simStopTime, Host: h.name, SuspensionLimit: suspensionThreshold,
 		TokenStep: flotilla.TokenStep, CallerPause: simResend, HostSilence: overdueAfter, CallerCheck: callerCheckPeriod,
 	})
-	h.known, h.offered = make(map[string]bool), make(map[string]int)
+	h.known, h.offering, h.told = make(map[string]bool), newOffering(s.pooled, h.domain), make(toldRooms)
 	h.pending, h.waiters = make(map[string]*simPending), make(map[jobKey]*simReply)
 	h.cancelled, h.conns = make(map[jobKey]cancelledOffer), make(map[string]*simConn)
 	h.probing, h.lastProbe, h.silentOrders = make(map[string]bool), make(map[string]time.Time), make(map[string]int)
@@ -189,8 +193,15 @@
 			best = max(best, m.FreeSlots)
 		}
 	}
-	h.step(now, convoy.RemoteCapacity{Tasks: best})
+	capacity := convoy.RemoteCapacity{Tasks: best}
+	if h.s.pooled {
+		capacity.Planners = otherPlannerRooms(now, h, h.told)
+	}
+	h.step(now, capacity)
 	h.step(now, convoy.Tick{})
+	if h.s.pooled {
+		publishDigest(h, h.planner.Digest(now))
+	}
 	h.SetBusy(h.planner.Jobs() > 0)
 }
 
@@ -205,7 +216,7 @@
 }
 
 func (h *simHost) extraHeartbeat(now time.Time) {
-	if !h.changed || now.Sub(h.lastSent) < extraHeartbeatInterval {
+	if !h.changed || now.Sub(h.lastSent) < max(h.s.extraInterval, extraHeartbeatInterval) {
 		return
 	}
 	h.changed, h.lastSent = false, now
@@ -282,8 +293,8 @@
 			if len(a.Peer.Member.LateStarts) > 0 {
 				h.step(now, convoy.LateStartsReported{Jobs: a.Peer.Member.LateStarts})
 			}
-			delete(h.offered, a.Peer.Member.Name)
 			h.offerAwaiting(now, a.Peer.Member.Name)
+			h.offering.heard(a.Peer.Member.Name)
 		}
 	}
 }
