Admit jobs by room and place tasks ahead

Callers of an overloaded planner were accepted and refused only once three times their objective had passed, wide jobs were refused beside workers with room, and the jobs with the largest tasks were hardly served.

AdmitByRoom accepts a job if all of its tasks get room in time by the forecast of the queue, with the jobs that are expected to go before it, and refuses or returns those that it overtakes in the same step. PlaceAhead puts tasks where they cost the least room of use and keeps gaps for large ones.

--- a/src/convoy/claim.go
+++ b/src/convoy/claim.go
@@ -46,7 +46,7 @@
 		return
 	}
 	w := newWorker(now, t, p.firstToken(t))
-	p.workers[t.ID] = w
+	p.workers[t.ID], p.fleet = w, nil
 	p.sendHold(now, w)
 }
 
--- a/src/convoy/event.go
+++ b/src/convoy/event.go
@@ -246,6 +246,9 @@
 type JobStarted struct {
 	Route  string
 	Waited time.Duration
+	// Expected is how long it was forecast to wait on its arrival; Forecast says whether that is known.
+	Expected time.Duration
+	Forecast bool
 }
 
 // RunEnded reports that a run has ended.
@@ -287,6 +290,11 @@
 	DecisionStrayRun
 	DecisionStartUnanswered
 	DecisionStartOverdue
+	// DecisionOvertaken refuses a job that waits and no longer gets room in time.
+	DecisionOvertaken
+	// DecisionGapKept keeps room on a worker for a large task, DecisionBackfilled starts another task in it.
+	DecisionGapKept
+	DecisionBackfilled
 )
 
 func (Hold) action()             {}
--- a/src/convoy/incarnation.go
+++ b/src/convoy/incarnation.go
@@ -60,6 +60,7 @@
 func (p *Planner) forgetWorker(now time.Time, w *worker) {
 	p.dropOrphans(w)
 	delete(p.workers, w.target.ID)
+	p.fleet = nil
 	p.usedTokens[w.target.ID] = usedToken{token: w.token, at: now}
 	p.emit(CloseConnections{ID: w.target.ID})
 }
--- a/src/convoy/judge.go
+++ b/src/convoy/judge.go
@@ -22,6 +22,9 @@
 			return refusal{cause: CauseNeverFits, reason: reason, retry: maxRetryDelay, neverFits: true}, false
 		}
 	}
+	if _, ok := p.tuning.Policies.Admission.(AdmitByRoom); ok && len(p.workers) > 0 {
+		return p.checkRoom(now, j)
+	}
 	slots := p.prospectiveSlots()
 	chain := p.routeStats(j.Route).predict(j.Chain())
 	if slots == 0 {
@@ -82,6 +85,9 @@
 // expireJobs refuses the jobs that have not started and can no longer finish in time, and gives up the started ones whose
 // deadline has passed.
 func (p *Planner) expireJobs(now time.Time) {
+	if _, ok := p.tuning.Policies.Admission.(AdmitByRoom); ok {
+		p.refuseMissing(now)
+	}
 	for _, j := range p.jobList() {
 		if !j.started {
 			chain := p.routeStats(j.Route).predict(j.Chain())
--- /dev/null
+++ b/src/convoy/outlook.go
@@ -0,0 +1,238 @@
+package convoy
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+
+	"sesamecleat/src/stowage"
+)
+
+const (
+	// overrunShare is how much longer a run that has exceeded its predicted run time is expected to take, of its time so far.
+	overrunShare = 0.25
+	// contactTime is when a worker that has not been contacted yet is expected to take tasks.
+	contactTime = 20 * time.Millisecond
+	// lateMargin is by how much of its objective a job may be expected to miss it.
+	lateMargin = 1.3
+	// maxForecast is later than any job in a forecast ends.
+	maxForecast = time.Hour
+)
+
+// outlook is the forecast of the queue, with its buffers.
+type outlook struct {
+	forecaster stowage.Forecaster
+	workers    []stowage.Worker
+	// viewed holds the planner's worker of each of the workers.
+	viewed  []*worker
+	runs    []stowage.Run
+	batches []stowage.Batch
+	// owners holds the job of each batch.
+	owners []*job
+}
+
+// checkRoom decides on arrival whether a job can end in time, in the order in which the queue is served and with the room that the
+// running and the waiting tasks leave on each worker. It answers overload by jobs whose tasks leave holes that no other task fits.
+func (p *Planner) checkRoom(now time.Time, j *job) (refusal, bool) {
+	if !p.viewWorkers(now) {
+		return refusal{}, true
+	}
+	missed := p.forecastQueue(now, j)
+	roomIn := p.outlook.forecaster.RoomIn
+	if slices.Contains(missed, j) {
+		reason := fmt.Sprintf("no room in time for its %d tasks; %d others wait, and room beyond them is expected in %s",
+			j.Tasks(), p.Waiting(), roomIn.Round(time.Millisecond))
+		return refusal{cause: CauseBacklog, reason: reason, retry: clampRetryDelay(roomIn)}, false
+	}
+	p.refuseOvertaken(now, missed)
+	return refusal{}, true
+}
+
+// refuseMissing refuses the waiting jobs that have not started and no longer get room in time.
+func (p *Planner) refuseMissing(now time.Time) {
+	if len(p.queue) > 0 && p.viewWorkers(now) {
+		p.refuseOvertaken(now, p.forecastQueue(now, nil))
+	}
+}
+
+// forecastQueue forecasts the queue, with a job that has just arrived unless it is nil, and returns the jobs that are not served
+// in time. The workers must have been viewed.
+func (p *Planner) forecastQueue(now time.Time, arrived *job) []*job {
+	o := &p.outlook
+	p.keepSorted(now)
+	o.batches, o.owners = o.batches[:0], o.owners[:0]
+	added := arrived == nil
+	for _, q := range p.queue {
+		if !added && p.compareJobs(now, q, arrived) > 0 {
+			added = true
+			p.addArrived(now, arrived)
+		}
+		p.addBatches(now, q)
+	}
+	if !added {
+		p.addArrived(now, arrived)
+	}
+	outlooks := o.forecaster.Forecast(o.workers, o.batches, p.gapSizes())
+	for i, l := range outlooks {
+		if o.owners[i] != nil && o.owners[i] == arrived {
+			arrived.forecast = now.Add(l.Start)
+			break
+		}
+	}
+	return o.missed(outlooks)
+}
+
+// gapSizes returns the usual sizes if gaps are kept by them, or nil.
+func (p *Planner) gapSizes() *stowage.Sizes {
+	if _, ok := p.tuning.Policies.Placement.(PlaceAhead); ok {
+		return &p.sizes
+	}
+	return nil
+}
+
+// addArrived adds a job that has just arrived to the forecast, behind those that are expected to overtake it.
+func (p *Planner) addArrived(now time.Time, j *job) {
+	p.addArrivals(now, j)
+	p.addBatches(now, j)
+}
+
+func (p *Planner) refuseOvertaken(now time.Time, jobs []*job) {
+	for _, j := range jobs {
+		if !j.Pinned && p.remoteSlots >= j.Tasks() {
+			p.remoteSlots -= j.Tasks()
+			p.endJob(now, j, Redirected, CauseRedirected, "other jobs go first here, and another planner has room", 0)
+			continue
+		}
+		reason := fmt.Sprintf("other jobs go first; after %s no room is left for its %d tasks in time",
+			now.Sub(j.Arrived).Round(time.Millisecond), j.Tasks())
+		p.logDecision(DecisionOvertaken, j.ID, "", reason)
+		p.endJob(now, j, Refused, CauseQueueTimeout, reason, clampRetryDelay(p.outlook.forecaster.RoomIn))
+	}
+}
+
+// missed returns the jobs that have not started and of which a task gets no room in time.
+func (o *outlook) missed(outlooks []stowage.Outlook) []*job {
+	var out []*job
+	for i, l := range outlooks {
+		if j := o.owners[i]; l.Placed < o.batches[i].Count && j != nil && !j.started && (len(out) == 0 || out[len(out)-1] != j) {
+			out = append(out, j)
+		}
+	}
+	return out
+}
+
+// viewWorkers describes the room of the workers that take tasks now or soon; it reports whether there are any.
+func (p *Planner) viewWorkers(now time.Time) bool {
+	o := &p.outlook
+	o.workers, o.viewed, o.runs = o.workers[:0], o.viewed[:0], o.runs[:0]
+	for _, w := range p.sortedFleet() {
+		opens, ok := w.opensIn(now)
+		if !ok {
+			w.view = -1
+			continue
+		}
+		w.view = len(o.workers)
+		o.viewed = append(o.viewed, w)
+		first := len(o.runs)
+		for _, r := range w.runs {
+			o.runs = append(o.runs, stowage.Run{Need: stowage.Room(r.need), Ends: r.endsIn(now)})
+		}
+		runs := o.runs[first:len(o.runs):len(o.runs)]
+		slices.SortFunc(runs, func(a, b stowage.Run) int {
+			return cmp.Or(cmp.Compare(a.Ends, b.Ends), cmp.Compare(a.Need.Milli, b.Need.Milli))
+		})
+		o.workers = append(o.workers, stowage.Worker{
+			Pool: w.target.Pool, Labels: w.target.Labels, Free: stowage.Room(w.freeCapacity()), Speed: w.speedAt(now),
+			Opens: opens, Runs: runs,
+		})
+	}
+	return len(o.workers) > 0
+}
+
+// opensIn returns in what time a worker is expected to take tasks, and whether it is.
+func (w *worker) opensIn(now time.Time) (time.Duration, bool) {
+	if w.target.Leaving || w.target.Expired || w.handingOver || w.unanswered > 0 {
+		return 0, false
+	}
+	switch {
+	case w.phase == phaseNew || (w.phase == phaseReady && !w.described()):
+		return contactTime, true
+	case w.phase != phaseReady:
+		return 0, false
+	case len(w.orphans) > 0:
+		return stopRetryInterval, true
+	}
+	return max(0, w.skipUntil.Sub(now)), true
+}
+
+// endsIn returns in what time a run is expected to end.
+func (r *run) endsIn(now time.Time) time.Duration {
+	elapsed := now.Sub(r.startedAt)
+	return max(r.predicted-elapsed, time.Duration(overrunShare*float64(elapsed)), runOverhead)
+}
+
+// addBatches adds the waiting tasks of a job to the forecast.
+func (p *Planner) addBatches(now time.Time, j *job) {
+	o := &p.outlook
+	k := p.routeStats(j.Route)
+	for i, s := range j.Steps {
+		if j.remaining[i] == 0 || !j.stepReady(i) {
+			continue
+		}
+		waiting := 0
+		for _, t := range j.tasks[i] {
+			if !t.done && t.run == nil {
+				waiting++
+			}
+		}
+		if waiting == 0 {
+			continue
+		}
+		o.owners = append(o.owners, j)
+		o.batches = append(o.batches, stowage.Batch{
+			Pool: j.Pool, Label: s.Label, Count: waiting, Need: stowage.Room(s.Need), Time: k.predict(s.Estimate) + runOverhead,
+			After: k.predict(j.chainAfter(i)), Latest: p.refuseAfter(j).Sub(now), Started: j.started,
+		})
+	}
+}
+
+// chainAfter returns the estimated run time of the longest path through the steps that depend on one.
+func (j *job) chainAfter(step int) time.Duration {
+	longest := time.Duration(0)
+	for i := step + 1; i < len(j.Steps); i++ {
+		if slices.Contains(j.Steps[i].After, step) {
+			longest = max(longest, j.Steps[i].Estimate+j.chainAfter(i))
+		}
+	}
+	return longest
+}
+
+// keepSorted sorts the queue unless it is in order, as it mostly is.
+func (p *Planner) keepSorted(now time.Time) {
+	if !slices.IsSortedFunc(p.queue, func(a, b *job) int { return p.compareJobs(now, a, b) }) {
+		p.sortQueue(now)
+	}
+}
+
+// sortedFleet returns the workers ordered by id; the caller must not change the slice.
+func (p *Planner) sortedFleet() []*worker {
+	if p.fleet == nil {
+		p.fleet = p.sortedWorkers()
+	}
+	return p.fleet
+}
+
+// refuseAfter returns the time by which a job has to be expected to end, or it is refused. While jobs compete for room that is
+// somewhat after its objective, as forecasts err: an answer that is certain to be late would take the room of one in time.
+func (p *Planner) refuseAfter(j *job) time.Time {
+	useful := p.usefulUntil(j)
+	if !p.scarce {
+		return useful
+	}
+	limit := j.Arrived.Add(time.Duration(lateMargin * float64(p.objective(j).Sub(j.Arrived))))
+	if useful.Before(limit) {
+		return useful
+	}
+	return limit
+}
--- a/src/convoy/place.go
+++ b/src/convoy/place.go
@@ -12,6 +12,18 @@
 	if len(p.queue) == 0 {
 		return
 	}
+	switch p.tuning.Policies.Placement.(type) {
+	case PlaceAhead:
+		p.placeAhead(now)
+	default:
+		p.placeNext(now)
+	}
+	p.logQueued()
+	p.redirectJobs(now)
+}
+
+// placeNext starts waiting tasks in the order of the queue, each on the worker that suits it best.
+func (p *Planner) placeNext(now time.Time) {
 	p.sortQueue(now)
 	// smallest is the smallest CPU request, in thousandths of a core, that found no worker in this round.
 	smallest := int64(math.MaxInt64)
@@ -22,8 +34,6 @@
 		p.placeJob(now, j, &smallest)
 	}
 	p.queue = slices.DeleteFunc(p.queue, func(j *job) bool { return j.ended || j.waiting == 0 })
-	p.logQueued()
-	p.redirectJobs(now)
 }
 
 // logQueued logs once for each job that it has to wait, and behind how many tasks.
@@ -75,11 +85,14 @@
 	bestScore := math.Inf(-1)
 	slack := float64(p.objective(j).Sub(now) - runOverhead)
 	predicted := float64(p.routeStats(j.Route).predict(s.Estimate))
-	for _, w := range p.workers {
+	for _, w := range p.sortedFleet() {
 		if !p.canRun(now, w, j, s, t) || p.excludes(t, w) {
 			continue
 		}
 		pace := w.speedAt(now)
+		if !p.gapAdmits(w, s, time.Duration(predicted/pace)) {
+			continue
+		}
 		score := math.Round(8 * math.Log(pace))
 		if predicted*fitMargin/pace <= slack {
 			score += fitBonus
@@ -87,7 +100,7 @@
 		if s.Rack != "" && !w.hasLabel(s.Rack) {
 			score -= 4
 		}
-		score -= 3 * p.unusedShare(w.freeCapacity().minus(s.Need).Milli)
+		score -= 3 * p.wasted(w, s)
 		if score > bestScore || (score == bestScore && w.target.ID < best.target.ID) {
 			best, bestScore = w, score
 		}
@@ -125,6 +138,17 @@
 	return slices.Contains(t.excluded, w.life()) && len(t.excluded) < len(p.workers)
 }
 
+// wasted returns how much room a task wastes on a worker, in typical tasks.
+func (p *Planner) wasted(w *worker, s Step) float64 {
+	free := w.freeCapacity().Milli
+	switch p.tuning.Policies.Placement.(type) {
+	case PlaceAhead:
+		return p.sizes.Cost(free, s.Need.Milli)
+	default:
+		return p.unusedShare(free - s.Need.Milli)
+	}
+}
+
 // unusedShare returns the fraction of a typical task that remains unused when the free CPU is filled with typical tasks.
 func (p *Planner) unusedShare(left int64) float64 {
 	rest := math.Mod(float64(left), p.typicalMilli)
--- a/src/convoy/planner.go
+++ b/src/convoy/planner.go
@@ -4,6 +4,8 @@
 	"net/netip"
 	"sort"
 	"time"
+
+	"sesamecleat/src/stowage"
 )
 
 // task is one task of a pending job.
@@ -36,8 +38,16 @@
 	// heardAt is when an entry host that waits for the job was last known to be alive.
 	heardAt      time.Time
 	queuedLogged bool
+	// chain is the estimated run time of the critical path.
+	chain time.Duration
+	// forecast is when its first task was expected to start, zero if that was not forecast; gapLogged says that a gap was kept for it.
+	forecast  time.Time
+	gapLogged bool
 }
 
+// Chain returns the estimated run time of the critical path through the steps.
+func (j *job) Chain() time.Duration { return j.chain }
+
 type result struct {
 	outcome Outcome
 	at      time.Time
@@ -53,6 +63,8 @@
 	// addresses maps an address to the id of the worker that was last listed at it.
 	addresses map[netip.AddrPort]string
 	workers   map[string]*worker
+	// fleet holds the workers ordered by id, nil once one has joined or left.
+	fleet []*worker
 	// usedTokens holds the highest token used with each worker that was removed.
 	usedTokens map[string]usedToken
 	// lateStarts holds, by hash, the jobs of which a start may still be carried out, and until when that is reported;
@@ -74,6 +86,14 @@
 	standstill   standstill
 	remoteSlots  int
 	typicalMilli float64
+	// sizes holds what CPU requests are usual, for PlaceAhead; outlook the buffers of forecasts, for AdmitByRoom.
+	sizes   stowage.Sizes
+	outlook outlook
+	gaps    stowage.Gaps
+	// arrivals holds, by route, what is known of the jobs that are to come.
+	arrivals map[string]*arrivals
+	// scarce says that jobs compete for room.
+	scarce bool
 	// medianSpeed is the median speed of the ready workers.
 	medianSpeed float64
 	stopping    bool
@@ -89,6 +109,7 @@
 		jobs: make(map[string]*job), routes: make(map[string]*routeStats),
 		orphanCounts: make(map[string]int), results: make(map[string]result),
 		usedTokens: make(map[string]usedToken), heard: make(map[string]time.Time),
+		arrivals:   make(map[string]*arrivals),
 		lateStarts: make(map[uint32]time.Time), remoteLateStarts: make(map[uint32]time.Time),
 	}
 }
@@ -245,6 +266,8 @@
 	if now.Sub(p.lastSweep) < time.Second {
 		return
 	}
+	p.updateArrivals(min(now.Sub(p.lastSweep), 2*time.Second))
+	p.updateScarcity()
 	p.lastSweep = now
 	for id, r := range p.results {
 		if now.Sub(r.at) > resultRetention {
@@ -262,6 +285,18 @@
 		k.updateLoad(now)
 	}
 	p.medianSpeed = p.computeMedianSpeed(now)
+	if _, ok := p.tuning.Policies.Placement.(PlaceAhead); ok {
+		p.sizes.Refresh(p.largestWorker())
+	}
+}
+
+// largestWorker returns the CPU of the largest worker, in thousandths of a core.
+func (p *Planner) largestWorker() int64 {
+	largest := int64(0)
+	for _, w := range p.workers {
+		largest = max(largest, w.target.Capacity.Milli)
+	}
+	return largest
 }
 
 // computeMedianSpeed returns the median speed of the ready workers.
--- a/src/convoy/start.go
+++ b/src/convoy/start.go
@@ -18,7 +18,10 @@
 	w.used = w.used.plus(step.Need)
 	if !t.job.started {
 		t.job.started = true
-		p.emit(JobStarted{Route: t.job.Route, Waited: now.Sub(t.job.Arrived)})
+		p.emit(JobStarted{
+			Route: t.job.Route, Waited: now.Sub(t.job.Arrived),
+			Expected: t.job.forecast.Sub(t.job.Arrived), Forecast: !t.job.forecast.IsZero(),
+		})
 	}
 	t.job.waiting--
 	p.logDecision(DecisionPlaced, t.job.ID, w.target.ID, fmt.Sprintf(
--- a/src/convoy/submit.go
+++ b/src/convoy/submit.go
@@ -31,6 +31,7 @@
 	j := newJob(in)
 	p.noteOwnCaller(j, in)
 	p.routeStats(j.Route).addJob(now, j)
+	p.noteArrival(j)
 	p.updateTypicalMilli(j)
 	refusal, ok := p.checkAdmission(now, j)
 	if !ok && !j.Pinned && (p.remoteSlots >= j.Tasks() || refusal.neverFits) {
@@ -56,7 +57,7 @@
 }
 
 func newJob(in Job) *job {
-	j := &job{Job: in, hosts: []string{in.Host}, remaining: make([]int, len(in.Steps))}
+	j := &job{Job: in, hosts: []string{in.Host}, remaining: make([]int, len(in.Steps)), chain: in.Chain()}
 	for i, s := range in.Steps {
 		tasks := make([]*task, s.Count)
 		for k := range tasks {
@@ -107,6 +108,7 @@
 func (p *Planner) updateTypicalMilli(j *job) {
 	for _, s := range j.Steps {
 		p.typicalMilli += runTimeGain * (float64(s.Need.Milli) - p.typicalMilli)
+		p.sizes.Observe(s.Need.Milli, s.Count)
 	}
 	p.typicalMilli = max(p.typicalMilli, 1)
 }
--- a/src/convoy/worker.go
+++ b/src/convoy/worker.go
@@ -114,6 +114,8 @@
 	// orphans are active runs of other planners, with the time of the last stop order.
 	orphans map[RunKey]time.Time
 	used    Resources
+	// view is the worker's index in the last view of the workers, -1 if it was not in it.
+	view int
 	// shortLease is what leaseTooShort found at leaseCheckedAt.
 	leaseCheckedAt time.Time
 	shortLease     bool
