Log and measure how room is given out

Operators could not see why a waiting job was refused or a worker with room got no task. Events 720 to 722 tell of overtaken jobs, kept gaps and tasks started in them, sesamecleat_forecast_error_seconds of how good the forecasts are.

Checked: go test ./src/logbook ./src/wharf.

--- a/src/logbook/event.go
+++ b/src/logbook/event.go
@@ -111,6 +111,10 @@
 	StrayRun          = Event{715, Warn, "worker runs a task that this planner did not start there; it is stopped", "none after a handover; else look for a late start order (716)"}
 	StartUnanswered   = Event{716, Info, "start order unanswered; the worker may carry it out late", "check the worker and the network if it recurs"}
 	StartOverdue      = Event{717, Info, "worker silent until its leases ran out, with a start order that it may still carry out; its stop is repeated", "check the worker and the network if it recurs"}
+
+	JobOvertaken = Event{720, Info, "waiting job refused because others go first and no room is left in time", "add workers if it recurs"}
+	GapKept      = Event{721, Info, "room on a worker kept for a large task", "none"}
+	GapFilled    = Event{722, Info, "task started in a kept gap", "none"}
 )
 
 // Catalogue returns all events in order of their numbers.
@@ -128,5 +132,6 @@
 		JobAccepted, JobQueued, TaskPlaced, TaskRestarted, JobGivenUp, JobAnswered, JobRefused, JobForwarded,
 		WorkerReady, WorkerSlow, WorkerLost, WorkerFenced, CancelUndelivered, JobRejected, WorkerRestarted, StrayRun,
 		StartUnanswered, StartOverdue,
+		JobOvertaken, GapKept, GapFilled,
 	}
 }
--- a/src/wharf/measures.go
+++ b/src/wharf/measures.go
@@ -100,6 +100,9 @@
 // observeWait records how long a job waited at its planner for the start of its first task.
 func (m *plannerMetrics) observeWait(started convoy.JobStarted) {
 	m.set.GetOrCreateHistogram(fmt.Sprintf(`sesamecleat_wait_seconds{route=%s}`, labelValue(started.Route))).Update(started.Waited.Seconds())
+	if started.Forecast {
+		m.set.GetOrCreateHistogram("sesamecleat_forecast_error_seconds").Update((started.Waited - started.Expected).Abs().Seconds())
+	}
 }
 
 // countRunEnd counts the end of a run, and for a completed run records the ratio of actual to expected duration.
--- a/src/wharf/plan.go
+++ b/src/wharf/plan.go
@@ -293,6 +293,9 @@
 	convoy.DecisionStrayRun:        logbook.StrayRun,
 	convoy.DecisionStartUnanswered: logbook.StartUnanswered,
 	convoy.DecisionStartOverdue:    logbook.StartOverdue,
+	convoy.DecisionOvertaken:       logbook.JobOvertaken,
+	convoy.DecisionGapKept:         logbook.GapKept,
+	convoy.DecisionBackfilled:      logbook.GapFilled,
 }
 
 // notifyRelease tells the next planner of a part that a worker is free for it.
