--- a/src/logbook/event.go
+++ b/src/logbook/event.go
@@ -118,6 +118,9 @@
 	StartOverdue      = Event{717, Info, "worker silent until its leases ran out, with a start order that it may still carry out; its stop is repeated", "check the worker and the network if it recurs"}
 	DomainClosed      = Event{718, Info, "nothing more is started on an emptied domain's workers", "none"}
 	DomainReopened    = Event{719, Info, "workers of a domain that was taken back are used again", "none"}
+	JobOvertaken      = Event{720, Info, "waiting job refused because others go first and no room is left in time", "add workers if it recurs"}
+	GapKept           = Event{721, Info, "room on a worker kept for a large task", "none"}
+	GapFilled         = Event{722, Info, "task started in a kept gap", "none"}
 	JobMoved          = Event{730, Info, "waiting job returned to its entry host for a planner with room", "none"}
 	MoveRefused       = Event{731, Info, "planner refused a job that had been returned for its room", "none; if it recurs, the planners' room changes faster than their heartbeats tell"}
 	RefusedBesideRoom = Event{732, Warn, "job refused although another planner had told of room for it", "none; if it recurs, add workers where the job was refused"}
@@ -139,7 +142,7 @@
 		DomainsStored, DomainsApplied, DomainOrderRefused, DomainOrderUnconfirmed,
 		JobAccepted, JobQueued, TaskPlaced, TaskRestarted, JobGivenUp, JobAnswered, JobRefused, JobForwarded,
 		WorkerReady, WorkerSlow, WorkerLost, WorkerFenced, CancelUndelivered, JobRejected, WorkerRestarted, StrayRun,
-		StartUnanswered, StartOverdue, DomainClosed, DomainReopened,
-		StartUnanswered, StartOverdue, JobMoved, MoveRefused, RefusedBesideRoom, RoomUnknown,
+		StartUnanswered, StartOverdue, DomainClosed, DomainReopened, JobOvertaken, GapKept, GapFilled,
+		JobMoved, MoveRefused, RefusedBesideRoom, RoomUnknown,
 	}
 }
--- a/src/wharf/plan.go
+++ b/src/wharf/plan.go
@@ -317,6 +317,9 @@
 	convoy.DecisionDomainClosed:    logbook.DomainClosed,
 	convoy.DecisionDomainReopened:  logbook.DomainReopened,
 	convoy.DecisionMoved:           logbook.JobMoved,
+	convoy.DecisionOvertaken:       logbook.JobOvertaken,
+	convoy.DecisionGapKept:         logbook.GapKept,
+	convoy.DecisionBackfilled:      logbook.GapFilled,
 }
 
 // notifyRelease tells the next planner of a part that a worker is free for it.
