Count no room of emptied workers in forecasts, and place from a copy of the queue

A forecast counted the workers of an emptied domain, so that jobs were accepted that nothing may start. A job that ends while a placement round goes on shortened the queue under the round, which then met an empty place.

--- a/src/convoy/ahead.go
+++ b/src/convoy/ahead.go
@@ -30,7 +30,9 @@
 	p.keepSorted(now)
 	p.gaps.Reset(nil)
 	r := aheadRound{smallest: math.MaxInt64}
-	for _, j := range p.queue[:min(len(p.queue), queueWindow)] {
+	// A job that ends meanwhile leaves the queue.
+	window := append([]*job(nil), p.queue[:min(len(p.queue), queueWindow)]...)
+	for _, j := range window {
 		if !j.ended && p.orphanCounts[j.ID] == 0 && p.isAwaited(now, j) {
 			p.placeJobAhead(now, j, &r)
 		}
--- a/src/convoy/outlook.go
+++ b/src/convoy/outlook.go
@@ -152,7 +152,7 @@
 
 // opensIn returns in what time a worker is expected to take tasks, and whether it is.
 func (w *worker) opensIn(now time.Time) (time.Duration, bool) {
-	if w.target.Leaving || w.target.Expired || w.handingOver || w.unanswered > 0 {
+	if w.target.Leaving || w.target.Expired || w.handingOver || w.emptied || w.unanswered > 0 {
 		return 0, false
 	}
 	switch {
