Send an unknown address one heartbeat a tick

In a simulation of a fleet of 90, of which a quarter starts at once, heartbeats between processes that do not know each other yet never ended (stack overflow); real ones would send each address that a heartbeat names another one until its answer is there, and each of these names 24 more.

An address gets one now until the next tick. A distant peer that does not hear this process is answered at once, as its next regular heartbeat may be eight seconds away.

TestLargeDomainSchedules overflows before and passes now. Beside it tests of one failure each: either side of a new pair with work lost or no longer heard, before and after its first heartbeat; that heartbeat lost; a domain of distant hosts that loses its hosts, its planners, those with its registry host, or is cut; late starts of distant processes.

--- a/src/flotilla/fleet.go
+++ b/src/flotilla/fleet.go
@@ -112,6 +112,8 @@
 	seed uint64
 	// announceUntil is until when all peers get frequent heartbeats, because this process has begun or ceased to plan.
 	announceUntil time.Time
+	// contacted holds the unknown addresses that got a heartbeat since the last tick.
+	contacted map[netip.AddrPort]bool
 	// lastJoin is when a peer joined last.
 	lastJoin time.Time
 	// nextContact is the peer at which the next heartbeat's contacts begin; ticks counts the regular heartbeats.
@@ -120,7 +122,9 @@
 	undelivered []Undelivered
 	lastStep    time.Time
 	standstill  standstill
-	out         []Action
+	// heard counts the heartbeats received.
+	heard int
+	out   []Action
 }
 
 // NewFleet returns a fleet that knows only its own process and the addresses to contact first.
@@ -129,7 +133,7 @@
 		self: self, parts: parts(domains), contacts: contacts, startedAt: now,
 		peers: make(map[string]*Peer), nameByAddress: make(map[netip.AddrPort]string), claims: make(map[string]*claim),
 		workers: make(map[string]int),
-		warm:    make(map[string]bool), seed: xxh3.HashString(self.Name),
+		warm:    make(map[string]bool), seed: xxh3.HashString(self.Name), contacted: make(map[netip.AddrPort]bool),
 		highestTokens: make(map[string]int64), vacantSince: make(map[string]time.Time),
 	}
 }
@@ -140,6 +144,7 @@
 	f.noteStep(now)
 	switch e := ev.(type) {
 	case Tick:
+		clear(f.contacted)
 		f.expirePeers(now)
 		f.updateClaims(now)
 		f.updateFrequent(now)
@@ -215,6 +220,7 @@
 	if m.Name == f.self.Name {
 		return
 	}
+	f.heard++
 	for _, a := range b.Contacts {
 		f.contact(a)
 	}
@@ -248,7 +254,8 @@
 	if joined {
 		f.emit(PeerJoined{Peer: *p})
 	}
-	// A planner needs a recent sign of life before it starts anything for this process.
+	// A planner needs a recent sign of life before it starts anything for this process; a distant peer that has missed the last one
+	// would not get another one soon.
 	if joined || !wasNear && p.near || !p.near && !b.Notice.Receives {
 		f.emit(SendHeartbeat{To: m.Address, Notice: f.notice(now, p)})
 	}
@@ -304,12 +311,14 @@
 	}
 }
 
-// contact sends a heartbeat to an address whose process is not known yet; the reply names it.
+// contact sends a heartbeat to an address whose process is not known yet; the reply names it. Until the next tick the address gets no
+// other one, as many heartbeats name it when many processes start at once.
 func (f *Fleet) contact(a netip.AddrPort) {
 	if a == f.self.Address || slices.Contains(f.contacts, a) {
 		return
 	}
-	if _, known := f.nameByAddress[a]; !known {
+	if _, known := f.nameByAddress[a]; !known && !f.contacted[a] {
+		f.contacted[a] = true
 		f.emit(SendHeartbeat{To: a})
 	}
 }
--- a/src/flotilla/schedule.go
+++ b/src/flotilla/schedule.go
@@ -156,6 +156,17 @@
 	return f.out, wasDistant
 }
 
+// NearPeers returns the number of live peers with which this process exchanges heartbeats at every HeartbeatInterval.
+func (f *Fleet) NearPeers() int {
+	n := 0
+	for _, p := range f.sorted {
+		if p.Alive && p.near {
+			n++
+		}
+	}
+	return n
+}
+
 // silence returns how long a peer has been silent that should be heard, and the silence after which it is marked failed. One that
 // was distant before may have sent its last heartbeat a while ago.
 func (f *Fleet) silence(now time.Time, p *Peer) (silent, limit time.Duration) {
