Tell of many changed targets by one event

Each changed entry of a list of targets posted an event of its own from a goroutine of its own, 3,000 at each process that learns the list at 300 machines. One on its way tells of all that has changed until it is handled.

--- a/src/wharf/targets.go
+++ b/src/wharf/targets.go
@@ -45,9 +45,11 @@
 	// leavingUnsaved says that a target has left, or announced that it leaves, since the last save. After a restart this host must
 	// not list it as staying, so the list is saved at once.
 	leavingUnsaved bool
+	// notified says that an event is on its way that tells of the changes so far.
+	notified bool
 }
 
-type targetsChangedEvent struct{ revision uint64 }
+type targetsChangedEvent struct{}
 
 func (targetsChangedEvent) KernelEvent() {}
 
@@ -72,11 +74,12 @@
 
 // Handle publishes the revision of the list after a change, and saves it if a target leaves.
 func (t *targetList) Handle(now time.Time, ev helm.Event) {
-	if e, ok := ev.(targetsChangedEvent); ok {
+	if _, ok := ev.(targetsChangedEvent); ok {
+		revision := t.takeNotice()
 		if t.hasLeavingUnsaved() {
 			t.save(now)
 		}
-		t.h.Fleet.UpdateSelf(func(m *flotilla.Member) { m.TargetsRevision = max(m.TargetsRevision, e.revision) })
+		t.h.Fleet.UpdateSelf(func(m *flotilla.Member) { m.TargetsRevision = max(m.TargetsRevision, revision) })
 	}
 }
 
@@ -200,8 +203,18 @@
 func (t *targetList) markChanged(now time.Time, e *targetEntry) {
 	t.revision++
 	e.revision, e.publishedAt = t.revision, now
-	revision := t.revision
-	go t.h.Post(t, targetsChangedEvent{revision: revision})
+	if !t.notified {
+		t.notified = true
+		go t.h.Post(t, targetsChangedEvent{})
+	}
+}
+
+// takeNotice returns the revision to tell the other processes.
+func (t *targetList) takeNotice() uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.notified = false
+	return t.revision
 }
 
 // expire marks targets that have missed their announcements as expired, and removes those that left.
