--- a/src/logbook/event.go
+++ b/src/logbook/event.go
@@ -92,6 +92,7 @@
 	TargetsUnreadable = Event{616, Warn, "target register on disk is unreadable; targets are registered again as they announce themselves", "none"}
 	RoleChanged       = Event{617, Info, "registry host changed its role in the group", "none; if it recurs, see 618 and the network"}
 	SaveSlow          = Event{618, Warn, "syncing the data folder is slow; elections wait for it", "check the disk"}
+	PeerNeeded        = Event{630, Info, "work with a distant process begins; both exchange heartbeats at every interval", "none"}
 
 	JobAccepted       = Event{700, Info, "job accepted", "none"}
 	JobQueued         = Event{701, Info, "job queued until workers have capacity", "none"}
@@ -124,7 +125,7 @@
 		ViewChanged, LedgerReset, CopyCaughtUp, LedgerFull,
 		PeerJoined, PeerFailed, PartClaimed, PartYielded, ConfigApplied, ConfigStored, VotersChanged, ProcessSuspended,
 		TargetListed, TargetDeparted, TargetSilent, ConfigRefused, ConfigUnconfirmed, ListenerEnded, PeerUpdateFailed,
-		TargetsLoaded, TargetsUnreadable, RoleChanged, SaveSlow,
+		TargetsLoaded, TargetsUnreadable, RoleChanged, SaveSlow, PeerNeeded,
 		JobAccepted, JobQueued, TaskPlaced, TaskRestarted, JobGivenUp, JobAnswered, JobRefused, JobForwarded,
 		WorkerReady, WorkerSlow, WorkerLost, WorkerFenced, CancelUndelivered, JobRejected, WorkerRestarted, StrayRun,
 		StartUnanswered, StartOverdue,
--- a/src/wharf/fleet.go
+++ b/src/wharf/fleet.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net"
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"sesamecleat/src/flotilla"
@@ -44,6 +45,8 @@
 	lastTick time.Time
 	// invalidLoggedAt is when an invalid datagram was last logged; only the listening goroutine uses it.
 	invalidLoggedAt time.Time
+	// near is the number of peers with which heartbeats are exchanged at every interval.
+	near atomic.Int64
 }
 
 type heartbeatEvent struct{ heartbeat flotilla.Heartbeat }
@@ -70,6 +73,7 @@
 	f := &fleet{h: h, listenDone: make(chan struct{})}
 	f.fleet = flotilla.NewFleet(self, s.Domains, seedAddresses(s), h.Clock.Now())
 	h.Fleet = f
+	h.Metrics.GetOrCreateGauge("sesamecleat_near_peers", func() float64 { return float64(f.near.Load()) })
 	return f
 }
 
@@ -154,6 +158,9 @@
 	now := f.h.Clock.Now()
 	actions, wasDistant := f.fleet.WorkWith(now, name)
 	f.carryOut(now, actions)
+	if wasDistant {
+		f.h.Log.Write(logbook.PeerNeeded, logbook.F("peer", name))
+	}
 	return wasDistant
 }
 
@@ -168,6 +175,7 @@
 func (f *fleet) tick(now time.Time) {
 	f.detectSuspension(now)
 	f.step(now, flotilla.Tick{})
+	f.near.Store(int64(f.fleet.NearPeers()))
 	f.lastSent = now
 	f.changed = false
 }
@@ -278,6 +286,7 @@
 }
 
 func (f *fleet) send(to netip.AddrPort, data []byte) {
+	f.h.Metrics.GetOrCreateCounter(`sesamecleat_heartbeats_total{way="out"}`).Inc()
 	_, _ = f.sendConn.WriteToUDPAddrPort(data, heartbeatAddress(to)) // a lost heartbeat is made up for by the next one
 }
 
@@ -322,6 +331,7 @@
 			f.reportInvalid(from.String(), err)
 			continue
 		}
+		f.h.Metrics.GetOrCreateCounter(`sesamecleat_heartbeats_total{way="in"}`).Inc()
 		f.h.Post(f, heartbeatEvent{heartbeat: b})
 	}
 }
