--- a/src/logbook/event.go
+++ b/src/logbook/event.go
@@ -97,6 +97,7 @@
 	DomainsApplied         = Event{621, Info, "emptied failure domains applied", "none"}
 	DomainOrderRefused     = Event{622, Warn, "order for a failure domain refused because the settings name no such domain", "correct the name"}
 	DomainOrderUnconfirmed = Event{623, Warn, "order for a failure domain not confirmed; it may or may not be stored", "send it again"}
+	PeerNeeded             = Event{630, Info, "work with a distant process begins; both exchange heartbeats at every interval", "none"}
 
 	JobAccepted       = Event{700, Info, "job accepted", "none"}
 	JobQueued         = Event{701, Info, "job queued until workers have capacity", "none"}
@@ -139,7 +140,7 @@
 		PeerJoined, PeerFailed, PartClaimed, PartYielded, ConfigApplied, ConfigStored, VotersChanged, ProcessSuspended,
 		TargetListed, TargetDeparted, TargetSilent, ConfigRefused, ConfigUnconfirmed, ListenerEnded, PeerUpdateFailed,
 		TargetsLoaded, TargetsUnreadable, RoleChanged, SaveSlow,
-		DomainsStored, DomainsApplied, DomainOrderRefused, DomainOrderUnconfirmed,
+		DomainsStored, DomainsApplied, DomainOrderRefused, DomainOrderUnconfirmed, PeerNeeded,
 		JobAccepted, JobQueued, TaskPlaced, TaskRestarted, JobGivenUp, JobAnswered, JobRefused, JobForwarded,
 		WorkerReady, WorkerSlow, WorkerLost, WorkerFenced, CancelUndelivered, JobRejected, WorkerRestarted, StrayRun,
 		StartUnanswered, StartOverdue, DomainClosed, DomainReopened, JobOvertaken, GapKept, GapFilled,
