Refuse one overtaken job for each forecast

Of a queue that had fallen behind, several jobs were refused at the same moment although the room of the first would have served the next: the forecast had given a part of its tasks room that they then did not use.

The first job in the order that misses is refused, and the queue is forecast again, four times a step at most.

Checked: go test ./src/convoy ./src/stowage ./src/logbook.

--- a/src/convoy/arrivals.go
+++ b/src/convoy/arrivals.go
@@ -13,18 +13,14 @@
 	maxArrivals = 16
 	// arrivalGain is the weight of one second in the moving means of what arrives; bursts last a few seconds.
 	arrivalGain = 0.5
-	// scarceShare is the share of the workers' CPU from which on jobs compete for room, as holes take the rest.
-	scarceShare = 0.8
 )
 
 // arrivals is what is known of the jobs of a route that are to come.
 type arrivals struct {
 	// rate is the moving mean of jobs a second, count the jobs since its last update, latest the job that arrived last.
-	rate  float64
-	count int
-	// asked is the CPU time that the jobs since then request, in milli-core seconds; load is its moving mean a second.
-	asked, load float64
-	latest      *job
+	rate   float64
+	count  int
+	latest *job
 }
 
 // noteArrival counts a job for the forecast of those to come.
@@ -35,37 +31,21 @@
 		p.arrivals[j.Route] = a
 	}
 	a.count++
-	a.asked += j.Work() * 1000
 	a.latest = j
 }
 
 // updateArrivals updates the rates of arrivals after a time.
 func (p *Planner) updateArrivals(since time.Duration) {
 	for _, a := range p.arrivals {
-		rate, load := float64(a.count)/since.Seconds(), a.asked/since.Seconds()
+		rate := float64(a.count) / since.Seconds()
 		if a.rate == 0 {
-			a.rate, a.load = rate, load
+			a.rate = rate
 		}
 		a.rate += arrivalGain * (rate - a.rate)
-		a.load += arrivalGain * (load - a.load)
-		a.count, a.asked = 0, 0
+		a.count = 0
 	}
 }
 
-// updateScarcity finds out whether jobs compete for room: whether they ask for more than the workers can give, less the holes.
-func (p *Planner) updateScarcity() {
-	asked, room := 0.0, 0.0
-	for route, a := range p.arrivals {
-		asked += a.load * p.routeStats(route).factor
-	}
-	for _, w := range p.workers {
-		if w.phase == phaseReady && !w.target.Leaving {
-			room += float64(w.target.Capacity.Milli)
-		}
-	}
-	p.scarce = asked > scarceShare*room
-}
-
 // addArrivals adds the jobs to the forecast that are expected to arrive and go before a job until it ends. Without them jobs of routes
 // that go last are accepted and then refused once others have overtaken them.
 func (p *Planner) addArrivals(now time.Time, j *job) {
--- a/src/convoy/outlook.go
+++ b/src/convoy/outlook.go
@@ -16,6 +16,8 @@
 	contactTime = 20 * time.Millisecond
 	// lateMargin is by how much of its objective a job may be expected to miss it.
 	lateMargin = 1.3
+	// maxRefusals bounds the forecasts of one step; later steps refuse the rest.
+	maxRefusals = 4
 	// maxForecast is later than any job in a forecast ends.
 	maxForecast = time.Hour
 )
@@ -28,8 +30,10 @@
 	viewed  []*worker
 	runs    []stowage.Run
 	batches []stowage.Batch
-	// owners holds the job of each batch.
+	// owners holds the job of each batch, nil for one that is expected to arrive.
 	owners []*job
+	// arrived is the job that has just arrived and does not wait yet, or nil.
+	arrived *job
 }
 
 // checkRoom decides on arrival whether a job can end in time, in the order in which the queue is served and with the room that the
@@ -38,30 +42,49 @@
 	if !p.viewWorkers(now) {
 		return refusal{}, true
 	}
-	missed := p.forecastQueue(now, j)
-	roomIn := p.outlook.forecaster.RoomIn
-	if slices.Contains(missed, j) {
-		reason := fmt.Sprintf("no room in time for its %d tasks; %d others wait, and room beyond them is expected in %s",
-			j.Tasks(), p.Waiting(), roomIn.Round(time.Millisecond))
-		return refusal{cause: CauseBacklog, reason: reason, retry: clampRetryDelay(roomIn)}, false
+	for range maxRefusals {
+		missed := p.forecastQueue(now, j)
+		switch missed {
+		case nil:
+			return refusal{}, true
+		case j:
+			return p.noRoom(j), false
+		}
+		p.refuseOvertaken(now, missed)
+	}
+	if p.forecastQueue(now, j) == j {
+		return p.noRoom(j), false
 	}
-	p.refuseOvertaken(now, missed)
 	return refusal{}, true
 }
 
+func (p *Planner) noRoom(j *job) refusal {
+	roomIn := p.outlook.forecaster.RoomIn
+	reason := fmt.Sprintf("no room in time for its %d tasks; %d others wait, and room beyond them is expected in %s",
+		j.Tasks(), p.Waiting(), roomIn.Round(time.Millisecond))
+	return refusal{cause: CauseBacklog, reason: reason, retry: clampRetryDelay(roomIn)}
+}
+
 // refuseMissing refuses the waiting jobs that have not started and no longer get room in time.
 func (p *Planner) refuseMissing(now time.Time) {
-	if len(p.queue) > 0 && p.viewWorkers(now) {
-		p.refuseOvertaken(now, p.forecastQueue(now, nil))
+	if len(p.queue) == 0 || !p.viewWorkers(now) {
+		return
+	}
+	for range maxRefusals {
+		missed := p.forecastQueue(now, nil)
+		if missed == nil {
+			return
+		}
+		p.refuseOvertaken(now, missed)
 	}
 }
 
-// forecastQueue forecasts the queue, with a job that has just arrived unless it is nil, and returns the jobs that are not served
-// in time. The workers must have been viewed.
-func (p *Planner) forecastQueue(now time.Time, arrived *job) []*job {
+// forecastQueue forecasts the queue, with a job that has just arrived unless it is nil, and returns the first job in the order that is
+// not served in time, or nil: those behind it may be served once it is refused. The workers must have been viewed.
+func (p *Planner) forecastQueue(now time.Time, arrived *job) *job {
 	o := &p.outlook
 	p.keepSorted(now)
-	o.batches, o.owners = o.batches[:0], o.owners[:0]
+	o.batches, o.owners, o.arrived = o.batches[:0], o.owners[:0], arrived
 	added := arrived == nil
 	for _, q := range p.queue {
 		if !added && p.compareJobs(now, q, arrived) > 0 {
@@ -97,29 +120,27 @@
 	p.addBatches(now, j)
 }
 
-func (p *Planner) refuseOvertaken(now time.Time, jobs []*job) {
-	for _, j := range jobs {
-		if !j.Pinned && p.remoteSlots >= j.Tasks() {
-			p.remoteSlots -= j.Tasks()
-			p.endJob(now, j, Redirected, CauseRedirected, "other jobs go first here, and another planner has room", 0)
-			continue
-		}
-		reason := fmt.Sprintf("other jobs go first; after %s no room is left for its %d tasks in time",
-			now.Sub(j.Arrived).Round(time.Millisecond), j.Tasks())
-		p.logDecision(DecisionOvertaken, j.ID, "", reason)
-		p.endJob(now, j, Refused, CauseQueueTimeout, reason, clampRetryDelay(p.outlook.forecaster.RoomIn))
+// refuseOvertaken refuses a job that waits, or returns it if another planner has room.
+func (p *Planner) refuseOvertaken(now time.Time, j *job) {
+	if !j.Pinned && p.remoteSlots >= j.Tasks() {
+		p.remoteSlots -= j.Tasks()
+		p.endJob(now, j, Redirected, CauseRedirected, "other jobs go first here, and another planner has room", 0)
+		return
 	}
+	reason := fmt.Sprintf("other jobs go first; after %s no room is left for its %d tasks in time",
+		now.Sub(j.Arrived).Round(time.Millisecond), j.Tasks())
+	p.logDecision(DecisionOvertaken, j.ID, "", reason)
+	p.endJob(now, j, Refused, CauseQueueTimeout, reason, clampRetryDelay(p.outlook.forecaster.RoomIn))
 }
 
-// missed returns the jobs that have not started and of which a task gets no room in time.
-func (o *outlook) missed(outlooks []stowage.Outlook) []*job {
-	var out []*job
+// missed returns the first job that has not started and of which a task gets no room in time, or nil.
+func (o *outlook) missed(outlooks []stowage.Outlook) *job {
 	for i, l := range outlooks {
-		if j := o.owners[i]; l.Placed < o.batches[i].Count && j != nil && !j.started && (len(out) == 0 || out[len(out)-1] != j) {
-			out = append(out, j)
+		if j := o.owners[i]; l.Placed < o.batches[i].Count && j != nil && !j.started {
+			return j
 		}
 	}
-	return out
+	return nil
 }
 
 // viewWorkers describes the room of the workers that take tasks now or soon; it reports whether there are any.
@@ -223,11 +244,15 @@
 	return p.fleet
 }
 
-// refuseAfter returns the time by which a job has to be expected to end, or it is refused. While jobs compete for room that is
-// somewhat after its objective, as forecasts err: an answer that is certain to be late would take the room of one in time.
+// refuseAfter returns the time by which a job has to be expected to end, or it is refused. While others wait that is somewhat
+// after its objective, as forecasts err: an answer that is certain to be late would take the room of one in time.
 func (p *Planner) refuseAfter(j *job) time.Time {
 	useful := p.usefulUntil(j)
-	if !p.scarce {
+	waiting := len(p.queue)
+	if p.outlook.arrived != nil {
+		waiting++
+	}
+	if waiting <= 1 {
 		return useful
 	}
 	limit := j.Arrived.Add(time.Duration(lateMargin * float64(p.objective(j).Sub(j.Arrived))))
--- a/src/convoy/outlook_test.go
+++ b/src/convoy/outlook_test.go
@@ -121,7 +121,6 @@
 			require.Empty(t, sim.outcomes())
 			sim.step(0, RemoteCapacity{Tasks: tt.remote})
 			sim.planners[0].routeStats("often").load = 1000
-			sim.planners[0].scarce = true
 			sim.step(0, Submitted{Job: sized(sim, "first", "rare", 2, 100, 16_000)})
 			require.Equal(t, sim.now, sim.answeredAt["waits"])
 			require.Equal(t, tt.want, sim.outcomes()["waits"])
--- a/src/convoy/planner.go
+++ b/src/convoy/planner.go
@@ -92,8 +92,6 @@
 	gaps    stowage.Gaps
 	// arrivals holds, by route, what is known of the jobs that are to come.
 	arrivals map[string]*arrivals
-	// scarce says that jobs compete for room.
-	scarce bool
 	// medianSpeed is the median speed of the ready workers.
 	medianSpeed float64
 	stopping    bool
@@ -267,7 +265,6 @@
 		return
 	}
 	p.updateArrivals(min(now.Sub(p.lastSweep), 2*time.Second))
-	p.updateScarcity()
 	p.lastSweep = now
 	for id, r := range p.results {
 		if now.Sub(r.at) > resultRetention {
--- a/src/convoy/room_test.go
+++ b/src/convoy/room_test.go
@@ -22,6 +22,12 @@
 // scarceWorkers is how many workers the mix is played on.
 const scarceWorkers = 30
 
+// scarceRooms are the workers' CPU in turn.
+var scarceRooms = []int64{32_000, 32_000, 48_000}
+
+// scarceLength is how long it is played.
+const scarceLength = 16 * time.Second
+
 // scarceWorths are the shares of the three kinds in what callers ask for.
 var scarceWorths = []float64{0.332, 0.335, 0.333}
 
@@ -38,12 +44,19 @@
 	objective time.Duration
 }
 
-// playScarce submits the mix to one planner and returns the outcomes by route, without the jobs of the first and the last seconds.
-func playScarce(t *testing.T, seed uint64, rate float64, policies Policies) (map[string]*scarceCounts, *simulation) {
+// scarcePlay is a play of the mix: the outcomes by route, without those of the first and the last seconds, and the jobs counted.
+type scarcePlay struct {
+	*simulation
+	counts map[string]*scarceCounts
+	jobs   []scarceJob
+}
+
+// playScarce submits the mix to one planner.
+func playScarce(t *testing.T, seed uint64, rate float64, length time.Duration, policies Policies) scarcePlay {
 	sim := newSimulation(t, seed, 1)
 	sim.planners[0].tuning.Policies = policies
 	for i := range scarceWorkers {
-		sim.addWorker(fmt.Sprintf("w%02d", i), "d", []int64{32_000, 32_000, 48_000}[i%3], 1)
+		sim.addWorker(fmt.Sprintf("w%02d", i), "d", scarceRooms[i%len(scarceRooms)], 1)
 	}
 	sim.step(0, PartClaimed{Part: "d", Token: 1})
 	sim.run(time.Second)
@@ -61,19 +74,20 @@
 		sim.after(time.Duration(rng.ExpFloat64()/k.rate*float64(time.Second)), next)
 	}
 	begin := sim.now.Add(2 * time.Second)
-	sim.run(16 * time.Second)
-	got := make(map[string]*scarceCounts)
+	sim.run(length)
+	out := scarcePlay{simulation: sim, counts: make(map[string]*scarceCounts)}
 	for _, k := range scarceMix(rate) {
-		got[k.route] = &scarceCounts{}
+		out.counts[k.route] = &scarceCounts{}
 	}
 	outcomes := sim.outcomes()
 	for _, j := range all {
 		if j.Arrived.After(begin) && j.Arrived.Before(sim.now.Add(-4*time.Second)) {
 			o, answered := outcomes[j.ID]
-			got[j.Route].count(j, o, answered, sim.answeredAt[j.ID].Sub(j.Arrived))
+			out.counts[j.Route].count(j, o, answered, sim.answeredAt[j.ID].Sub(j.Arrived))
+			out.jobs = append(out.jobs, j)
 		}
 	}
-	return got, sim
+	return out
 }
 
 func (c *scarceCounts) count(j scarceJob, o Outcome, answered bool, took time.Duration) {
@@ -132,10 +146,10 @@
 	r := scarceResult{kinds: make(map[string]float64)}
 	refused := 0
 	for seed := range uint64(seedsPerCase) {
-		got, sim := playScarce(t, seed, rate, policies)
-		require.Zero(t, sim.rejected, "starts for which a worker had no room")
+		play := playScarce(t, seed, rate, scarceLength, policies)
+		require.Zero(t, play.rejected, "starts for which a worker had no room")
 		for i, k := range scarceMix(rate) {
-			c := got[k.route]
+			c := play.counts[k.route]
 			t.Logf("%-6s %-8s %.3f, largest %.3f, held %d: %+v", name, k.route, c.score(), c.largest.score(), c.held, c.outcomeCounts)
 			r.kinds[k.route] += c.score() / seedsPerCase
 			r.worth += scarceWorths[i] * c.score() / seedsPerCase
@@ -173,7 +187,7 @@
 
 func TestUnsetPoliciesDecideAsBefore(t *testing.T) {
 	answers := func(policies Policies) []string {
-		_, sim := playScarce(t, 1, 150, policies)
+		sim := playScarce(t, 1, 150, scarceLength, policies)
 		var out []string
 		for _, a := range sim.answers {
 			out = append(out, fmt.Sprint(a.ID, a.Outcome, a.Cause, a.RetryAfter, sim.answeredAt[a.ID].UnixNano()))
