Order waiting jobs by urgency with floors for routes and sizes

Callers of an overloaded planner saw their route's priority ignored: it decided only between routes of equal load, so the route that requested the most paid for all others, and one flooding entry host took the same part from everybody.

With policy.order at urgency, jobs that can meet their target go first, then half-started ones, then the route's priority, then the time by which a job has to start. A route below 0.9 of the best one's share in time goes before all priorities until it has caught up, sizes of a route alike, and the excess of a flooding entry host goes behind. Shares are judged by what the tasks took.

--- a/src/convoy/event.go
+++ b/src/convoy/event.go
@@ -287,6 +287,10 @@
 	DecisionStrayRun
 	DecisionStartUnanswered
 	DecisionStartOverdue
+	DecisionRouteShort
+	DecisionRouteRestored
+	DecisionHostOverQuota
+	DecisionHostWithinQuota
 )
 
 func (Hold) action()             {}
--- a/src/convoy/order.go
+++ b/src/convoy/order.go
@@ -15,6 +15,7 @@
 	// arrivedWork is the CPU time requested since the last update of load, in milli-core seconds.
 	arrivedWork float64
 	updatedAt   time.Time
+	shares      routeShares
 }
 
 // loadGain is the weight of one second in the moving mean of a route's load.
@@ -65,10 +66,18 @@
 
 // objective returns the time by which the job should be completed.
 func (p *Planner) objective(j *job) time.Time {
-	chain := p.routeStats(j.Route).predict(j.Chain())
+	chain := p.predictChain(j)
 	return j.Arrived.Add(time.Duration(max(1, j.Stretch)*float64(chain)) + j.TargetLatency)
 }
 
+// predictChain returns the predicted run time of a job's critical path on workers of speed 1.
+func (p *Planner) predictChain(j *job) time.Duration {
+	if j.chain == 0 {
+		j.chain = j.Chain()
+	}
+	return p.routeStats(j.Route).predict(j.chain)
+}
+
 // usefulUntil returns the time after which an answer is worthless: the deadline, or the multiple lateFactor of the latency
 // objective if that is earlier.
 func (p *Planner) usefulUntil(j *job) time.Time {
@@ -79,9 +88,19 @@
 	return j.Deadline
 }
 
-// compareJobs orders the queue under overload. Jobs that can still meet their objective go before late ones. Among these,
-// routes with the least requested CPU time go first, as serving them fully costs the other routes least; then the oldest.
+// compareJobs orders the queue under overload, by the policy of the deployment.
 func (p *Planner) compareJobs(now time.Time, a, b *job) int {
+	switch p.tuning.Policies.Order.(type) {
+	case OrderByUrgency:
+		return p.compareUrgency(now, a, b)
+	default:
+		return p.compareLoad(now, a, b)
+	}
+}
+
+// compareLoad orders jobs by the load of their routes. Jobs that can still meet their objective go before late ones. Among these,
+// routes with the least requested CPU time go first, as serving them fully costs the other routes least; then the oldest.
+func (p *Planner) compareLoad(now time.Time, a, b *job) int {
 	if lateA, lateB := p.missesObjective(now, a), p.missesObjective(now, b); lateA != lateB {
 		if lateB {
 			return -1
@@ -104,11 +123,14 @@
 	if j.started && j.waiting < j.Tasks() {
 		return false
 	}
-	return now.Add(p.routeStats(j.Route).predict(j.Chain())).After(p.objective(j))
+	return now.Add(p.predictChain(j)).After(p.objective(j))
 }
 
 func (p *Planner) enqueue(j *job) { p.queue = append(p.queue, j) }
 
 func (p *Planner) sortQueue(now time.Time) {
+	for _, j := range p.queue {
+		j.standing = standing{}
+	}
 	slices.SortStableFunc(p.queue, func(a, b *job) int { return p.compareJobs(now, a, b) })
 }
--- a/src/convoy/planner.go
+++ b/src/convoy/planner.go
@@ -36,6 +36,15 @@
 	// heardAt is when an entry host that waits for the job was last known to be alive.
 	heardAt      time.Time
 	queuedLogged bool
+	// chain is the estimated run time of the critical path, once it has been asked for.
+	chain time.Duration
+	// measured is the longest run time on a worker of speed 1 of each step's completed tasks.
+	measured []time.Duration
+	// size is how the job's work compares with that of its route's other jobs.
+	size sizeClass
+	// excess says that its entry host has asked for more than its part of a planner that is overloaded.
+	excess   bool
+	standing standing
 }
 
 type result struct {
@@ -69,6 +78,7 @@
 	// heard holds when each other entry host was last known to be alive.
 	heard     map[string]time.Time
 	lastSweep time.Time
+	quotas    hostQuotas
 	// lastStep is the time of the last call of Step.
 	lastStep     time.Time
 	standstill   standstill
@@ -261,6 +271,7 @@
 	for _, k := range p.routes {
 		k.updateLoad(now)
 	}
+	p.updateShares(now)
 	p.medianSpeed = p.computeMedianSpeed(now)
 }
 
--- a/src/convoy/run.go
+++ b/src/convoy/run.go
@@ -162,7 +162,9 @@
 	k := p.routeStats(t.job.Route)
 	predicted := k.predict(step.Estimate)
 	w.updateSpeed(now, predicted, took)
-	k.updateFactor(step.Estimate, time.Duration(float64(took)*w.speedAt(now)))
+	normalized := time.Duration(float64(took) * w.speedAt(now))
+	k.updateFactor(step.Estimate, normalized)
+	t.job.measured[t.step] = max(t.job.measured[t.step], normalized)
 	w.failuresInRow, w.lastFailedJob = 0, ""
 	t.done = true
 	j := t.job
--- a/src/convoy/submit.go
+++ b/src/convoy/submit.go
@@ -32,6 +32,7 @@
 	p.noteOwnCaller(j, in)
 	p.routeStats(j.Route).addJob(now, j)
 	p.updateTypicalMilli(j)
+	p.classify(j)
 	refusal, ok := p.checkAdmission(now, j)
 	if !ok && !j.Pinned && (p.remoteSlots >= j.Tasks() || refusal.neverFits) {
 		p.remoteSlots = max(0, p.remoteSlots-j.Tasks())
@@ -39,6 +40,7 @@
 		return
 	}
 	if !ok {
+		p.settle(now, j, Refused)
 		p.emit(Answer{
 			ID: in.ID, Host: in.Host, Outcome: Refused, Cause: refusal.cause, Reason: refusal.reason, RetryAfter: refusal.retry,
 		})
@@ -56,7 +58,7 @@
 }
 
 func newJob(in Job) *job {
-	j := &job{Job: in, hosts: []string{in.Host}, remaining: make([]int, len(in.Steps))}
+	j := &job{Job: in, hosts: []string{in.Host}, remaining: make([]int, len(in.Steps)), measured: make([]time.Duration, len(in.Steps))}
 	for i, s := range in.Steps {
 		tasks := make([]*task, s.Count)
 		for k := range tasks {
@@ -121,6 +123,7 @@
 	j.ended, j.endedAt = true, now
 	delete(p.jobs, j.ID)
 	p.queue = slices.DeleteFunc(p.queue, func(q *job) bool { return q == j })
+	p.settle(now, j, o)
 	p.results[j.ID] = result{outcome: o, at: now}
 	for _, host := range j.hosts {
 		p.emit(Answer{ID: j.ID, Host: host, Outcome: o, Cause: cause, Reason: reason, RetryAfter: retry})
--- a/src/convoy/yard_test.go
+++ b/src/convoy/yard_test.go
@@ -27,6 +27,8 @@
 	heartbeatInterval time.Duration
 	answers           []Answer
 	answeredAt        map[string]time.Time
+	// onAnswer looks at every answer of a planner, if set.
+	onAnswer func(planner int, a Answer)
 	// lossRate is the share of orders whose answer is lost; lateRate is the share of orders that are carried out seconds late
 	// and never answered.
 	lossRate, lateRate float64
@@ -222,6 +224,9 @@
 	case Answer:
 		sim.answers = append(sim.answers, a)
 		sim.answeredAt[a.ID] = sim.now
+		if sim.onAnswer != nil {
+			sim.onAnswer(i, a)
+		}
 	case RequestHigherToken:
 		if sim.raise != nil {
 			sim.raise(i)
--- a/src/logbook/event.go
+++ b/src/logbook/event.go
@@ -111,6 +111,10 @@
 	StrayRun          = Event{715, Warn, "worker runs a task that this planner did not start there; it is stopped", "none after a handover; else look for a late start order (716)"}
 	StartUnanswered   = Event{716, Info, "start order unanswered; the worker may carry it out late", "check the worker and the network if it recurs"}
 	StartOverdue      = Event{717, Info, "worker silent until its leases ran out, with a start order that it may still carry out; its stop is repeated", "check the worker and the network if it recurs"}
+	RouteShort        = Event{725, Warn, "route is served in time far less often than the best one; its jobs go first", "add workers if it persists"}
+	RouteRestored     = Event{726, Info, "route is served in time often enough again; priorities decide", "none"}
+	HostOverQuota     = Event{727, Warn, "entry host asks for more than twice its part of an overloaded planner; the excess goes behind", "look for a client that floods it"}
+	HostWithinQuota   = Event{728, Info, "entry host asks for no more than its part of the planner again", "none"}
 )
 
 // Catalogue returns all events in order of their numbers.
@@ -128,5 +132,6 @@
 		JobAccepted, JobQueued, TaskPlaced, TaskRestarted, JobGivenUp, JobAnswered, JobRefused, JobForwarded,
 		WorkerReady, WorkerSlow, WorkerLost, WorkerFenced, CancelUndelivered, JobRejected, WorkerRestarted, StrayRun,
 		StartUnanswered, StartOverdue,
+		RouteShort, RouteRestored, HostOverQuota, HostWithinQuota,
 	}
 }
--- a/src/wharf/measures.go
+++ b/src/wharf/measures.go
@@ -21,6 +21,8 @@
 	freeSlots, waiting, runs, slots, jobs atomic.Int64
 	// workers counts the planner's workers by state.
 	workers atomic.Pointer[map[string]int]
+	// inTime holds, by route, the planner's share of jobs completed in time.
+	inTime atomic.Pointer[map[string]float64]
 }
 
 // workerStates are the planner's names of the worker states.
@@ -52,6 +54,13 @@
 	m.runs.Store(int64(p.Runs()))
 	workers := p.Workers()
 	m.workers.Store(&workers)
+	shares := p.SharesInTime()
+	m.inTime.Store(&shares)
+	for route := range shares {
+		m.set.GetOrCreateGauge(fmt.Sprintf(`sesamecleat_in_time_share{route=%s}`, labelValue(route)), func() float64 {
+			return (*m.inTime.Load())[route]
+		})
+	}
 }
 
 // consensusMetrics are the metrics of a registry host's Raft node.
--- a/src/wharf/measures_test.go
+++ b/src/wharf/measures_test.go
@@ -77,6 +77,7 @@
 func TestPlannerMetrics(t *testing.T) {
 	now := time.Unix(1000, 0)
 	h := newTestKernel(now)
+	h.Settings.Policy.Order = "urgency"
 	p := newPlan(h).(*plan)
 	worker := convoy.Target{ID: "w", Pool: "boats", Part: "d", Incarnation: 1, Sequence: 1, Capacity: convoy.Resources{Milli: 8000, Memory: 64}}
 	steps := []convoy.Event{
@@ -111,6 +112,7 @@
 	h.Metrics.WritePrometheus(&out)
 	require.Contains(t, out.String(), `sesamecleat_wait_seconds_sum{route="r"} 0.1`)
 	require.Contains(t, out.String(), `sesamecleat_ends_total{how="done"} 1`)
+	require.Contains(t, out.String(), `sesamecleat_in_time_share{route="r"} 1`)
 	require.Contains(t, out.String(), `sesamecleat_run_ratio_count{route="r"} 1`)
 	require.Contains(t, out.String(), `sesamecleat_workers{state="ready"} 1`)
 	require.Contains(t, out.String(), `sesamecleat_workers{state="lost"} 0`)
--- a/src/wharf/plan.go
+++ b/src/wharf/plan.go
@@ -293,6 +293,10 @@
 	convoy.DecisionStrayRun:        logbook.StrayRun,
 	convoy.DecisionStartUnanswered: logbook.StartUnanswered,
 	convoy.DecisionStartOverdue:    logbook.StartOverdue,
+	convoy.DecisionRouteShort:      logbook.RouteShort,
+	convoy.DecisionRouteRestored:   logbook.RouteRestored,
+	convoy.DecisionHostOverQuota:   logbook.HostOverQuota,
+	convoy.DecisionHostWithinQuota: logbook.HostWithinQuota,
 }
 
 // notifyRelease tells the next planner of a part that a worker is free for it.
