--- a/src/convoy/event.go
+++ b/src/convoy/event.go
@@ -306,6 +306,10 @@
 	// DecisionGapKept keeps room on a worker for a large task, DecisionBackfilled starts another task in it.
 	DecisionGapKept
 	DecisionBackfilled
+	DecisionRouteShort
+	DecisionRouteRestored
+	DecisionHostOverQuota
+	DecisionHostWithinQuota
 )
 
 func (Hold) action()             {}
--- a/src/convoy/outlook.go
+++ b/src/convoy/outlook.go
@@ -231,6 +231,9 @@
 
 // keepSorted sorts the queue unless it is in order, as it mostly is.
 func (p *Planner) keepSorted(now time.Time) {
+	for _, j := range p.queue {
+		j.standing = standing{}
+	}
 	if !slices.IsSortedFunc(p.queue, func(a, b *job) int { return p.compareJobs(now, a, b) }) {
 		p.sortQueue(now)
 	}
--- a/src/convoy/planner.go
+++ b/src/convoy/planner.go
@@ -43,6 +43,13 @@
 	// forecast is when its first task was expected to start, zero if that was not forecast; gapLogged says that a gap was kept for it.
 	forecast  time.Time
 	gapLogged bool
+	// measured is the longest run time on a worker of speed 1 of each step's completed tasks.
+	measured []time.Duration
+	// size is how the job's work compares with that of its route's other jobs.
+	size jobSize
+	// excess says that its entry host has asked for more than its part of a planner that is overloaded.
+	excess   bool
+	standing standing
 }
 
 // Chain returns the estimated run time of the critical path through the steps.
@@ -81,6 +88,7 @@
 	// heard holds when each other entry host was last known to be alive.
 	heard     map[string]time.Time
 	lastSweep time.Time
+	quotas    hostQuotas
 	// lastStep is the time of the last call of Step.
 	lastStep    time.Time
 	standstill  standstill
@@ -294,6 +302,7 @@
 	for _, k := range p.routes {
 		k.updateLoad(now)
 	}
+	p.updateShares(now)
 	p.medianSpeed = p.computeMedianSpeed(now)
 	if _, ok := p.tuning.Policies.Placement.(PlaceAhead); ok {
 		p.sizes.Refresh(p.largestWorker())
--- a/src/convoy/submit.go
+++ b/src/convoy/submit.go
@@ -34,12 +34,14 @@
 	p.noteArrival(j)
 	p.updateTypicalMilli(j)
 	p.noteSizes(now, in)
+	p.classify(j)
 	refusal, ok := p.checkAdmission(now, j)
 	if !ok && !j.Pinned && p.returnsRefused(now, j, refusal.neverFits) {
 		p.emit(Answer{ID: in.ID, Host: in.Host, Outcome: Redirected, Cause: refusal.cause, Reason: refusal.reason})
 		return
 	}
 	if !ok {
+		p.settle(now, j, Refused)
 		p.emit(Answer{
 			ID: in.ID, Host: in.Host, Outcome: Refused, Cause: refusal.cause, Reason: refusal.reason, RetryAfter: refusal.retry,
 		})
@@ -57,7 +59,10 @@
 }
 
 func newJob(in Job) *job {
-	j := &job{Job: in, hosts: []string{in.Host}, remaining: make([]int, len(in.Steps)), chain: in.Chain()}
+	j := &job{
+		Job: in, hosts: []string{in.Host}, remaining: make([]int, len(in.Steps)), chain: in.Chain(),
+		measured: make([]time.Duration, len(in.Steps)),
+	}
 	for i, s := range in.Steps {
 		tasks := make([]*task, s.Count)
 		for k := range tasks {
@@ -123,6 +128,7 @@
 	j.ended, j.endedAt = true, now
 	delete(p.jobs, j.ID)
 	p.queue = slices.DeleteFunc(p.queue, func(q *job) bool { return q == j })
+	p.settle(now, j, o)
 	p.results[j.ID] = result{outcome: o, at: now}
 	for _, host := range j.hosts {
 		p.emit(Answer{ID: j.ID, Host: host, Outcome: o, Cause: cause, Reason: reason, RetryAfter: retry})
--- a/src/logbook/event.go
+++ b/src/logbook/event.go
@@ -122,6 +122,10 @@
 	JobOvertaken      = Event{720, Info, "waiting job refused because others go first and no room is left in time", "add workers if it recurs"}
 	GapKept           = Event{721, Info, "room on a worker kept for a large task", "none"}
 	GapFilled         = Event{722, Info, "task started in a kept gap", "none"}
+	RouteShort        = Event{725, Warn, "route is served in time far less often than the best one; its jobs go first", "add workers if it persists"}
+	RouteRestored     = Event{726, Info, "route is served in time often enough again; priorities decide", "none"}
+	HostOverQuota     = Event{727, Warn, "entry host asks for more than twice its part of an overloaded planner; the excess goes behind", "look for a client that floods it"}
+	HostWithinQuota   = Event{728, Info, "entry host asks for no more than its part of the planner again", "none"}
 	JobMoved          = Event{730, Info, "waiting job returned to its entry host for a planner with room", "none"}
 	MoveRefused       = Event{731, Info, "planner refused a job that had been returned for its room", "none; if it recurs, the planners' room changes faster than their heartbeats tell"}
 	RefusedBesideRoom = Event{732, Warn, "job refused although another planner had told of room for it", "none; if it recurs, add workers where the job was refused"}
@@ -144,6 +148,6 @@
 		JobAccepted, JobQueued, TaskPlaced, TaskRestarted, JobGivenUp, JobAnswered, JobRefused, JobForwarded,
 		WorkerReady, WorkerSlow, WorkerLost, WorkerFenced, CancelUndelivered, JobRejected, WorkerRestarted, StrayRun,
 		StartUnanswered, StartOverdue, DomainClosed, DomainReopened, JobOvertaken, GapKept, GapFilled,
-		JobMoved, MoveRefused, RefusedBesideRoom, RoomUnknown,
+		RouteShort, RouteRestored, HostOverQuota, HostWithinQuota, JobMoved, MoveRefused, RefusedBesideRoom, RoomUnknown,
 	}
 }
--- a/src/wharf/plan.go
+++ b/src/wharf/plan.go
@@ -320,6 +320,10 @@
 	convoy.DecisionOvertaken:       logbook.JobOvertaken,
 	convoy.DecisionGapKept:         logbook.GapKept,
 	convoy.DecisionBackfilled:      logbook.GapFilled,
+	convoy.DecisionRouteShort:      logbook.RouteShort,
+	convoy.DecisionRouteRestored:   logbook.RouteRestored,
+	convoy.DecisionHostOverQuota:   logbook.HostOverQuota,
+	convoy.DecisionHostWithinQuota: logbook.HostWithinQuota,
 }
 
 // notifyRelease tells the next planner of a part that a worker is free for it.
