--- a/src/convoy/planner.go
+++ b/src/convoy/planner.go
@@ -118,12 +118,8 @@
 		p.updateTarget(now, e.Target)
 	case WorkerRemoved:
 		p.handleLeft(now, e.ID)
-	case HoldResult:
-		p.handleHold(now, e)
-	case StartResult:
-		p.handleStart(now, e)
-	case StopResult:
-		p.handleStop(now, e)
+	case HoldResult, StartResult, StopResult:
+		p.handleResult(now, e)
 	case Submitted:
 		p.submit(now, e.Job)
 	case JobCancelled:
@@ -145,6 +141,18 @@
 	return p.actions
 }
 
+// handleResult handles the answer to an order.
+func (p *Planner) handleResult(now time.Time, ev Event) {
+	switch e := ev.(type) {
+	case HoldResult:
+		p.handleHold(now, e)
+	case StartResult:
+		p.handleStart(now, e)
+	case StopResult:
+		p.handleStop(now, e)
+	}
+}
+
 // FreeSlots returns how many tasks of typical size could start here at once, less the waiting tasks; it may be negative.
 func (p *Planner) FreeSlots() int {
 	n := 0
