Count only what a planner owes in the shares of urgency

A job that was returned for another planner stayed in what its entry host had asked for, so a planner that passes work on could count as overloaded and its hosts as flooding. A job whose caller left before its objective lowered its route's share, though nothing was owed.

Both are left out now.

--- a/src/convoy/quota.go
+++ b/src/convoy/quota.go
@@ -59,6 +59,19 @@
 	return false
 }
 
+// refund takes back a job that is served elsewhere.
+func (q *hostQuotas) refund(j *job) {
+	h, ok := q.hosts[j.Host]
+	if !ok {
+		return
+	}
+	work := j.Work()
+	h.asked = max(0, h.asked-work)
+	if !j.excess {
+		h.within = max(0, h.within-work)
+	}
+}
+
 func (q *hostQuotas) serve(work float64) { q.served += work }
 
 // update lets former jobs lose weight and sets the fair part by what was asked for and served.
--- a/src/convoy/shares.go
+++ b/src/convoy/shares.go
@@ -26,13 +26,13 @@
 	sizeFloor  = 0.75
 	// shareTime is the time constant with which former answers lose their weight in a share.
 	shareTime = 5 * time.Second
-	// largestQuantile and largeQuantile bound the size classes from below.
-	largestQuantile = 0.9
-	largeQuantile   = 0.7
 	// quantileGain is the step of a quantile's estimate, by the logarithm of the work.
 	quantileGain = 0.05
 )
 
+// sizeQuantiles bound the size classes from below.
+var sizeQuantiles = [sizeClasses]float64{sizeLarge: 0.7, sizeLargest: 0.9}
+
 // share counts answers and those given in time, the former ones with less weight.
 type share struct {
 	answered, inTime float64
@@ -76,11 +76,11 @@
 		s.bounds[sizeLarge], s.bounds[sizeLargest] = log, log
 	}
 	size := sizeUsual
-	for class, quantile := range map[sizeClass]float64{sizeLarge: largeQuantile, sizeLargest: largestQuantile} {
-		step := quantile - 1
+	for class := sizeLarge; class < sizeClasses; class++ {
+		step := sizeQuantiles[class] - 1
 		if log >= s.bounds[class] {
-			size = max(size, class)
-			step = quantile
+			size = class
+			step = sizeQuantiles[class]
 		}
 		s.bounds[class] += quantileGain * step
 	}
@@ -97,9 +97,17 @@
 	j.excess = p.quotas.ask(j.Host, work)
 }
 
-// settle counts the answer to a job, which is final for this planner.
+// settle counts the answer to a job. One that another planner takes over counts there, one that its caller gave up before its
+// objective counts nowhere.
 func (p *Planner) settle(now time.Time, j *job, o Outcome) {
-	if _, ok := p.tuning.Policies.Order.(OrderByUrgency); !ok || o == Redirected || o == Cancelled {
+	if _, ok := p.tuning.Policies.Order.(OrderByUrgency); !ok {
+		return
+	}
+	switch {
+	case o == Redirected:
+		p.quotas.refund(j)
+		return
+	case o == Lost && !now.After(p.objective(j)):
 		return
 	}
 	shares := &p.routeStats(j.Route).shares
--- a/src/convoy/submit.go
+++ b/src/convoy/submit.go
@@ -36,6 +36,7 @@
 	refusal, ok := p.checkAdmission(now, j)
 	if !ok && !j.Pinned && (p.remoteSlots >= j.Tasks() || refusal.neverFits) {
 		p.remoteSlots = max(0, p.remoteSlots-j.Tasks())
+		p.settle(now, j, Redirected)
 		p.emit(Answer{ID: in.ID, Host: in.Host, Outcome: Redirected, Cause: refusal.cause, Reason: refusal.reason})
 		return
 	}
--- a/src/convoy/urgency_test.go
+++ b/src/convoy/urgency_test.go
@@ -137,6 +137,7 @@
 	answer("worst", Completed, 15)
 	answer("worst", Refused, 5)
 	answer("worst", Redirected, 50)
+	answer("worst", Lost, 50)
 	p.updateShares(now)
 	require.Equal(t, []DecisionKind{DecisionRouteShort}, kinds())
 	require.InDeltaMapValues(t, map[string]float64{"best": 1, "worst": 0.75}, p.SharesInTime(), 1e-9)
@@ -205,6 +206,16 @@
 	}
 }
 
+func TestJobServedElsewhereIsNotAskedOfThisPlanner(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	p := NewPlanner(Tuning{Policies: Policies{Order: OrderByUrgency{}}})
+	j := queuedJob(now, "a", "r", 0, nil)
+	p.classify(j)
+	require.Positive(t, p.quotas.hosts[j.Host].within)
+	p.settle(now, j, Redirected)
+	require.Equal(t, &hostWork{}, p.quotas.hosts[j.Host])
+}
+
 func TestFairPart(t *testing.T) {
 	require.InDelta(t, 10, fairPart([]float64{5, 90, 5}, 20), 1e-9)
 	require.InDelta(t, 4, fairPart([]float64{5, 90, 5}, 12), 1e-9)
