--- a/src/convoy/submit.go
+++ b/src/convoy/submit.go
@@ -37,6 +37,7 @@
 	p.classify(j)
 	refusal, ok := p.checkAdmission(now, j)
 	if !ok && !j.Pinned && p.returnsRefused(now, j, refusal.neverFits) {
+		p.settle(now, j, Redirected)
 		p.emit(Answer{ID: in.ID, Host: in.Host, Outcome: Redirected, Cause: refusal.cause, Reason: refusal.reason})
 		return
 	}
