Test forecasts beside an emptied domain and a round that a job leaves

Both tests were seen failing with the former lines: the job was accepted for room where nothing may start, and the round met an empty place in the queue and ended the process.

--- a/src/convoy/outlook_test.go
+++ b/src/convoy/outlook_test.go
@@ -160,3 +160,32 @@
 		})
 	}
 }
+
+// TestForecastCountsEmptiedWorkers guards against jobs that are accepted for the room of workers where nothing may start.
+func TestForecastCountsEmptiedWorkers(t *testing.T) {
+	sim, empty := newEmptying(t)
+	sim.planners[0].tuning.Policies = byRoom
+	empty("north")
+	sim.step(0, Submitted{Job: sized(sim, "a", "long", 2, 900, 14_000)})
+	sim.run(20 * time.Millisecond)
+	sim.step(0, Submitted{Job: sized(sim, "b", "short", 2, 60, 14_000)})
+	require.Equal(t, Refused, sim.outcomes()["b"])
+}
+
+// TestRoundOutlivesEndedJob guards against a placement round that goes on over a queue which a job has left meanwhile.
+func TestRoundOutlivesEndedJob(t *testing.T) {
+	sim := scarcePlanner(t, 1)
+	sim.step(0, Submitted{Job: sized(sim, "busy", "r", 2, 100, 16_000)})
+	sim.run(20 * time.Millisecond)
+	for _, id := range []string{"a", "b", "c"} {
+		j := sized(sim, id, "r", 1, 100, 16_000)
+		j.TargetLatency = time.Second
+		sim.step(0, Submitted{Job: j})
+	}
+	sim.step(0, LateStartsReported{Jobs: []uint32{JobHash("a"), JobHash("b")}})
+	sim.run(time.Second)
+	outcomes := sim.outcomes()
+	require.Equal(t, Lost, outcomes["a"])
+	require.Equal(t, Lost, outcomes["b"])
+	require.Equal(t, Completed, outcomes["c"])
+}
