Let a process that starts count on all that have work

A process that has just started heard registry hosts and planners of other domains every two seconds, and learned of the configuration, the targets and the planners as late. It counts on all that have work for its first five seconds now. While no planner has told of its workers, entry hosts spread their jobs over the planners by the job's id instead of sending all to the first by name.

The test fails without the change.

--- a/src/flotilla/near_test.go
+++ b/src/flotilla/near_test.go
@@ -247,3 +247,23 @@
 		}
 	}
 }
+
+// TestStartedHostHearsAllThatHaveWork guards against a slow return after a loss of power: a host that has just started needs the
+// configuration, the targets and the planners of others sooner than distant heartbeats come.
+func TestStartedHostHearsAllThatHaveWork(t *testing.T) {
+	s := largeDomains()
+	s.run(2 * startPeriod)
+	name, registry := s.idle("d0"), "registry-d2"
+	require.False(t, s.isNear(name, registry))
+	s.down[name] = true
+	s.run(2 * FailureTimeout)
+	s.restart(name)
+	s.run(settleAlone)
+	for _, p := range s.fleets[name].sorted {
+		if p.Member.Frequent {
+			require.True(t, p.near, p.Member.Name)
+		}
+	}
+	s.run(2 * startPeriod)
+	require.False(t, s.isNear(name, registry))
+}
--- a/src/flotilla/schedule.go
+++ b/src/flotilla/schedule.go
@@ -24,6 +24,9 @@
 	// announcePeriod is how long a process that begins or ceases to plan tells so to all others in every heartbeat, and one that
 	// ceases to count on another tells that one. If all of these are lost, the peer counts as failed anyway.
 	announcePeriod = FailureTimeout
+	// startPeriod is how long a process that has started counts on all that have work: after a loss of power it learns by their
+	// heartbeats of the configuration, the targets and the planners, which come up one after the other.
+	startPeriod = 5 * time.Second
 	// workPeriod is how long a process counts on another one after it had work with it.
 	workPeriod = 10 * time.Second
 	// warmPlanners is the number of planners in other domains that an entry host counts on, to offer jobs to them at once.
@@ -70,6 +73,8 @@
 	switch {
 	case f.self.Frequent && m.Frequent, now.Before(p.workUntil), f.warm[m.Name]:
 		return true
+	case m.Frequent && now.Sub(f.startedAt) < startPeriod:
+		return true
 	case m.Domain != f.self.Domain:
 		return false
 	case f.self.Frequent || m.Frequent || f.standby == nil:
--- a/src/wharf/rooms.go
+++ b/src/wharf/rooms.go
@@ -81,7 +81,7 @@
 //  2. one of two others, taken by the hash of the job's id, if it could start there,
 //  3. a planner of the own domain, then one of the two, where it waits but ends by its objective,
 //  4. any planner where it could start at once, then any where it ends by its objective,
-//  5. the one where it waits least.
+//  5. the one where it waits least; while none has told of its workers, any.
 //
 // Looking at two others first keeps all entry hosts from sending their jobs to the one that idled at its last heartbeat.
 func choosePlannerByRoom(now time.Time, all []flotilla.Member, rooms offeredRooms, p *pendingJob, domain string) (flotilla.Member, bool) {
@@ -110,7 +110,7 @@
 		return c.leastWait(rest), true
 	}
 	if len(withoutWorkers) > 0 {
-		return withoutWorkers[0], true
+		return pickByHash(withoutWorkers, p.job.ID), true
 	}
 	return flotilla.Member{}, false
 }
