Tell no silence of entry hosts that have not been heard yet

A registry host that had just started told the entry hosts of its domain silent for as long as it can tell, as it had heard none. After a loss of power, when it is up before they are, hosts of other domains took that for a certain loss, planned the domain's parts at once and gave them back seconds later. It tells nothing now until it has heard one.

--- a/src/flotilla/near_test.go
+++ b/src/flotilla/near_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -267,3 +268,17 @@
 	s.run(2 * startPeriod)
 	require.False(t, s.isNear(name, registry))
 }
+
+// TestStartingDomainIsNotTakenOver guards against a registry host that tells the entry hosts of its domain lost while they still start,
+// after a loss of power: hosts of other domains would plan there, and give the parts back seconds later.
+func TestStartingDomainIsNotTakenOver(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	address := netip.MustParseAddrPort("10.0.0.1:7000")
+	f := NewFleet(Member{Name: "registry", Domain: "d0", Address: address, Registry: true}, []string{"d0"}, nil, now)
+	f.Step(now, Tick{})
+	require.Zero(t, f.Heartbeat(now.Add(2*FailureTimeout)).From.EntrySilence)
+	f.Step(now.Add(2*FailureTimeout), HeartbeatReceived{Heartbeat: Heartbeat{From: Member{
+		Name: "entry", Domain: "d0", Address: netip.MustParseAddrPort("10.0.0.2:7000"), Dispatcher: true, Incarnation: 1,
+	}}})
+	require.GreaterOrEqual(t, f.Heartbeat(now.Add(4*FailureTimeout)).From.EntrySilence, FailureTimeout)
+}
--- a/src/flotilla/witness.go
+++ b/src/flotilla/witness.go
@@ -16,6 +16,10 @@
 			heard = later(heard, p.LastHeartbeat)
 		}
 	}
+	if heard.IsZero() {
+		// Those that start beside this process have not been lost.
+		return 0
+	}
 	return min(max(0, now.Sub(heard)), maxEntrySilence).Truncate(silenceStep)
 }
 
