--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -101,11 +101,14 @@
 }
 
 // configure sends the first configuration until it is acknowledged.
-func (s *stage) configure() error {
+func (s *stage) configure() error { return s.putConfig(7, "r-3hwrr6x", 1500) }
+
+// putConfig sends a configuration with one route until it is acknowledged.
+func (s *stage) putConfig(version int, route string, timeoutMs int) error {
 	cfg := map[string]any{
-		"version": 7,
+		"version": version,
 		"routes": []any{map[string]any{
-			"name": "r-3hwrr6x", "host": routeHost, "path_prefix": prefix, "kind": "unsafe", "timeout_ms": 1500, "target_latency_ms": 60,
+			"name": route, "host": routeHost, "path_prefix": prefix, "kind": "unsafe", "timeout_ms": timeoutMs, "target_latency_ms": 60,
 			"priority": 0, "service": service, "max_attempts": 2, "stretch": 1.6,
 		}},
 		"services": []any{map[string]any{
@@ -121,12 +124,12 @@
 	for i := range 60 {
 		c := s.cores()[i%3]
 		if status, _ := call(http.MethodPut, "http://"+s.control(c)+"/api/config", "", b, time.Second, 0); status == http.StatusOK {
-			s.rec.line("operator: configuration 7 acknowledged by %s", c.name)
+			s.rec.line("operator: configuration %d with route %s acknowledged by %s", version, route, c.name)
 			return nil
 		}
 		time.Sleep(300 * time.Millisecond)
 	}
-	return fmt.Errorf("no configuration was acknowledged")
+	return fmt.Errorf("configuration %d was not acknowledged", version)
 }
 
 // awaitServing waits until an entry machine is ready and has served a job.
