Show that a task runs twice across a cut that hides its minion

A late start in a zone that is cut off, at a minion that its planner does not reach either, runs beside the next attempt in another zone.

--- a/review/standin-3/fleet.go
+++ b/review/standin-3/fleet.go
@@ -8,7 +8,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"sync"
 	"syscall"
 	"time"
 )
@@ -40,7 +39,8 @@
 	ports ports
 	net   string
 	hosts []*host
-	mu    sync.Mutex
+	// relays stand between the processes where a case cuts zones off, nil elsewhere.
+	relays *relays
 }
 
 // ports are the ports that are the same on all machines.
@@ -113,7 +113,11 @@
 	}
 	var seeds []any
 	for _, c := range f.cores() {
-		seeds = append(seeds, f.control(c))
+		seed := f.control(c)
+		if f.relays != nil {
+			seed = fmt.Sprintf("%s:%d", f.relayIP(c), f.ports.control)
+		}
+		seeds = append(seeds, seed)
 	}
 	listen := map[string]any{"control": f.control(h)}
 	share := 0.8
@@ -150,11 +154,17 @@
 	if h.class == "core" {
 		template = "deploy/registry.json"
 	}
-	if err := writeSettings(template, h.settings, f.fieldsOf(h)); err != nil {
+	settings, err := render(template, f.fieldsOf(h))
+	if err != nil {
+		return err
+	}
+	if f.relays != nil {
+		settings = f.advertise(h, settings)
+	}
+	if err := writeFile(h.settings, settings); err != nil {
 		return err
 	}
 	h.bootstrap = false
-	var err error
 	if h.log, err = os.OpenFile(filepath.Join(f.dir, h.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644); err != nil {
 		return err
 	}
@@ -201,6 +211,9 @@
 			h.log.Close()
 		}
 	}
+	if f.relays != nil {
+		f.relays.close()
+	}
 	if os.Getenv("KEEP") == "" {
 		os.RemoveAll(f.dir)
 	}
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -24,6 +24,8 @@
 	rec     *record
 	minions []*minion
 	trouble bool
+	// relayed says that relays stand between the processes.
+	relayed bool
 }
 
 var cases = map[string]func(s *stage) error{}
@@ -72,6 +74,11 @@
 	if s.fleet, err = newFleet(entryZones); err != nil {
 		return err
 	}
+	if s.relayed {
+		if err := s.startRelays(); err != nil {
+			return err
+		}
+	}
 	if err := s.startAll(); err != nil {
 		return err
 	}
--- a/review/standin-3/minion.go
+++ b/review/standin-3/minion.go
@@ -35,6 +35,9 @@
 	changed  chan struct{}
 	quit     chan struct{}
 	next     int
+	// cut says that nobody reaches the minion and that it reaches nobody; late is an order that it leaves without an answer.
+	cut  bool
+	late *lateOrder
 	// acked is when a process last acknowledged a heartbeat that said that this minion drains.
 	drainAcked time.Time
 }
@@ -105,6 +108,10 @@
 // announce sends a heartbeat to one process after the other until one acknowledges it.
 func (m *minion) announce() {
 	m.mu.Lock()
+	if m.cut {
+		m.mu.Unlock()
+		return
+	}
 	m.sequence++
 	draining := m.state == "draining"
 	body := map[string]any{
@@ -171,15 +178,27 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if m.cut || m.takeLate(r.URL.Path, o, r.RemoteAddr) {
+		// Nothing is answered as long as the caller waits.
+		m.mu.Unlock()
+		<-r.Context().Done()
+		m.mu.Lock()
+		panic(http.ErrAbortHandler)
+	}
+	m.obey(w, r.URL.Path, o, r.RemoteAddr)
+}
+
+// obey carries an order out unless a higher token has been seen; m.mu is held.
+func (m *minion) obey(w http.ResponseWriter, path string, o order, from string) {
 	if o.Token < m.token {
 		m.conflict(w, "fence")
 		return
 	}
 	m.token = o.Token
 	m.lapse()
-	switch r.URL.Path {
+	switch path {
 	case "/api/run-start":
-		m.start(w, o, r.RemoteAddr)
+		m.start(w, o, from)
 	case "/api/run-stop":
 		m.stop(w, o)
 	case "/api/hold":
@@ -301,6 +320,15 @@
 		case <-time.After(time.Duration(min(o.Wait, 2000)) * time.Millisecond):
 		}
 		m.mu.Lock()
+		if m.cut {
+			// The answer does not get out.
+			for m.cut {
+				m.mu.Unlock()
+				time.Sleep(50 * time.Millisecond)
+				m.mu.Lock()
+			}
+			panic(http.ErrAbortHandler)
+		}
 	}
 	running := [][]any{}
 	for k, r := range m.runs {
--- a/review/standin-3/template.go
+++ b/review/standin-3/template.go
@@ -162,14 +162,9 @@
 	return fmt.Sprint(v)
 }
 
-// writeSettings renders a template into a file.
-func writeSettings(template, path string, f fields) error {
-	s, err := render(template, f)
-	if err != nil {
-		return err
-	}
+func writeFile(path, content string) error {
 	if err := os.MkdirAll(filepath.Dir(path), 0o755); err != nil {
 		return err
 	}
-	return os.WriteFile(path, []byte(s), 0o644)
+	return os.WriteFile(path, []byte(content), 0o644)
 }
