--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -112,31 +112,43 @@
 
 // putConfig sends a configuration with one route until it is acknowledged.
 func (s *stage) putConfig(version int, route string, timeoutMs int) error {
-	cfg := map[string]any{
-		"version": version,
-		"routes": []any{map[string]any{
-			"name": route, "host": routeHost, "path_prefix": prefix, "kind": "unsafe", "timeout_ms": timeoutMs, "target_latency_ms": 60,
-			"priority": 0, "service": service, "max_attempts": 2, "stretch": 1.6,
-		}},
+	b := configuration(version, map[string]any{
+		"name": route, "host": routeHost, "path_prefix": prefix, "kind": "unsafe", "timeout_ms": timeoutMs, "target_latency_ms": 60,
+		"priority": 0, "service": service, "max_attempts": 2, "stretch": 1.6,
+	})
+	status := s.order(b)
+	if status != http.StatusOK {
+		return fmt.Errorf("configuration %d got %d", version, status)
+	}
+	s.rec.line("operator: configuration %d with route %s is acknowledged", version, route)
+	return nil
+}
+
+// configuration returns a configuration with some routes to one service.
+func configuration(version int, routes ...any) []byte {
+	b, _ := json.Marshal(map[string]any{ // holds nothing that cannot be encoded
+		"version": version, "routes": routes,
 		"services": []any{map[string]any{
 			"name": service, "health_path": "/health", "connection_limit": 64, "protocol": "h1", "tls_enabled": false,
 			"admission_control": true, "spare": false,
 		}},
 		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-	}
-	b, err := json.Marshal(cfg)
-	if err != nil {
-		return err
-	}
+	})
+	return b
+}
+
+// order sends a configuration to one machine after the other until one gives a clear answer, and returns its status.
+func (s *stage) order(cfg []byte) int {
+	status := 0
 	for i := range 60 {
 		c := s.cores()[i%3]
-		if status, _ := call(http.MethodPut, "http://"+s.control(c)+"/api/config", "", b, time.Second, 0); status == http.StatusOK {
-			s.rec.line("operator: configuration %d with route %s acknowledged by %s", version, route, c.name)
-			return nil
+		status, _ = call(http.MethodPut, "http://"+s.control(c)+"/api/config", "", cfg, time.Second, 0)
+		if status == http.StatusOK || status/100 == 4 {
+			return status
 		}
 		time.Sleep(300 * time.Millisecond)
 	}
-	return fmt.Errorf("configuration %d was not acknowledged", version)
+	return status
 }
 
 // awaitServing waits until an entry machine is ready and has served a job.
