Bound what one job's steps cost the hosts that read and plan it

Cause: the forecast walked every path through the steps that depend on a step (job.chainAfter), for each waiting step, on arrival and with every tick, on the control goroutine: 4^15 paths.

What does not change is computed once now, on arrival, in time linear in the steps and their dependencies (convoy/shape.go): sums, the critical path, the longest path behind each step, who depends on whom. What is left of a job is counted as its tasks start and end (progress.go) instead of being found anew for each event.

--- a/src/charter/config.go
+++ b/src/charter/config.go
@@ -48,6 +48,7 @@
 	Source []byte
 
 	byHost map[string][]indexedRoute
+	served map[servedRoute]bool
 	// encoded is what Decode read the configuration from.
 	encoded []byte
 }
--- a/src/charter/match.go
+++ b/src/charter/match.go
@@ -13,6 +13,9 @@
 	prefix string
 }
 
+// servedRoute names a route and the pool that serves it; several routes may have one name.
+type servedRoute struct{ name, pool string }
+
 // routeKey is what tells routes apart: two of one key cannot be told apart by any request.
 type routeKey struct{ host, prefix string }
 
@@ -45,10 +48,11 @@
 	return clean
 }
 
-// BuildIndex prepares the configuration for Match.
+// BuildIndex prepares the configuration for Match and HasRoute.
 func (c *Config) BuildIndex() {
-	c.byHost = make(map[string][]indexedRoute)
+	c.byHost, c.served = make(map[string][]indexedRoute), make(map[servedRoute]bool, len(c.Routes))
 	for _, r := range c.Routes {
+		c.served[servedRoute{name: r.Name, pool: r.Pool}] = true
 		key := keyOf(r)
 		c.byHost[key.host] = append(c.byHost[key.host], indexedRoute{route: r, prefix: key.prefix})
 	}
@@ -57,6 +61,11 @@
 	}
 }
 
+// HasRoute reports whether a route of a name is served by a pool.
+func (c *Config) HasRoute(name, pool string) bool {
+	return c.served[servedRoute{name: name, pool: pool}]
+}
+
 // Match returns the route of a host, as a caller spells it, with the longest prefix of an unescaped path, and the rest of the path
 // after that prefix.
 func (c *Config) Match(host, path string) (Route, string, bool) {
--- a/src/convoy/ahead.go
+++ b/src/convoy/ahead.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"math"
 	"slices"
 	"time"
 
@@ -14,8 +13,7 @@
 
 // aheadRound is one round of placement by PlaceAhead.
 type aheadRound struct {
-	// smallest is the smallest CPU request, in thousandths of a core, that found no worker in this round.
-	smallest int64
+	placementRound
 	// viewed says that the workers have been described for this round's gaps.
 	viewed bool
 }
@@ -24,12 +22,12 @@
 // sizes. Large tasks that find no room get a gap kept, into which others are backfilled. It answers overload by tasks of uneven size:
 // the small ones would take every gap and the large ones never start.
 func (p *Planner) placeAhead(now time.Time) {
-	if !p.mayPlace(now) {
+	r := aheadRound{placementRound: p.newRound(now)}
+	if !p.mayPlace(r.largest) {
 		return
 	}
 	p.keepSorted(now)
 	p.gaps.Reset(nil)
-	r := aheadRound{smallest: math.MaxInt64}
 	// A job that ends meanwhile leaves the queue.
 	window := append([]*job(nil), p.queue[:min(len(p.queue), queueWindow)]...)
 	for _, j := range window {
@@ -37,39 +35,36 @@
 			p.placeJobAhead(now, j, &r)
 		}
 	}
-	p.queue = slices.DeleteFunc(p.queue, func(j *job) bool { return j.ended || j.waiting == 0 })
+	p.queue = slices.DeleteFunc(p.queue, func(j *job) bool { return j.ended || j.waiting.count == 0 })
 }
 
 func (p *Planner) placeJobAhead(now time.Time, j *job, r *aheadRound) {
-	for i, s := range j.Steps {
-		if j.remaining[i] == 0 || !j.stepReady(i) {
-			continue
+	for k := 0; k < len(j.window()); {
+		step := int(j.ready[k])
+		for j.waitingIn(step) > 0 && p.placeTaskAhead(now, j, step, r) {
 		}
-		for _, t := range j.tasks[i] {
-			if t.done || t.run != nil {
-				continue
-			}
-			if p.placeTaskAhead(now, j, s, t, r) {
-				continue
-			}
-			if j.ended || !p.keepGap(now, j, i, r) {
-				break
-			}
+		left := j.waitingIn(step)
+		for n := left; n > 0 && !j.ended && p.keepGap(now, j, step, r); n-- {
 		}
 		if j.ended {
 			return
 		}
+		if left > 0 {
+			k++
+		}
 	}
 }
 
-// placeTaskAhead starts a task and reports whether it found a worker.
-func (p *Planner) placeTaskAhead(now time.Time, j *job, s Step, t *task, r *aheadRound) bool {
-	if s.Need.Milli >= r.smallest {
+// placeTaskAhead starts the first waiting task of a step and reports whether it found a worker.
+func (p *Planner) placeTaskAhead(now time.Time, j *job, step int, r *aheadRound) bool {
+	s := j.Steps[step]
+	if !r.mayFit(s) {
 		return false
 	}
+	t := j.firstWaiting(step)
 	w := p.pickWorker(now, j, s, t)
+	r.note(s, w)
 	if w == nil {
-		r.smallest = s.Need.Milli
 		return false
 	}
 	if late, ok := p.mayStartLate(now, j.Job); ok && !j.started {
@@ -86,15 +81,18 @@
 
 // keepGap keeps the room of a worker for one task of a step that found none.
 func (p *Planner) keepGap(now time.Time, j *job, step int, r *aheadRound) bool {
+	s := j.Steps[step]
+	if !p.sizes.Large(s.Need.Milli) {
+		return false
+	}
 	if !r.viewed {
 		r.viewed = true
 		p.viewWorkers(now)
 		p.gaps.Reset(p.outlook.workers)
 	}
-	s := j.Steps[step]
 	k, at, ok := p.gaps.Keep(stowage.Batch{
 		Pool: j.Pool, Label: s.Label, Need: stowage.Room(s.Need), Time: p.routeStats(j.Route).predict(s.Estimate) + runOverhead,
-		After: p.routeStats(j.Route).predict(j.chainAfter(step)), Latest: p.objective(j).Sub(now),
+		After: p.routeStats(j.Route).predict(j.shape.after[step]), Latest: p.objective(j).Sub(now),
 	}, &p.sizes)
 	if ok && !j.gapLogged {
 		j.gapLogged = true
@@ -109,19 +107,11 @@
 	return p.gaps.Kept() == 0 || w.view < 0 || p.gaps.Admits(w.view, stowage.Room(w.freeCapacity()), stowage.Room(s.Need), takes)
 }
 
-// mayPlace reports whether the largest room left may hold the smallest waiting task; most steps of a loaded planner end here.
-func (p *Planner) mayPlace(now time.Time) bool {
-	largest := int64(0)
-	for _, w := range p.sortedFleet() {
-		if free := w.freeCapacity().Milli; free > largest && w.acceptsTasks(now) {
-			largest = free
-		}
-	}
+// mayPlace reports whether the largest room left may hold the smallest task of a waiting job; most steps of a loaded planner end here.
+func (p *Planner) mayPlace(largest int64) bool {
 	for _, j := range p.queue {
-		for _, s := range j.Steps {
-			if s.Need.Milli <= largest {
-				return true
-			}
+		if j.shape.smallest <= largest {
+			return true
 		}
 	}
 	return false
--- a/src/convoy/arrivals.go
+++ b/src/convoy/arrivals.go
@@ -69,10 +69,9 @@
 
 func (p *Planner) addArrival(j *job, from time.Duration) {
 	o := &p.outlook
-	for _, s := range j.Steps {
-		if len(s.After) > 0 {
-			continue
-		}
+	first := j.shape.first
+	for _, i := range first[:min(len(first), stepWindow)] {
+		s := j.Steps[i]
 		o.owners = append(o.owners, nil)
 		o.batches = append(o.batches, stowage.Batch{
 			Pool: j.Pool, Label: s.Label, Count: s.Count, Need: stowage.Room(s.Need),
--- a/src/convoy/claim.go
+++ b/src/convoy/claim.go
@@ -107,7 +107,7 @@
 		return
 	}
 	for _, j := range p.queue {
-		if j.started && j.waiting > 0 && w.phase == phaseReady {
+		if j.started && j.waiting.count > 0 && w.phase == phaseReady {
 			return
 		}
 	}
--- a/src/convoy/emptied.go
+++ b/src/convoy/emptied.go
@@ -70,9 +70,9 @@
 
 // isStranded reports whether a task of the job that is neither done nor at work fits no worker that tasks may be started on.
 func (p *Planner) isStranded(j *job) bool {
+	f := p.newFitter(j)
 	for i, s := range j.Steps {
-		waits := slices.ContainsFunc(j.tasks[i], func(t *task) bool { return !t.done && t.run == nil })
-		if waits && !p.everFits(j, s) {
+		if j.waitingIn(i) > 0 && !f.fits(s) {
 			return true
 		}
 	}
--- a/src/convoy/hold.go
+++ b/src/convoy/hold.go
@@ -158,9 +158,16 @@
 }
 
 func sortedRuns(w *worker) []*run {
-	out := make([]*run, 0, len(w.runs))
+	return runsWith(w, func(*run) bool { return true })
+}
+
+// runsWith returns the runs of a worker that meet a condition, in order.
+func runsWith(w *worker, condition func(r *run) bool) []*run {
+	var out []*run
 	for _, r := range w.runs {
-		out = append(out, r)
+		if condition(r) {
+			out = append(out, r)
+		}
 	}
 	slices.SortFunc(out, func(a, b *run) int { return strings.Compare(a.key.Task, b.key.Task) })
 	return out
--- a/src/convoy/job.go
+++ b/src/convoy/job.go
@@ -65,39 +65,8 @@
 	Pinned bool
 	// Deadline is when the caller stops waiting.
 	Deadline time.Time
-}
-
-// Tasks returns the number of tasks of the job.
-func (j Job) Tasks() int {
-	n := 0
-	for _, s := range j.Steps {
-		n += s.Count
-	}
-	return n
-}
-
-// Work returns the estimated CPU time of the job in core-seconds.
-func (j Job) Work() float64 {
-	sum := 0.0
-	for _, s := range j.Steps {
-		sum += float64(s.Count) * s.Estimate.Seconds() * float64(s.Need.Milli) / 1000
-	}
-	return sum
-}
-
-// Chain returns the estimated run time of the critical path through the steps.
-func (j Job) Chain() time.Duration {
-	ends := make([]time.Duration, len(j.Steps))
-	longest := time.Duration(0)
-	for i, s := range j.Steps {
-		begin := time.Duration(0)
-		for _, a := range s.After {
-			begin = max(begin, ends[a])
-		}
-		ends[i] = begin + s.Estimate
-		longest = max(longest, ends[i])
-	}
-	return longest
+	// shape is what follows from the steps, nil until it has been measured.
+	shape *shape
 }
 
 // Outcome is the outcome of a job.
--- a/src/convoy/judge.go
+++ b/src/convoy/judge.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 )
 
@@ -16,8 +17,9 @@
 
 // checkAdmission decides on arrival whether a job can finish in time.
 func (p *Planner) checkAdmission(now time.Time, j *job) (refusal, bool) {
+	f := p.newFitter(j)
 	for _, s := range j.Steps {
-		if len(p.workers) > 0 && !p.everFits(j, s) {
+		if len(p.workers) > 0 && !f.fits(s) {
 			reason := fmt.Sprintf("no worker of pool %s has the room or the label that a task needs%s", j.Pool, p.emptiedNote())
 			return refusal{cause: CauseNeverFits, reason: reason, retry: maxRetryDelay, neverFits: true}, false
 		}
@@ -49,11 +51,7 @@
 		if p.compareJobs(now, q, j) > 0 {
 			continue
 		}
-		for i, s := range q.Steps {
-			if q.stepReady(i) {
-				aheadTime += float64(min(q.waiting, s.Count)) * float64(p.routeStats(q.Route).predict(s.Estimate))
-			}
-		}
+		aheadTime += float64(p.routeStats(q.Route).predict(time.Duration(q.waiting.time)))
 	}
 	return time.Duration(aheadTime / float64(slots))
 }
@@ -70,16 +68,40 @@
 	return n
 }
 
-func (p *Planner) everFits(j *job, s Step) bool {
-	for _, w := range p.workers {
-		if w.emptied || (w.target.Expired && w.hasOverdueStartsOnly()) {
+// fitter tells which steps of a job fit on an idle worker. It looks at the workers once for each label.
+type fitter struct {
+	planner *Planner
+	pool    string
+	// largest holds, by label, the capacities of the workers with that label, without those that another one exceeds.
+	largest map[string][]Resources
+}
+
+func (p *Planner) newFitter(j *job) fitter {
+	return fitter{planner: p, pool: j.Pool, largest: make(map[string][]Resources)}
+}
+
+func (f fitter) fits(s Step) bool {
+	capacities, known := f.largest[s.Label]
+	if !known {
+		capacities = f.capacities(s.Label)
+		f.largest[s.Label] = capacities
+	}
+	return slices.ContainsFunc(capacities, s.Need.Fits)
+}
+
+func (f fitter) capacities(label string) []Resources {
+	var out []Resources
+	for _, w := range f.planner.workers {
+		if w.emptied || (w.target.Expired && w.hasOverdueStartsOnly()) || w.target.Pool != f.pool || !w.hasLabel(label) {
 			continue
 		}
-		if w.target.Pool == j.Pool && s.Need.Fits(w.target.Capacity) && w.hasLabel(s.Label) {
-			return true
+		capacity := w.target.Capacity
+		if slices.ContainsFunc(out, capacity.Fits) {
+			continue
 		}
+		out = append(slices.DeleteFunc(out, func(o Resources) bool { return o.Fits(capacity) }), capacity)
 	}
-	return false
+	return out
 }
 
 // expireJobs refuses the jobs that have not started and can no longer finish in time, and gives up the started ones whose
--- a/src/convoy/latestart.go
+++ b/src/convoy/latestart.go
@@ -58,9 +58,9 @@
 		}
 		return
 	}
-	for _, tasks := range j.tasks {
-		for _, t := range tasks {
-			if t.run != nil && t.run.mayComeLate() {
+	for _, w := range p.workers {
+		for _, r := range w.runs {
+			if r.job == j && r.task != nil && r.mayComeLate() {
 				p.noteLateStart(now, j)
 				return
 			}
--- a/src/convoy/order.go
+++ b/src/convoy/order.go
@@ -72,7 +72,7 @@
 
 // predictChain returns the predicted run time of a job's critical path on workers of speed 1.
 func (p *Planner) predictChain(j *job) time.Duration {
-	return p.routeStats(j.Route).predict(j.chain)
+	return p.routeStats(j.Route).predict(j.Chain())
 }
 
 // usefulUntil returns the time after which an answer is worthless: the deadline, or the multiple lateFactor of the latency
@@ -117,7 +117,7 @@
 
 // missesObjective reports whether a job can no longer meet its objective.
 func (p *Planner) missesObjective(now time.Time, j *job) bool {
-	if j.started && j.waiting < j.Tasks() {
+	if j.started && j.waiting.count < j.Tasks() {
 		return false
 	}
 	return now.Add(p.predictChain(j)).After(p.objective(j))
--- a/src/convoy/outlook.go
+++ b/src/convoy/outlook.go
@@ -193,40 +193,30 @@
 	return max(r.predicted-elapsed, time.Duration(overrunShare*float64(elapsed)), runOverhead)
 }
 
-// addBatches adds the waiting tasks of a job to the forecast.
+// addBatches adds the waiting tasks of a job to the forecast. The steps behind its window count as one with tasks of their mean size.
 func (p *Planner) addBatches(now time.Time, j *job) {
-	o := &p.outlook
-	k := p.routeStats(j.Route)
-	for i, s := range j.Steps {
-		if j.remaining[i] == 0 || !j.stepReady(i) {
-			continue
-		}
-		waiting := 0
-		for _, t := range j.tasks[i] {
-			if !t.done && t.run == nil {
-				waiting++
-			}
-		}
-		if waiting == 0 {
-			continue
-		}
-		o.owners = append(o.owners, j)
-		o.batches = append(o.batches, stowage.Batch{
-			Pool: j.Pool, Label: s.Label, Count: waiting, Need: stowage.Room(s.Need), Time: k.predict(s.Estimate) + runOverhead,
-			After: k.predict(j.chainAfter(i)), Latest: p.refuseAfter(j).Sub(now), Started: j.started,
-		})
+	rest := j.waiting
+	for _, i := range j.window() {
+		s := j.Steps[i]
+		waiting := j.waitingIn(int(i))
+		rest.add(-waiting, s)
+		p.addBatch(now, j, int(i), waiting, s)
+	}
+	if n := int64(rest.count); n > 0 {
+		mean := Resources{Milli: rest.need.Milli / n, Memory: rest.need.Memory / n, Accelerators: rest.need.Accelerators / n}
+		p.addBatch(now, j, int(j.ready[stepWindow]), rest.count, Step{Need: mean, Estimate: time.Duration(rest.time / n)})
 	}
 }
 
-// chainAfter returns the estimated run time of the longest path through the steps that depend on one.
-func (j *job) chainAfter(step int) time.Duration {
-	longest := time.Duration(0)
-	for i := step + 1; i < len(j.Steps); i++ {
-		if slices.Contains(j.Steps[i].After, step) {
-			longest = max(longest, j.Steps[i].Estimate+j.chainAfter(i))
-		}
-	}
-	return longest
+// addBatch adds waiting tasks like those of s, which end when the steps after a step of the job begin.
+func (p *Planner) addBatch(now time.Time, j *job, step, waiting int, s Step) {
+	o := &p.outlook
+	k := p.routeStats(j.Route)
+	o.owners = append(o.owners, j)
+	o.batches = append(o.batches, stowage.Batch{
+		Pool: j.Pool, Label: s.Label, Count: waiting, Need: stowage.Room(s.Need), Time: k.predict(s.Estimate) + runOverhead,
+		After: k.predict(j.shape.after[step]), Latest: p.refuseAfter(j).Sub(now), Started: j.started,
+	})
 }
 
 // keepSorted sorts the queue unless it is in order, as it mostly is.
--- a/src/convoy/place.go
+++ b/src/convoy/place.go
@@ -22,18 +22,60 @@
 	p.redirectJobs(now)
 }
 
+const (
+	// maxRoundStarts bounds the tasks that one placement round starts; the others have their turn with the next event.
+	maxRoundStarts = 256
+	// maxRoundMisses bounds the searches of one round that find no worker.
+	maxRoundMisses = 256
+	// maxWorkerRuns bounds the runs of a worker, each of which costs its planner processor time with every event; two orders at a time
+	// for each of the usual connections to a worker.
+	maxWorkerRuns = 128
+)
+
+// placementRound is what one round of placement has found out, and what it may still do.
+type placementRound struct {
+	// largest is the most CPU that a worker had left when the round began, smallest the least CPU request that has found no worker,
+	// both in thousandths of a core.
+	largest, smallest int64
+	starts, misses    int
+}
+
+func (p *Planner) newRound(now time.Time) placementRound {
+	r := placementRound{largest: -1, smallest: math.MaxInt64, starts: maxRoundStarts, misses: maxRoundMisses}
+	for _, w := range p.sortedFleet() {
+		if free := w.freeCapacity().Milli; free > r.largest && w.acceptsTasks(now) {
+			r.largest = free
+		}
+	}
+	return r
+}
+
+// mayFit reports whether it is worth looking for a worker for a task of a step.
+func (r *placementRound) mayFit(s Step) bool {
+	return s.Need.Milli < r.smallest && s.Need.Milli <= r.largest && r.starts > 0 && r.misses > 0
+}
+
+// note takes the worker that was found for a task of a step, or nil.
+func (r *placementRound) note(s Step, w *worker) {
+	if w == nil {
+		r.smallest = s.Need.Milli
+		r.misses--
+		return
+	}
+	r.starts--
+}
+
 // placeNext starts waiting tasks in the order of the queue, each on the worker that suits it best.
 func (p *Planner) placeNext(now time.Time) {
 	p.sortQueue(now)
-	// smallest is the smallest CPU request, in thousandths of a core, that found no worker in this round.
-	smallest := int64(math.MaxInt64)
+	r := p.newRound(now)
 	for _, j := range append([]*job(nil), p.queue...) {
 		if j.ended || p.orphanCounts[j.ID] > 0 || !p.isAwaited(now, j) {
 			continue
 		}
-		p.placeJob(now, j, &smallest)
+		p.placeJob(now, j, &r)
 	}
-	p.queue = slices.DeleteFunc(p.queue, func(j *job) bool { return j.ended || j.waiting == 0 })
+	p.queue = slices.DeleteFunc(p.queue, func(j *job) bool { return j.ended || j.waiting.count == 0 })
 }
 
 // logQueued logs once for each job that it has to wait, and behind how many tasks.
@@ -45,22 +87,19 @@
 			p.logDecision(DecisionQueued, j.ID, "",
 				fmt.Sprintf("%d tasks queued ahead of its %d tasks; %d slots", ahead, j.Tasks(), p.Slots()))
 		}
-		ahead += j.waiting
+		ahead += j.waiting.count
 	}
 }
 
-func (p *Planner) placeJob(now time.Time, j *job, smallest *int64) {
-	for i, s := range j.Steps {
-		if j.remaining[i] == 0 || !j.stepReady(i) || s.Need.Milli >= *smallest {
-			continue
-		}
-		for _, t := range j.tasks[i] {
-			if t.done || t.run != nil {
-				continue
-			}
+func (p *Planner) placeJob(now time.Time, j *job, r *placementRound) {
+	for k := 0; k < len(j.window()); {
+		step := int(j.ready[k])
+		s := j.Steps[step]
+		for j.waitingIn(step) > 0 && r.mayFit(s) {
+			t := j.firstWaiting(step)
 			w := p.pickWorker(now, j, s, t)
+			r.note(s, w)
 			if w == nil {
-				*smallest = min(*smallest, s.Need.Milli)
 				break
 			}
 			if late, ok := p.mayStartLate(now, j.Job); ok && !j.started {
@@ -69,6 +108,9 @@
 			}
 			p.startRun(now, w, t, p.predictRunTime(now, w, j, s))
 		}
+		if j.waitingIn(step) > 0 {
+			k++
+		}
 	}
 }
 
@@ -121,7 +163,7 @@
 	if w.target.Pool != j.Pool || !w.acceptsTasks(now) || !s.Need.Fits(w.freeCapacity()) || !w.hasLabel(s.Label) {
 		return false
 	}
-	if w.handingOver && !j.started {
+	if (w.handingOver && !j.started) || len(w.runs) >= maxWorkerRuns {
 		return false
 	}
 	if w.failuresInRow >= failureThreshold && len(w.runs) > 0 {
--- a/src/convoy/planner.go
+++ b/src/convoy/planner.go
@@ -14,7 +14,6 @@
 	step      int
 	index     int
 	name      string
-	done      bool
 	run       *run
 	runNumber int64
 	failures  int
@@ -27,10 +26,13 @@
 // job is a pending job.
 type job struct {
 	Job
-	hosts     []string
-	tasks     [][]*task
-	remaining []int
-	waiting   int
+	hosts []string
+	// left is the number of tasks that are not done, progress what is left of each step.
+	left     int
+	progress []stepProgress
+	// ready holds the steps with tasks that could start now, in order, and waiting sums those tasks up.
+	ready   []int32
+	waiting waitingTasks
 	// started says that the start of one of its tasks has been ordered.
 	started bool
 	ended   bool
@@ -38,8 +40,6 @@
 	// heardAt is when an entry host that waits for the job was last known to be alive.
 	heardAt      time.Time
 	queuedLogged bool
-	// chain is the estimated run time of the critical path.
-	chain time.Duration
 	// forecast is when its first task was expected to start, zero if that was not forecast; gapLogged says that a gap was kept for it.
 	forecast  time.Time
 	gapLogged bool
@@ -53,7 +53,10 @@
 }
 
 // Chain returns the estimated run time of the critical path through the steps.
-func (j *job) Chain() time.Duration { return j.chain }
+func (j *job) Chain() time.Duration { return j.shape.chain }
+
+// Tasks returns the number of tasks.
+func (j *job) Tasks() int { return j.shape.tasks }
 
 type result struct {
 	outcome Outcome
@@ -214,7 +217,7 @@
 func (p *Planner) Waiting() int {
 	n := 0
 	for _, j := range p.queue {
-		n += j.waiting
+		n += j.waiting.count
 	}
 	return n
 }
--- a/src/convoy/redirect.go
+++ b/src/convoy/redirect.go
@@ -88,7 +88,7 @@
 	rate := p.endRate()
 	ahead := 0
 	for _, j := range append([]*job(nil), p.queue...) {
-		ahead += j.waiting
+		ahead += j.waiting.count
 		if j.started || j.Pinned || now.Sub(j.Arrived) < redirectDelay || waitFor(ahead, rate) < minMoveWait || !j.EndsUseful(now, minMoveWait) {
 			continue
 		}
@@ -97,7 +97,7 @@
 			continue
 		}
 		targets[i].Take(now, j.Job)
-		ahead -= j.waiting
+		ahead -= j.waiting.count
 		p.logDecision(DecisionMoved, j.ID, "", targets[i].Name+" has room")
 		p.endJob(now, j, Redirected, CauseRedirected, "another planner has room", 0)
 	}
@@ -231,10 +231,10 @@
 func (p *Planner) expectedWait(now time.Time, in Job, rate float64) time.Duration {
 	ahead := 0
 	if len(p.queue) > 0 {
-		j := newJob(in)
+		j := &job{Job: in}
 		place, _ := slices.BinarySearchFunc(p.queue, j, func(q, j *job) int { return p.compareJobs(now, q, j) })
 		for _, q := range p.queue[:place] {
-			ahead += q.waiting
+			ahead += q.waiting.count
 		}
 	}
 	milli, tasks := in.firstTasks()
--- a/src/convoy/remote.go
+++ b/src/convoy/remote.go
@@ -52,11 +52,7 @@
 // Take records that a job was sent to the planner.
 func (r *RemoteRoom) Take(now time.Time, j Job) {
 	milli, tasks := j.firstTasks()
-	work := time.Duration(0)
-	for _, s := range j.Steps {
-		work += time.Duration(s.Count) * s.Estimate
-	}
-	r.taken = append(r.taken, takenRoom{at: now, milli: milli, tasks: tasks, work: work})
+	r.taken = append(r.taken, takenRoom{at: now, milli: milli, tasks: tasks, work: j.measure().taskTime})
 }
 
 // Spare returns how many tasks as large as the job's largest could start at once beyond those of the job; it may be negative.
@@ -86,16 +82,6 @@
 	return wait + work/time.Duration(max(1, r.Slots))
 }
 
-// firstTasks returns the number of tasks that start first, and the largest of their CPU requests.
-func (j Job) firstTasks() (milli int64, tasks int) {
-	for _, s := range j.Steps {
-		if len(s.After) == 0 {
-			milli, tasks = max(milli, s.Need.Milli), tasks+s.Count
-		}
-	}
-	return milli, tasks
-}
-
 // EndsInTime reports whether a job that gets its room after a wait ends by its objective, going by the caller's estimate.
 func (j Job) EndsInTime(now time.Time, wait time.Duration) bool {
 	return !now.Add(wait + j.Chain()).After(j.Arrived.Add(j.aim()))
--- a/src/convoy/run.go
+++ b/src/convoy/run.go
@@ -37,7 +37,7 @@
 
 // requeue puts a task back into the queue.
 func (p *Planner) requeue(t *task) {
-	t.job.waiting++
+	t.job.putBack(t)
 	for _, j := range p.queue {
 		if j == t.job {
 			return
@@ -67,10 +67,8 @@
 }
 
 func (p *Planner) retryStops(now time.Time, w *worker) {
-	for _, r := range sortedRuns(w) {
-		if r.stopSentAt.IsZero() || !r.stopAckedAt.IsZero() {
-			continue
-		}
+	open := func(r *run) bool { return !r.stopSentAt.IsZero() && r.stopAckedAt.IsZero() }
+	for _, r := range runsWith(w, open) {
 		if r.overdue {
 			p.repeatOverdueStop(now, w, r)
 		} else if now.Sub(r.stopSentAt) >= stopRetryInterval {
@@ -117,10 +115,11 @@
 // removeStoppedRuns removes the unconfirmed runs whose stop was acknowledged so long ago that they must have ended.
 func (p *Planner) removeStoppedRuns(now time.Time, w *worker) {
 	limit := time.Duration(clockDriftFactor*float64(p.tuning.StopTime)) + leaseMargin
-	for _, r := range sortedRuns(w) {
-		if r.state == runUnconfirmed && !r.stopAckedAt.IsZero() && now.Sub(r.stopAckedAt) > limit {
-			p.removeRun(now, w, r, true)
-		}
+	stopped := func(r *run) bool {
+		return r.state == runUnconfirmed && !r.stopAckedAt.IsZero() && now.Sub(r.stopAckedAt) > limit
+	}
+	for _, r := range runsWith(w, stopped) {
+		p.removeRun(now, w, r, true)
 	}
 }
 
@@ -166,19 +165,13 @@
 	k.updateFactor(step.Estimate, normalized)
 	t.job.measured[t.step] = max(t.job.measured[t.step], normalized)
 	w.failuresInRow, w.lastFailedJob = 0, ""
-	t.done = true
 	j := t.job
-	j.remaining[t.step]--
-	if j.remaining[t.step] > 0 {
-		return
+	if j.complete(t) {
+		p.queueReadyTasks(j)
 	}
-	for _, left := range j.remaining {
-		if left > 0 {
-			p.queueReadyTasks(j)
-			return
-		}
+	if j.left == 0 {
+		p.endJob(now, j, Completed, CauseNone, "", 0)
 	}
-	p.endJob(now, j, Completed, CauseNone, "", 0)
 }
 
 // taskFailed counts a failure of the task, and of the worker if its previous failure was of another job.
--- a/src/convoy/shares.go
+++ b/src/convoy/shares.go
@@ -121,11 +121,12 @@
 
 // measuredObjective returns the time by which a completed job should have been, by what its tasks have taken.
 func (j *job) measuredObjective() time.Time {
-	measured := Job{Steps: slices.Clone(j.Steps)}
+	steps := slices.Clone(j.Steps)
 	for i, took := range j.measured {
-		measured.Steps[i].Estimate = took
+		steps[i].Estimate = took
 	}
-	return j.Arrived.Add(time.Duration(max(1, j.Stretch)*float64(measured.Chain())) + j.TargetLatency)
+	chain := fillPaths(steps, make([]time.Duration, len(steps)))
+	return j.Arrived.Add(time.Duration(max(1, j.Stretch)*float64(chain)) + j.TargetLatency)
 }
 
 // updateShares lets former answers lose weight, and finds the routes and sizes that have to catch up.
--- a/src/convoy/start.go
+++ b/src/convoy/start.go
@@ -8,6 +8,7 @@
 // startRun orders the start of a task on a worker.
 func (p *Planner) startRun(now time.Time, w *worker, t *task, expected time.Duration) {
 	step := t.job.Steps[t.step]
+	t.job.begin(t)
 	t.runNumber++
 	r := &run{
 		key: RunKey{Task: t.name, Run: t.runNumber}, task: t, job: t.job, token: w.token, address: w.target.Address,
@@ -23,7 +24,6 @@
 			Expected: t.job.forecast.Sub(t.job.Arrived), Forecast: !t.job.forecast.IsZero(),
 		})
 	}
-	t.job.waiting--
 	p.logDecision(DecisionPlaced, t.job.ID, w.target.ID, fmt.Sprintf(
 		"task %d.%d run %d started after %s, predicted run time %s at speed %.2f, %d other runs on the worker, token %d",
 		t.step, t.index, t.runNumber, now.Sub(t.job.Arrived).Round(time.Millisecond), expected.Round(time.Millisecond),
@@ -155,12 +155,12 @@
 
 // repeatOverdueStarts repeats the starts that were refused or given up, and at a worker that loses orders those that are overdue.
 func (p *Planner) repeatOverdueStarts(now time.Time, w *worker) {
-	for _, r := range sortedRuns(w) {
+	for _, r := range runsWith(w, func(r *run) bool { return r.state == runStarting }) {
 		interval := overdueOrder
 		if w.mayStillStart(r) {
 			interval = min(time.Duration(r.orders)*overdueOrder, maxRepeatInterval)
 		}
-		if r.state == runStarting && now.Sub(r.orderedAt) >= interval && (r.unsettled() == 0 || w.losesOrders(now)) {
+		if now.Sub(r.orderedAt) >= interval && (r.unsettled() == 0 || w.losesOrders(now)) {
 			p.repeatStart(now, w, r)
 		}
 	}
--- a/src/convoy/submit.go
+++ b/src/convoy/submit.go
@@ -7,6 +7,7 @@
 
 // submit accepts a job, attaches the caller to the pending job of the same id, or refuses the job at once.
 func (p *Planner) submit(now time.Time, in Job) {
+	in = in.Measured()
 	if pending, ok := p.jobs[in.ID]; ok {
 		if !slices.Contains(pending.hosts, in.Host) {
 			pending.hosts = append(pending.hosts, in.Host)
@@ -60,52 +61,23 @@
 }
 
 func newJob(in Job) *job {
+	in = in.Measured()
 	j := &job{
-		Job: in, hosts: []string{in.Host}, remaining: make([]int, len(in.Steps)), chain: in.Chain(),
+		Job: in, hosts: []string{in.Host}, left: in.Tasks(), progress: make([]stepProgress, len(in.Steps)),
 		measured: make([]time.Duration, len(in.Steps)),
 	}
 	for i, s := range in.Steps {
-		tasks := make([]*task, s.Count)
-		for k := range tasks {
-			tasks[k] = &task{job: j, step: i, index: k}
-			tasks[k].name = tasks[k].ref().String()
-		}
-		j.tasks = append(j.tasks, tasks)
-		j.remaining[i] = s.Count
-	}
-	j.countWaiting()
-	return j
-}
-
-// countWaiting counts the tasks that could start now.
-func (j *job) countWaiting() {
-	j.waiting = 0
-	for i := range j.Steps {
-		if !j.stepReady(i) {
-			continue
-		}
-		for _, t := range j.tasks[i] {
-			if !t.done && t.run == nil {
-				j.waiting++
-			}
-		}
+		j.progress[i] = stepProgress{unmet: in.shape.needs[i], left: s.Count}
 	}
-}
-
-// stepReady reports whether all steps that this one depends on are done.
-func (j *job) stepReady(step int) bool {
-	for _, a := range j.Steps[step].After {
-		if j.remaining[a] > 0 {
-			return false
-		}
+	for _, i := range in.shape.first {
+		j.enable(int(i))
 	}
-	return true
+	return j
 }
 
-// queueReadyTasks queues the job if tasks of it have become ready to start.
+// queueReadyTasks queues the job if tasks of it can be started.
 func (p *Planner) queueReadyTasks(j *job) {
-	j.countWaiting()
-	if j.waiting > 0 && !slices.Contains(p.queue, j) {
+	if j.waiting.count > 0 && !slices.Contains(p.queue, j) {
 		p.enqueue(j)
 	}
 }
@@ -138,13 +110,11 @@
 		return
 	}
 	for _, w := range p.sortedWorkers() {
-		for _, r := range sortedRuns(w) {
-			if r.task != nil && r.task.job == j {
-				r.task = nil
-				p.orphanCounts[j.ID]++
-				if r.state != runStarting {
-					p.orderStop(now, w, r)
-				}
+		for _, r := range runsWith(w, func(r *run) bool { return r.task != nil && r.job == j }) {
+			r.task = nil
+			p.orphanCounts[j.ID]++
+			if r.state != runStarting {
+				p.orderStop(now, w, r)
 			}
 		}
 	}
--- a/src/convoy/urgency.go
+++ b/src/convoy/urgency.go
@@ -44,7 +44,7 @@
 	if j.Deadline.Before(target) {
 		target = j.Deadline
 	}
-	inWork := j.started && j.waiting < j.Tasks()
+	inWork := j.started && j.waiting.count < j.Tasks()
 	margin := min(time.Duration(startMargin*float64(chain)), max(0, target.Sub(j.Arrived)-chain)/2)
 	*s = standing{
 		at: now, excess: j.excess, waiting: !j.started, rank: j.Priority, small: !shares.sizes[j.size].short,
--- a/src/convoy/urgency_test.go
+++ b/src/convoy/urgency_test.go
@@ -53,7 +53,7 @@
 			want: []string{"short", "usual"},
 		},
 		"a started job goes first, as it holds room": {
-			jobs: []*job{queuedJob(now, "high", "r0", 0, nil), queuedJob(now, "started", "r2", 2, func(j *job) { j.started, j.waiting = true, 1 })},
+			jobs: []*job{queuedJob(now, "high", "r0", 0, nil), queuedJob(now, "started", "r2", 2, func(j *job) { j.started, j.waiting.count = true, 1 })},
 			want: []string{"started", "high"},
 		},
 		"a route below its floor goes before all priorities": {
--- a/src/convoy/yard_test.go
+++ b/src/convoy/yard_test.go
@@ -33,6 +33,8 @@
 	// and never answered.
 	lossRate, lateRate float64
 	rejected           int
+	// longestStep is the longest time that a planner has taken for an event.
+	longestStep time.Duration
 	// taskDurations and taskNeeds are the run times in milliseconds and the CPU requests of tasks by name, where they differ
 	// from the defaults.
 	taskDurations map[string]float64
@@ -170,7 +172,10 @@
 // step passes an event to a planner and executes its actions.
 func (sim *simulation) step(i int, ev Event) {
 	sim.noteTold(i, ev)
-	for _, a := range sim.planners[i].Step(sim.now, ev) {
+	began := time.Now()
+	actions := sim.planners[i].Step(sim.now, ev)
+	sim.longestStep = max(sim.longestStep, time.Since(began))
+	for _, a := range actions {
 		sim.execute(i, a)
 	}
 	sim.reportLateStarts(i)
--- a/src/stowage/ends.go
+++ b/src/stowage/ends.go
@@ -2,10 +2,11 @@
 
 import "time"
 
-// ending is room that becomes free at a time.
+// ending is room that becomes free at a time: that of several equal tasks, or of none if a worker begins to take tasks.
 type ending struct {
 	at     time.Duration
 	worker int32
+	tasks  int32
 	need   Room
 }
 
--- a/src/stowage/forecast.go
+++ b/src/stowage/forecast.go
@@ -32,6 +32,12 @@
 // scanLimit bounds how many waiting batches are tried when room becomes free; those far behind in the queue are served later anyway.
 const scanLimit = 64
 
+// maxPortions bounds in how many portions the room of tasks that end together becomes free.
+const maxPortions = 8
+
+// maxPlacements bounds how often a forecast gives room to a batch, for each worker; beyond that it is neither exact nor quick.
+const maxPlacements = 256
+
 // Forecaster forecasts starts and ends. It keeps its buffers from one forecast to the next.
 type Forecaster struct {
 	free     []Room
@@ -45,6 +51,8 @@
 	gaps     Gaps
 	// smallest is the least CPU request that waits, largest the most CPU that an open worker has left, at most: they spare searches.
 	smallest, largest int64
+	// placements is how often room may still be given to a batch.
+	placements int
 	// RoomIn is in what time the next room becomes free that no waiting task takes.
 	RoomIn time.Duration
 }
@@ -58,24 +66,50 @@
 		f.placeNow(i)
 	}
 	f.keepGaps(sizes)
-	for len(f.ends) > 0 && len(f.waiting) > 0 {
+	for len(f.ends) > 0 && len(f.waiting) > 0 && f.placements > 0 {
 		e := f.ends.pop()
 		f.RoomIn = e.at
-		f.free[e.worker] = f.free[e.worker].Plus(e.need)
-		f.closed[e.worker] = f.closed[e.worker] && e.need != Room{}
-		if !f.closed[e.worker] {
-			f.fill(e.at, int(e.worker))
-		}
+		f.release(e)
 	}
 	if len(f.ends) > 0 {
 		f.RoomIn = f.ends[0].at
 	}
+	if f.placements <= 0 {
+		f.assumeOthers()
+	}
 	return f.outlooks
 }
 
+// assumeOthers counts the batches as placed that had no turn in a forecast that was broken off.
+func (f *Forecaster) assumeOthers() {
+	for i := range f.outlooks {
+		if f.outlooks[i].Placed == 0 {
+			f.outlooks[i].Placed = f.batches[i].Count
+		}
+	}
+}
+
+// release gives the room of tasks that have ended to the batches that wait. It comes in portions, as tasks that are expected to end
+// together hardly do.
+func (f *Forecaster) release(e ending) {
+	k := int(e.worker)
+	if e.tasks == 0 {
+		f.closed[k] = false
+		f.fill(e.at, k)
+	}
+	portion := (int(e.tasks) + maxPortions - 1) / maxPortions
+	for left := int(e.tasks); left > 0; left -= portion {
+		f.free[k] = f.free[k].Plus(e.need.Times(min(left, portion)))
+		if !f.closed[k] {
+			f.fill(e.at, k)
+		}
+	}
+}
+
 func (f *Forecaster) reset(workers []Worker, batches []Batch) {
 	f.workers, f.batches = workers, batches
 	f.free, f.closed, f.ends, f.waiting = f.free[:0], f.closed[:0], f.ends[:0], f.waiting[:0]
+	f.placements = maxPlacements * len(workers)
 	f.fastest, f.RoomIn, f.smallest, f.largest = 0, 0, math.MaxInt64, math.MaxInt64
 	f.outlooks = slices.Grow(f.outlooks[:0], len(batches))[:len(batches)]
 	clear(f.outlooks)
@@ -87,7 +121,7 @@
 			f.ends = append(f.ends, ending{at: w.Opens, worker: int32(i)})
 		}
 		for _, r := range w.Runs {
-			f.ends = append(f.ends, ending{at: r.Ends, worker: int32(i), need: r.Need})
+			f.ends = append(f.ends, ending{at: r.Ends, worker: int32(i), tasks: 1, need: r.Need})
 		}
 	}
 	f.ends.init()
@@ -111,7 +145,7 @@
 		if best < 0 {
 			break
 		}
-		f.place(0, i, best)
+		f.place(0, i, best, b.Need.count(f.free[best], b.Count-f.outlooks[i].Placed))
 	}
 	if f.outlooks[i].Placed < b.Count {
 		f.waiting = append(f.waiting, int32(i))
@@ -136,22 +170,23 @@
 	}
 }
 
-// mayFill reports whether a waiting batch may take room on a worker that a gap is kept on; one that has not been filled in time is given
-// up.
-func (f *Forecaster) mayFill(at time.Duration, i int32, k int) bool {
-	g := f.gaps.on(k)
-	switch {
-	case g == nil:
-		return true
-	case g.owner == i:
-		f.gaps.drop(k)
-		return true
-	case at > g.at:
-		f.gaps.drop(k)
-		return true
-	}
-	takes := f.batches[i].timeOn(&f.workers[k])
-	return at+time.Duration(backfillMargin*float64(takes)) <= g.at || g.need.Fits(f.free[k].Minus(f.batches[i].Need))
+// mayFill returns how many tasks of a waiting batch may start on a worker. Room that a gap is kept in is left, unless they end before
+// the gap is needed; a gap that has not been filled in time is given up.
+func (f *Forecaster) mayFill(at time.Duration, i int32, k int) int {
+	b := &f.batches[i]
+	free := f.free[k]
+	if b.From > at || !f.suits(at, b, k) {
+		return 0
+	}
+	if g := f.gaps.on(k); g != nil {
+		switch {
+		case g.owner == i, at > g.at:
+			f.gaps.drop(k)
+		case at+time.Duration(backfillMargin*float64(b.timeOn(&f.workers[k]))) > g.at:
+			free = free.Minus(g.need)
+		}
+	}
+	return b.Need.count(free, b.Count-f.outlooks[i].Placed)
 }
 
 func (f *Forecaster) better(a, b int) bool {
@@ -171,16 +206,18 @@
 
 func (b *Batch) timeOn(w *Worker) time.Duration { return time.Duration(float64(b.Time) / w.Speed) }
 
-func (f *Forecaster) place(at time.Duration, i, k int) {
+// place starts n tasks of a batch on a worker; they end together.
+func (f *Forecaster) place(at time.Duration, i, k, n int) {
 	b, o := &f.batches[i], &f.outlooks[i]
 	end := at + b.timeOn(&f.workers[k])
 	if o.Placed == 0 {
 		o.Start = at
 	}
-	o.Placed++
+	o.Placed += n
+	f.placements--
 	o.End = max(o.End, end+b.After)
-	f.free[k] = f.free[k].Minus(b.Need)
-	f.ends.push(ending{at: end, worker: int32(k), need: b.Need})
+	f.free[k] = f.free[k].Minus(b.Need.Times(n))
+	f.ends.push(ending{at: end, worker: int32(k), tasks: int32(n), need: b.Need})
 }
 
 // fill gives the room of a worker to the batches that wait.
@@ -196,8 +233,8 @@
 		if !b.Started && at+time.Duration(float64(b.Time)/f.fastest)+b.After > b.Latest {
 			continue
 		}
-		for b.From <= at && f.outlooks[i].Placed < b.Count && f.suits(at, b, k) && f.mayFill(at, i, k) {
-			f.place(at, int(i), k)
+		if n := f.mayFill(at, i, k); n > 0 {
+			f.place(at, int(i), k, n)
 		}
 		if f.outlooks[i].Placed < b.Count {
 			kept = append(kept, i)
--- a/src/stowage/forecast_test.go
+++ b/src/stowage/forecast_test.go
@@ -112,3 +112,13 @@
 		})
 	}
 }
+
+// A forecast of a batch that never ends must be broken off, refuse that batch alone and leave the others their room.
+func TestForecastOfEndlessBatchIsBrokenOff(t *testing.T) {
+	endless := batch(1_000_000, 20, time.Millisecond, time.Hour)
+	var f Forecaster
+	got := f.Forecast([]Worker{worker(32), worker(32)}, []Batch{endless, batch(3, 30, 10*ms, time.Second)}, nil)
+	require.Less(t, got[0].Placed, endless.Count)
+	require.LessOrEqual(t, got[0].Placed, 2*(maxPlacements+1))
+	require.Equal(t, 3, got[1].Placed)
+}
--- a/src/stowage/gap.go
+++ b/src/stowage/gap.go
@@ -33,6 +33,9 @@
 	at    time.Duration
 }
 
+// Large reports whether gaps are kept for tasks with a CPU request, in thousandths of a core.
+func (s *Sizes) Large(milli int64) bool { return s.Below(milli) >= largeShare }
+
 // Reset begins a round without gaps on the workers.
 func (g *Gaps) Reset(workers []Worker) {
 	g.workers, g.kept, g.tries = workers, g.kept[:0], (len(workers)+workersPerGap-1)/workersPerGap
@@ -44,7 +47,7 @@
 // Keep keeps a gap for one task of a batch on the worker on which it fits first, and returns the worker's index and in what time the
 // task fits. It keeps none where the task would end too late or the room would be empty for too long.
 func (g *Gaps) Keep(b Batch, sizes *Sizes) (int, time.Duration, bool) {
-	if g.tries == 0 || sizes.Below(b.Need.Milli) < largeShare {
+	if g.tries == 0 || !sizes.Large(b.Need.Milli) {
 		return 0, 0, false
 	}
 	g.tries--
--- a/src/stowage/room.go
+++ b/src/stowage/room.go
@@ -26,6 +26,26 @@
 	return Room{Milli: r.Milli - o.Milli, Memory: r.Memory - o.Memory, Accelerators: r.Accelerators - o.Accelerators}
 }
 
+// Times returns the room of n tasks.
+func (r Room) Times(n int) Room {
+	k := int64(n)
+	return Room{Milli: k * r.Milli, Memory: k * r.Memory, Accelerators: k * r.Accelerators}
+}
+
+// count returns how many tasks that take up r fit into free at once, at most limit.
+func (r Room) count(free Room, limit int) int {
+	if !r.Fits(free) {
+		return 0
+	}
+	n := int64(limit)
+	for _, of := range [][2]int64{{r.Milli, free.Milli}, {r.Memory, free.Memory}, {r.Accelerators, free.Accelerators}} {
+		if of[0] > 0 {
+			n = min(n, of[1]/of[0])
+		}
+	}
+	return int(n)
+}
+
 // Run is a run on a worker and when it is expected to end, from now.
 type Run struct {
 	Need Room
--- a/src/wharf/jobs.go
+++ b/src/wharf/jobs.go
@@ -289,17 +289,18 @@
 		j.h.Publish(now, offeredEvent{offer: o, done: done})
 		return
 	}
+	go j.sendOffer(now, m, o)
+}
+
+// sendOffer sends an offer made at a time to another host and waits for the outcome of the job.
+func (j *jobs) sendOffer(now time.Time, m flotilla.Member, o offer) {
+	id, attempt := o.job.ID, o.attempt
 	body, err := encodeOffer(now, o)
 	if err != nil {
-		j.finish(p, answer{outcome: convoy.Refused, reason: err.Error()})
+		j.h.Post(j, answeredEvent{id: id, attempt: attempt, answer: answer{outcome: convoy.Refused, reason: err.Error()}})
 		return
 	}
-	timeout := p.job.Deadline.Sub(now) + callTimeout
-	go j.sendOffer(m, p.job.ID, attempt, body, timeout)
-}
-
-// sendOffer sends an offer to another host and waits for the outcome of the job.
-func (j *jobs) sendOffer(m flotilla.Member, id string, attempt uint64, body []byte, timeout time.Duration) {
+	timeout := o.job.Deadline.Sub(now) + callTimeout
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	out, err := j.h.RPC.Call(ctx, m.Address, kindOfferJob, body)
--- a/src/wharf/offers.go
+++ b/src/wharf/offers.go
@@ -95,12 +95,7 @@
 }
 
 func (p *plan) hasRoute(j convoy.Job) bool {
-	for _, r := range p.config.Routes {
-		if r.Name == j.Route && r.Pool == j.Pool {
-			return true
-		}
-	}
-	return false
+	return p.config.HasRoute(j.Route, j.Pool)
 }
 
 func (p *plan) onOfferJob(ctx context.Context, _ netip.AddrPort, body []byte) ([]byte, error) {
@@ -108,6 +103,7 @@
 	if err != nil {
 		return nil, err
 	}
+	o.job = o.job.Measured()
 	done := make(chan answer, 2)
 	p.h.Post(p, offeredEvent{offer: o, done: done})
 	select {
