End a planned stop although a part of the process does not

Cause: the stop posts its events to the control goroutine and waits for its end, without a limit. The queue of events may be full as well.

It also covers whatever else may keep a plug-in from ending, such as a registry host that sends a large message to a host that does not answer.

Evidence: TestShutdownEndsBesideBusyControlGoroutine fails on, with the former sequence of calls, as it does not end.

--- a/src/helm/drain_test.go
+++ b/src/helm/drain_test.go
@@ -31,3 +31,17 @@
 	h.Drain()
 	require.GreaterOrEqual(t, time.Since(began), h.Settings.Limits.Drain)
 }
+
+// A planned stop must end the process although the control goroutine is busy and takes no events any more.
+func TestShutdownEndsBesideBusyControlGoroutine(t *testing.T) {
+	h := &Kernel{Log: logbook.NewLog(io.Discard, "a"), events: make(chan queuedEvent), stopped: make(chan struct{}), controlEnded: make(chan struct{})}
+	h.Settings.Limits.Drain = 20 * time.Millisecond
+	ended := make(chan bool)
+	go func() { ended <- h.Shutdown() }()
+	select {
+	case whole := <-ended:
+		require.False(t, whole)
+	case <-time.After(5 * time.Second):
+		require.Fail(t, "the stop has not ended")
+	}
+}
--- a/src/helm/helm.go
+++ b/src/helm/helm.go
@@ -207,10 +207,31 @@
 const (
 	refusedLogInterval = 10 * time.Second
 	drainPollInterval  = 10 * time.Millisecond
+	// shutdownMargin is what the plug-ins and the transport get to end after the drain limit.
+	shutdownMargin = 200 * time.Millisecond
 	// handoverTimeout bounds how long a planned stop waits for other hosts to take over the ledger.
 	handoverTimeout = 5 * time.Second
 )
 
+// Shutdown carries out a planned stop and reports whether it has ended. It does not wait for a part of the process that is stuck or
+// busy beyond the limits: whoever asked for the stop would kill the process.
+func (h *Kernel) Shutdown() bool {
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		h.Drain()
+		h.Stop()
+	}()
+	limits := h.Settings.Limits
+	select {
+	case <-ended:
+		return true
+	case <-time.After(limits.ReadinessNotice + limits.Drain + shutdownMargin):
+		h.Log.Write(logbook.StopTimedOut)
+		return false
+	}
+}
+
 // Stop stops the process immediately.
 func (h *Kernel) Stop() {
 	h.stopOnce.Do(func() {
--- a/src/logbook/event.go
+++ b/src/logbook/event.go
@@ -41,6 +41,7 @@
 	HandlerPanicked  = Event{106, Error, "a handler panicked and its request failed", "report the stack trace"}
 	SettingsReloaded = Event{107, Info, "settings file reloaded", "none"}
 	LinesDropped     = Event{108, Warn, "log lines were dropped because the log reader is too slow", "check the process that reads the log"}
+	StopTimedOut     = Event{109, Error, "graceful shutdown given up: a part of the process did not end", "report what the process did before"}
 
 	MemberJoined       = Event{200, Info, "member joined", "none"}
 	MemberSuspected    = Event{201, Warn, "member suspected: no recent heartbeat", "check the host and the network if it persists"}
@@ -136,7 +137,7 @@
 func Catalogue() []Event {
 	return []Event{
 		ProcessStarted, ProcessReady, StopRequested, StopFinished, DrainTimedOut, SettingsRefused, HandlerPanicked,
-		SettingsReloaded, LinesDropped,
+		SettingsReloaded, LinesDropped, StopTimedOut,
 		MemberJoined, MemberSuspected, MemberFailed, MemberRecovered, MemberRestarted, ConnectionReplaced, PeerRefused,
 		TargetAnnounced, TargetLeaving, TargetExpired, TargetEjected, TargetRestored, AnswerMismatched,
 		LeaderElected, LeaderLost, EditAccepted, TablesStale, TablesCurrent, DiskFailed, DiskDamaged, SnapshotLoaded,
--- a/src/serve.go
+++ b/src/serve.go
@@ -46,8 +46,9 @@
 	}
 	defer endProfile()
 	awaitStop(c, h, *file)
-	h.Drain()
-	h.Stop()
+	if !h.Shutdown() {
+		return ExitFault
+	}
 	return ExitOK
 }
 
