End a job whose start may still be carried out behind a cut

Cause: planners tell each other of late starts by heartbeats, which do not pass the cut, and the worker cannot be fenced by either side. The answer 504 rests on what the other side was never told. It has the caller send the job again.

A planner now knows who knows: each heartbeat tells the checksum of the recipient's late starts that has arrived (flotilla/late.go). If not every planner that may live has confirmed a late start, also one that is silent, the answer is final: the job has failed. So it is at once, however early the cut is noticed, and 504 stays where all know. The planner answers 100 ms before the deadline then, as the entry host does not know of the start. An entry host that loses its planner, or is out of touch with it at the deadline, answers 504 only once every other domain has been heard since, and failed if one has not after 1.4 s (wharf/lost.go). New callers are served on both sides as before.

--- a/src/convoy/latestart.go
+++ b/src/convoy/latestart.go
@@ -13,6 +13,10 @@
 // met yet, which nothing fences. A worker carries one run number out once, so while an order of a task may come late, orders of
 // that number only are sent. If its run ends otherwise, the job is given up, and no planner starts it again until the order can
 // no longer come. The planners tell each other of such jobs from the first unanswered order on, as a planner may fail at any time.
+//
+// Planners that do not hear each other are not told, and the worker may be out of reach of all of them. A caller that gets no result
+// sends its job again, to any host. So whoever carries the answer of a planner has to ask LateStart: if not all planners that may live
+// are known to know of the start, the caller gets a final answer, and the job counts as failed.
 
 // MaxLateStarts bounds the jobs that a planner reports, so that a heartbeat stays within one packet.
 const MaxLateStarts = 128
@@ -83,6 +87,17 @@
 	}
 }
 
+// lateStartNoted reports whether this planner has ordered a start of a job that may still be carried out.
+func (p *Planner) lateStartNoted(now time.Time, j *job) bool {
+	return now.Before(p.lateStarts[JobHash(j.ID)])
+}
+
+// LateStart reports whether a start of a job that this planner has ordered may still be carried out, or another planner told of one.
+func (p *Planner) LateStart(now time.Time, id string) (own, told bool) {
+	hash := JobHash(id)
+	return now.Before(p.lateStarts[hash]), now.Before(p.remoteLateStarts[hash])
+}
+
 // mayStartLate reports whether a start of a job that is handed in may still be carried out, ordered for an earlier attempt.
 func (p *Planner) mayStartLate(now time.Time, j Job) (refusal, bool) {
 	hash := JobHash(j.ID)
--- a/src/convoy/latestart_test.go
+++ b/src/convoy/latestart_test.go
@@ -99,3 +99,25 @@
 	require.Empty(t, b.resubmit("a"))
 	require.Len(t, b.starts(), 1)
 }
+
+// The entry host must have the planner's answer before its own deadline if a start of the job may still be carried out.
+func TestJobWithLateStartIsAnsweredBeforeItsDeadline(t *testing.T) {
+	tests := map[string]struct {
+		result OrderResult
+		want   []Outcome
+	}{
+		"its start is unanswered": {result: Unanswered, want: []Outcome{Lost}},
+		"its start was accepted":  {result: Accepted},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t, "w0")
+			s := b.submit("a")
+			b.step(StartResult{ID: s.Target.ID, Key: s.Key, Token: s.Token, Result: tt.result})
+			deadline := b.p.jobs["a"].Deadline
+			b.now = deadline.Add(-finalAnswerLead + time.Millisecond)
+			b.step(Tick{})
+			require.Equal(t, tt.want, b.outcomesOf("a", 0))
+		})
+	}
+}
--- a/src/convoy/tuning.go
+++ b/src/convoy/tuning.go
@@ -57,6 +57,9 @@
 	maxProbeBackoff = 2 * time.Second
 	// LateOrderLimit is how long after an unanswered order a worker may still carry it out.
 	LateOrderLimit = 15 * time.Second
+	// finalAnswerLead is how long before its deadline a job with a start that may come late is given up: the entry host, which knows nothing
+	// of it, must have the planner's answer by then. Two steps of the planner and a slow call between hosts.
+	finalAnswerLead = 100 * time.Millisecond
 	// noRoomPause is how long a worker without free capacity gets no tasks, unless it lists an ended run earlier.
 	noRoomPause = 40 * time.Millisecond
 	// busyPause is how long a worker that reported itself unhealthy gets no tasks.
--- a/src/flotilla/codec.go
+++ b/src/flotilla/codec.go
@@ -1,6 +1,7 @@
 package flotilla
 
 import (
+	"encoding/binary"
 	"net/netip"
 	"slices"
 	"time"
@@ -48,8 +49,8 @@
 // maxDigestBytes bounds the digest that a heartbeat carries.
 const maxDigestBytes = 64
 
-// noticeSize is the length of an encoded notice in bytes: flags, and an age in steps.
-const noticeSize = 2
+// noticeSize is the length of an encoded notice in bytes: flags, an age in steps, and a checksum.
+const noticeSize = 6
 
 // The flags of a notice.
 const (
@@ -99,7 +100,7 @@
 	if n.CountsOn {
 		flags |= flagCountsOn
 	}
-	return []byte{flags, byte(n.Undelivered / undeliveredStep)}
+	return binary.BigEndian.AppendUint32([]byte{flags, byte(n.Undelivered / undeliveredStep)}, n.LateStarts)
 }
 
 // DecodeHeartbeat decodes what EncodeHeartbeat returned; it fails if the name or the address is missing.
@@ -119,7 +120,10 @@
 	if err := address.UnmarshalBinary(w.Address); err != nil || w.Name == "" {
 		return Heartbeat{}, Error.New("heartbeat has no name or no valid address")
 	}
-	notice := Notice{Receives: data[0]&flagReceives != 0, CountsOn: data[0]&flagCountsOn != 0, Undelivered: time.Duration(data[1]) * undeliveredStep}
+	notice := Notice{
+		Receives: data[0]&flagReceives != 0, CountsOn: data[0]&flagCountsOn != 0, Undelivered: time.Duration(data[1]) * undeliveredStep,
+		LateStarts: binary.BigEndian.Uint32(data[2:]),
+	}
 	b := Heartbeat{Notice: notice, From: Member{
 		Name: w.Name, Domain: w.Domain, Address: address, Incarnation: w.Incarnation,
 		Dispatcher: w.Dispatcher, Registry: w.Registry, Disk: w.Disk, Leaving: w.Leaving, ConfigVersion: w.ConfigVersion,
--- a/src/flotilla/fleet.go
+++ b/src/flotilla/fleet.go
@@ -120,6 +120,7 @@
 	nextContact int
 	ticks       int
 	undelivered []Undelivered
+	told        toldLateStarts
 	lastStep    time.Time
 	standstill  standstill
 	out         []Action
@@ -175,9 +176,12 @@
 
 // UpdateSelf changes this process's member entry, except for its claims, which the fleet sets itself.
 func (f *Fleet) UpdateSelf(change func(m *Member)) {
-	claims := f.self.Claims
+	claims, late := f.self.Claims, f.self.LateStarts
 	change(&f.self)
 	f.self.Claims = claims
+	if !slices.Equal(late, f.self.LateStarts) {
+		f.told.add(f.self.LateStarts)
+	}
 }
 
 // Self returns this process's own member entry.
@@ -241,6 +245,10 @@
 	if m.Incarnation != p.Member.Incarnation && p.offset.stepped(now, m.SentAtMillis) {
 		p.offset = clockOffset{}
 	}
+	if m.Incarnation != p.Member.Incarnation {
+		p.lateStarts = 0
+	}
+	p.lateStarts = max(p.lateStarts, f.told.number(b.Notice.LateStarts))
 	p.LastSent = p.offset.sentAt(now, m.SentAtMillis).Add(-b.Notice.Undelivered)
 	p.Member, p.LastHeartbeat, p.Alive, p.countsOnUs = m, now, true, b.Notice.CountsOn
 	if planned != (len(m.Claims) > 0) {
--- a/src/flotilla/fleet_test.go
+++ b/src/flotilla/fleet_test.go
@@ -461,7 +461,7 @@
 				Dispatcher: true, ConfigVersion: 3, TargetsRevision: 9, Claims: []Claim{{Part: "north#3", Token: 1 << 50}},
 				FreeSlots: -4, Slots: 12, WaitingJobs: map[string]int{"r": 2}, Frequent: true, LateStarts: []uint32{1, 1 << 31},
 			},
-			Notice:   Notice{Receives: true, Undelivered: 3 * undeliveredStep},
+			Notice:   Notice{Receives: true, Undelivered: 3 * undeliveredStep, LateStarts: 0x01020304},
 			Contacts: []netip.AddrPort{netip.MustParseAddrPort("10.0.0.2:7000"), netip.MustParseAddrPort("[fd00::2]:7000")},
 		},
 	}
--- a/src/flotilla/heartbeat.go
+++ b/src/flotilla/heartbeat.go
@@ -24,7 +24,7 @@
 
 // notice returns what the next heartbeat tells a peer alone.
 func (f *Fleet) notice(now time.Time, p *Peer) Notice {
-	n := Notice{Receives: p.Alive, CountsOn: f.countsOn(now, p)}
+	n := Notice{Receives: p.Alive, CountsOn: f.countsOn(now, p), LateStarts: lateSum(p.Member.LateStarts)}
 	hash := NameHash(p.Member.Name)
 	for _, u := range f.undelivered {
 		if u.Planner == hash {
--- a/src/flotilla/member.go
+++ b/src/flotilla/member.go
@@ -82,6 +82,8 @@
 	// Undelivered is a bound on the age of the sender's oldest cancellation that the recipient has not confirmed, and right after
 	// a suspension of the sender on its beginning, as callers may have left since; a multiple of undeliveredStep, 0 if there is none.
 	Undelivered time.Duration
+	// LateStarts is the checksum of the late starts in the recipient's last heartbeat that the sender has received.
+	LateStarts uint32
 }
 
 // Peer is what this process knows of another one.
@@ -107,6 +109,8 @@
 	steadySince time.Time
 	// NotReceiving says that the peer's heartbeats arrive but it does not receive those of this process.
 	NotReceiving bool
+	// lateStarts is the number of the last list of this process's late starts that the peer has confirmed.
+	lateStarts uint64
 }
 
 // NameHash returns a 32-bit hash of a process's name.
--- a/src/helm/services.go
+++ b/src/helm/services.go
@@ -114,6 +114,10 @@
 	WorkWith(name string) bool
 	// SetUndelivered sets the planners that have not confirmed a cancellation yet, for the next regular heartbeats.
 	SetUndelivered(u []flotilla.Undelivered)
+	// LateStartKnown reports whether every planner that may live is known to know of a late start, by convoy.JobHash, that this process
+	// tells of; HearsAllPlanners whether no process is silent that may plan.
+	LateStartKnown(job uint32) bool
+	HearsAllPlanners() bool
 	// RequestHigherToken requests a higher fencing token for a part that this process plans.
 	RequestHigherToken(part string)
 }
--- a/src/wharf/fleet.go
+++ b/src/wharf/fleet.go
@@ -167,6 +167,12 @@
 // SetWorkerCounts sets the number of known workers of each domain.
 func (f *fleet) SetWorkerCounts(workers map[string]int) { f.fleet.SetWorkerCounts(workers) }
 
+// LateStartKnown reports whether every planner that may live knows of a late start.
+func (f *fleet) LateStartKnown(job uint32) bool { return f.fleet.LateStartKnown(job) }
+
+// HearsAllPlanners reports whether no process is silent that may plan.
+func (f *fleet) HearsAllPlanners() bool { return f.fleet.HearsAllPlanners() }
+
 // RequestHigherToken takes a higher fencing token for a part that this process plans.
 func (f *fleet) RequestHigherToken(part string) {
 	f.step(f.h.Clock.Now(), flotilla.RequestHigherToken{Part: part})
--- a/src/wharf/jobs.go
+++ b/src/wharf/jobs.go
@@ -34,6 +34,9 @@
 	declined  map[string]bool
 	// awaited is the planner whose answer to a heartbeat the offer waits for.
 	awaited string
+	// lostAt is when the planner was lost, for lostReason; it is zero while there is one.
+	lostAt     time.Time
+	lostReason string
 }
 
 // jobs accepts callers' jobs, offers each to one planner at a time, and answers the callers.
@@ -176,7 +179,7 @@
 	case submitEvent:
 		j.submit(now, e)
 	case callerGoneEvent:
-		j.cancelForCaller(e)
+		j.cancelForCaller(now, e)
 	case jobRequestEvent:
 		j.handleRequest(now, e)
 	case answeredEvent:
@@ -334,7 +337,8 @@
 	}
 	j.observeRefusal(now, p, e.answer)
 	if e.mayRun {
-		j.notifyCancelled(p, "the connection to the planner broke")
+		j.losePlanner(now, p, "the connection to the planner broke")
+		return
 	}
 	j.finish(p, e.answer)
 }
@@ -359,33 +363,34 @@
 }
 
 // cancelForCaller removes one caller from a job, and cancels the job at its planner once no caller is left.
-func (j *jobs) cancelForCaller(e callerGoneEvent) {
+func (j *jobs) cancelForCaller(now time.Time, e callerGoneEvent) {
 	p, ok := j.pending[e.id]
 	if !ok {
 		return
 	}
+	outcome := deadlineOutcome(now, j.h.Fleet, p)
 	for i, done := range p.callers {
 		if done == e.done {
 			p.callers = append(p.callers[:i], p.callers[i+1:]...)
-			done <- helm.JobResult{Outcome: convoy.Lost, Reason: e.reason}
+			done <- helm.JobResult{Outcome: outcome, Reason: e.reason}
 			break
 		}
 	}
 	if len(p.callers) > 0 {
 		return
 	}
-	j.notifyCancelled(p, e.reason)
-	j.finish(p, answer{outcome: convoy.Lost, cause: e.cause, reason: e.reason})
+	if p.lostAt.IsZero() {
+		j.notifyCancelled(p, e.reason)
+	}
+	j.finish(p, answer{outcome: outcome, cause: e.cause, reason: e.reason})
 }
 
 // failPlannerJobs answers the jobs of a failed planner: its workers' leases expire before a caller that retries can be
 // back.
-func (j *jobs) failPlannerJobs(_ time.Time, name string) {
+func (j *jobs) failPlannerJobs(now time.Time, name string) {
 	for _, p := range j.pending {
 		if p.planner == name {
-			// The planner may be reachable again before it marks this host failed and cancels the job itself.
-			j.notifyCancelled(p, "the planner was lost")
-			j.finish(p, answer{outcome: convoy.Lost, cause: convoy.CausePlannerLost, reason: "the planner is lost"})
+			j.losePlanner(now, p, "the planner is lost")
 		}
 	}
 }
@@ -396,6 +401,10 @@
 		j.h.Fleet.WorkWith(planner)
 	}
 	for _, p := range j.pending {
+		if !p.lostAt.IsZero() {
+			j.settleLoss(now, p)
+			continue
+		}
 		if p.planner == "" {
 			j.offer(now, p)
 			continue
--- a/src/wharf/plan_test.go
+++ b/src/wharf/plan_test.go
@@ -35,6 +35,8 @@
 
 func (l *singleFleet) Planners() []flotilla.Member                { return []flotilla.Member{l.self} }
 func (l *singleFleet) UpdateSelf(change func(m *flotilla.Member)) { change(&l.self) }
+func (l *singleFleet) LateStartKnown(uint32) bool                 { return true }
+func (l *singleFleet) HearsAllPlanners() bool                     { return true }
 func (l *singleFleet) RequestHigherToken(string)                  {}
 func (l *singleFleet) SetWorkerCounts(map[string]int)             {}
 func (l *singleFleet) WorkWith(string) bool                       { return false }
--- a/src/wharf/sim_host_test.go
+++ b/src/wharf/sim_host_test.go
@@ -53,6 +53,8 @@
 func (h *simHost) Peers() []flotilla.Peer              { return h.fleet.Peers() }
 func (h *simHost) Peer(n string) (flotilla.Peer, bool) { return h.fleet.Peer(n) }
 func (h *simHost) PeerCounts() (int, int)              { return h.fleet.PeerCounts() }
+func (h *simHost) LateStartKnown(job uint32) bool      { return h.fleet.LateStartKnown(job) }
+func (h *simHost) HearsAllPlanners() bool              { return h.fleet.HearsAllPlanners() }
 func (h *simHost) Self() flotilla.Member               { return h.fleet.Self() }
 func (h *simHost) Planners() []flotilla.Member         { return h.fleet.Planners() }
 func (h *simHost) UpdateSelf(change func(m *flotilla.Member)) {
@@ -362,7 +364,7 @@
 		key := jobKey{job: a.ID, host: a.Host}
 		if done, ok := h.waiters[key]; ok {
 			delete(h.waiters, key)
-			done.answer(answer{outcome: a.Outcome, cause: a.Cause, reason: a.Reason})
+			done.answer(answer{outcome: plannerOutcome(now, h, h.planner, a), cause: a.Cause, reason: a.Reason})
 		}
 	case convoy.RequestHigherToken:
 		h.RequestHigherToken(a.Part)
--- a/src/wharf/sim_jobs_test.go
+++ b/src/wharf/sim_jobs_test.go
@@ -269,7 +269,8 @@
 		return
 	}
 	if mayRun {
-		h.notifyCancelled(p)
+		h.losePlanner(now, p)
+		return
 	}
 	h.finish(p, a)
 }
@@ -286,15 +287,32 @@
 	if !ok {
 		return
 	}
+	outcome := deadlineOutcome(h.now(), h, &p.pendingJob)
 	if i := slices.Index(p.callers, c); i >= 0 {
 		p.callers = slices.Delete(p.callers, i, i+1)
-		c.answered(convoy.Lost)
+		c.answered(outcome)
 	}
 	if len(p.callers) > 0 {
 		return
 	}
-	h.notifyCancelled(p)
-	h.finish(p, answer{outcome: convoy.Lost})
+	if p.lostAt.IsZero() {
+		h.notifyCancelled(p)
+	}
+	h.finish(p, answer{outcome: outcome})
+}
+
+func (h *simHost) losePlanner(now time.Time, p *simPending) {
+	if p.lostAt.IsZero() {
+		h.notifyCancelled(p)
+		p.lostAt, p.attempt = now, 0
+		h.settleLoss(now, p)
+	}
+}
+
+func (h *simHost) settleLoss(now time.Time, p *simPending) {
+	if outcome, known := lossOutcome(now, p.lostAt, h); known {
+		h.finish(p, answer{outcome: outcome})
+	}
 }
 
 func (h *simHost) notifyCancelled(p *simPending) {
@@ -332,8 +350,7 @@
 func (h *simHost) failPlanner(now time.Time, m flotilla.Member) {
 	for _, id := range slices.Sorted(maps.Keys(h.pending)) {
 		if p := h.pending[id]; p.planner == m.Name {
-			h.notifyCancelled(p)
-			h.finish(p, answer{outcome: convoy.Lost})
+			h.losePlanner(now, p)
 		}
 	}
 	if jobs := h.unanswered.take(now, m.Name); len(jobs) > 0 && len(m.LateStarts) > 0 {
@@ -357,6 +374,10 @@
 	}
 	for _, id := range slices.Sorted(maps.Keys(h.pending)) {
 		p := h.pending[id]
+		if !p.lostAt.IsZero() {
+			h.settleLoss(now, p)
+			continue
+		}
 		if p.planner == "" {
 			h.offer(now, p)
 			continue
