--- a/src/wharf/jobs.go
+++ b/src/wharf/jobs.go
@@ -368,11 +368,11 @@
 	if !ok {
 		return
 	}
-	outcome := deadlineOutcome(now, j.h.Fleet, p)
+	a := goneAnswer(now, j.h.Fleet, p, e.cause, e.reason)
 	for i, done := range p.callers {
 		if done == e.done {
 			p.callers = append(p.callers[:i], p.callers[i+1:]...)
-			done <- helm.JobResult{Outcome: outcome, Reason: e.reason}
+			done <- helm.JobResult{Outcome: a.outcome, Reason: a.reason}
 			break
 		}
 	}
@@ -382,7 +382,7 @@
 	if p.lostAt.IsZero() {
 		j.notifyCancelled(p, e.reason)
 	}
-	j.finish(p, answer{outcome: outcome, cause: e.cause, reason: e.reason})
+	j.finish(p, a)
 }
 
 // failPlannerJobs answers the jobs of a failed planner: its workers' leases expire before a caller that retries can be
--- a/src/wharf/lost.go
+++ b/src/wharf/lost.go
@@ -8,18 +8,20 @@
 	"sesamecleat/src/helm"
 )
 
-// plannerOutcome returns the answer to the callers of a job that this process's planner has given up. A caller without a result comes
+// plannerAnswer returns the answer to the callers of a job of this process's planner. If the planner has given the job up, a caller comes
 // back, to any host. As long as a start of the job may still be carried out, that is as well only if all planners know of it; if not, the
 // job ends.
-func plannerOutcome(now time.Time, f helm.Fleet, planner *convoy.Planner, a convoy.Answer) convoy.Outcome {
+func plannerAnswer(now time.Time, f helm.Fleet, planner *convoy.Planner, a convoy.Answer) answer {
+	out := answer{outcome: a.Outcome, cause: a.Cause, reason: a.Reason, retryAfter: a.RetryAfter}
 	if a.Outcome != convoy.Lost {
-		return a.Outcome
+		return out
 	}
 	own, told := planner.LateStart(now, a.ID)
 	if (own && !f.LateStartKnown(convoy.JobHash(a.ID))) || (told && !f.HearsAllPlanners()) {
-		return convoy.Failed
+		out.outcome = convoy.Failed
+		out.reason += "; a start of it may come late, and a planner that may live is not known to know"
 	}
-	return convoy.Lost
+	return out
 }
 
 // A host that loses touch with the planner of a job does not know whether a start of it may still be carried out. If the job is answered
@@ -30,28 +32,30 @@
 // the loss of its planner, and two heartbeats in which the next one tells of itself.
 const lossEvidence = flotilla.FailureTimeout + 2*flotilla.HeartbeatInterval
 
-// lossOutcome returns the answer to the callers of a job whose planner is lost, and whether it is known by now. Since is the time of the
+// lossAnswer returns the answer to the callers of a job whose planner is lost, and whether it is known by now. Since is the time of the
 // loss.
-func lossOutcome(now, since time.Time, f helm.Fleet) (convoy.Outcome, bool) {
-	if unheardDomain(f, since) == "" {
-		return convoy.Lost, true
+func lossAnswer(now, since time.Time, f helm.Fleet, cause convoy.Cause, reason string) (answer, bool) {
+	unheard := unheardDomain(f, since)
+	if unheard == "" {
+		return answer{outcome: convoy.Lost, cause: cause, reason: reason}, true
 	}
-	return convoy.Failed, now.Sub(since) >= lossEvidence
+	reason += "; a start of it may come late, and domain " + unheard + " is out of touch"
+	return answer{outcome: convoy.Failed, cause: cause, reason: reason}, now.Sub(since) >= lossEvidence
 }
 
-// deadlineOutcome returns the answer to a caller whose time is over. A planner in reach answers a moment before if a start may still be
-// carried out.
-func deadlineOutcome(now time.Time, f helm.Fleet, p *pendingJob) convoy.Outcome {
-	if !p.lostAt.IsZero() {
-		outcome, _ := lossOutcome(now, p.lostAt, f)
-		return outcome
-	}
-	peer, known := f.Peer(p.planner)
-	if !known || (peer.Alive && now.Sub(peer.LastHeartbeat) <= overdueAfter) {
-		return convoy.Lost
+// goneAnswer returns the answer to a caller that no longer waits. A planner in reach answers a moment before the deadline if a start may
+// still be carried out.
+func goneAnswer(now time.Time, f helm.Fleet, p *pendingJob, cause convoy.Cause, reason string) answer {
+	since := p.lostAt
+	if since.IsZero() {
+		peer, known := f.Peer(p.planner)
+		if !known || (peer.Alive && now.Sub(peer.LastHeartbeat) <= overdueAfter) {
+			return answer{outcome: convoy.Lost, cause: cause, reason: reason}
+		}
+		since = now.Add(-overdueAfter)
 	}
-	outcome, _ := lossOutcome(now, now.Add(-overdueAfter), f)
-	return outcome
+	a, _ := lossAnswer(now, since, f, cause, reason)
+	return a
 }
 
 // unheardDomain returns another failure domain with entry hosts of whose processes none has been in touch since a time, if there is any.
@@ -87,7 +91,7 @@
 	if p.lostAt.IsZero() {
 		return
 	}
-	if outcome, known := lossOutcome(now, p.lostAt, j.h.Fleet); known {
-		j.finish(p, answer{outcome: outcome, cause: convoy.CausePlannerLost, reason: p.lostReason})
+	if a, known := lossAnswer(now, p.lostAt, j.h.Fleet, convoy.CausePlannerLost, p.lostReason); known {
+		j.finish(p, a)
 	}
 }
--- a/src/wharf/offers.go
+++ b/src/wharf/offers.go
@@ -130,5 +130,5 @@
 		return
 	}
 	delete(p.waiters, key)
-	w.done <- answer{outcome: plannerOutcome(p.h.Clock.Now(), p.h.Fleet, p.planner, a), cause: a.Cause, reason: a.Reason, retryAfter: a.RetryAfter}
+	w.done <- plannerAnswer(p.h.Clock.Now(), p.h.Fleet, p.planner, a)
 }
