Read the clock when an offer is encoded, and never wait at a step without tasks

Found by reading the diff: an offer that is encoded off the control goroutine told the job's age as of when it was queued; a step of no tasks, which no submission has, would have kept a placement round from ending.

--- a/src/convoy/progress.go
+++ b/src/convoy/progress.go
@@ -41,6 +41,9 @@
 
 // enable has the tasks of a step wait whose dependencies are done.
 func (j *job) enable(step int) {
+	if j.Steps[step].Count <= 0 {
+		return // no submission has such a step, and a round would never leave it
+	}
 	j.ready = append(j.ready, int32(step))
 	j.waiting.add(j.Steps[step].Count, j.Steps[step])
 }
--- a/src/wharf/jobs.go
+++ b/src/wharf/jobs.go
@@ -292,12 +292,12 @@
 		j.h.Publish(now, offeredEvent{offer: o, done: done})
 		return
 	}
-	go j.sendOffer(now, m, o)
+	go j.sendOffer(m, o)
 }
 
-// sendOffer sends an offer made at a time to another host and waits for the outcome of the job.
-func (j *jobs) sendOffer(now time.Time, m flotilla.Member, o offer) {
-	id, attempt := o.job.ID, o.attempt
+// sendOffer sends an offer to another host and waits for the outcome of the job.
+func (j *jobs) sendOffer(m flotilla.Member, o offer) {
+	id, attempt, now := o.job.ID, o.attempt, j.h.Clock.Now()
 	body, err := encodeOffer(now, o)
 	if err != nil {
 		j.h.Post(j, answeredEvent{id: id, attempt: attempt, answer: answer{outcome: convoy.Refused, reason: err.Error()}})
