Answer an unresolved job with 500, not as failed

What callers saw on: jobs of which no task had failed were answered 200 {"state":"failed"}.

The answer has to be none that has the caller send the job again (none, 502, 504), none that says it never runs (429, 503), and no state of the job that it is not in. 500 is left: the system failed, and says no more. The outcome has a name of its own now, unresolved. The soak's check that no job is answered as failed is what it was before.

--- a/src/convoy/job.go
+++ b/src/convoy/job.go
@@ -86,11 +86,14 @@
 	Lost
 	// Cancelled means that a caller has cancelled the job; planners do not answer it.
 	Cancelled
+	// Unresolved means that the job was given up and must not be handed in again, since a start of it may still be carried out;
+	// planners do not answer it.
+	Unresolved
 )
 
 // String returns the outcome's name.
 func (o Outcome) String() string {
-	return [...]string{"completed", "failed", "refused", "elsewhere", "lost", "cancelled"}[o]
+	return [...]string{"completed", "failed", "refused", "elsewhere", "lost", "cancelled", "unresolved"}[o]
 }
 
 // TaskRef identifies a task of a job. The occurrence in its name is always 0, as recurring jobs are not supported.
--- a/src/wharf/codec.go
+++ b/src/wharf/codec.go
@@ -226,7 +226,7 @@
 	if err := cbor.Unmarshal(b, &w); err != nil {
 		return answer{}, Error.Wrap(err)
 	}
-	if w.Outcome > uint8(convoy.Lost) {
+	if w.Outcome > uint8(convoy.Lost) && w.Outcome != uint8(convoy.Unresolved) {
 		return answer{}, Error.New("outcome %d is unknown", w.Outcome)
 	}
 	cause := convoy.Cause(w.Cause)
--- a/src/wharf/lost.go
+++ b/src/wharf/lost.go
@@ -18,7 +18,7 @@
 	}
 	own, told := planner.LateStart(now, a.ID)
 	if (own && !f.LateStartKnown(convoy.JobHash(a.ID))) || (told && !f.HearsAllPlanners()) {
-		out.outcome = convoy.Failed
+		out.outcome = convoy.Unresolved
 		out.reason += "; a start of it may come late, and a planner that may live is not known to know"
 	}
 	return out
@@ -40,7 +40,7 @@
 		return answer{outcome: convoy.Lost, cause: cause, reason: reason}, true
 	}
 	reason += "; a start of it may come late, and domain " + unheard + " is out of touch"
-	return answer{outcome: convoy.Failed, cause: cause, reason: reason}, now.Sub(since) >= lossEvidence
+	return answer{outcome: convoy.Unresolved, cause: cause, reason: reason}, now.Sub(since) >= lossEvidence
 }
 
 // goneAnswer returns the answer to a caller that no longer waits. A planner in reach answers a moment before the deadline if a start may
