--- a/src/convoy/latestart.go
+++ b/src/convoy/latestart.go
@@ -16,7 +16,7 @@
 //
 // Planners that do not hear each other are not told, and the worker may be out of reach of all of them. A caller that gets no result
 // sends its job again, to any host. So whoever carries the answer of a planner has to ask LateStart: if not all planners that may live
-// are known to know of the start, the caller gets a final answer, and the job counts as failed.
+// are known to know of the start, the caller gets an answer after which it does not come back.
 
 // MaxLateStarts bounds the jobs that a planner reports, so that a heartbeat stays within one packet.
 const MaxLateStarts = 128
