--- a/src/convoy/outlook.go
+++ b/src/convoy/outlook.go
@@ -208,7 +208,7 @@
 	}
 }
 
-// addBatch adds waiting tasks like those of s, which end when the steps after a step of the job begin.
+// addBatch adds waiting tasks with the needs of s. They count as tasks of a step of the job: what depends on it has to end in time, too.
 func (p *Planner) addBatch(now time.Time, j *job, step, waiting int, s Step) {
 	o := &p.outlook
 	k := p.routeStats(j.Route)
--- a/src/wharf/lost.go
+++ b/src/wharf/lost.go
@@ -19,7 +19,7 @@
 	own, told := planner.LateStart(now, a.ID)
 	if (own && !f.LateStartKnown(convoy.JobHash(a.ID))) || (told && !f.HearsAllPlanners()) {
 		out.outcome = convoy.Unresolved
-		out.reason += "; a start of it may come late, and a planner that may live is not known to know"
+		out.reason += "; a start of it may come late, and a planner that may live has not confirmed that it knows"
 	}
 	return out
 }
