End a job with a short deadline whose start is unanswered behind a cut, too

Cause: the planner answered early only if a start was already known as unanswered, which takes 100 ms. Now nothing starts in the last part of the time, 100 ms or a quarter of it, and in the last half of that part every open order counts.

--- a/src/convoy/ahead.go
+++ b/src/convoy/ahead.go
@@ -31,7 +31,7 @@
 	// A job that ends meanwhile leaves the queue.
 	window := append([]*job(nil), p.queue[:min(len(p.queue), queueWindow)]...)
 	for _, j := range window {
-		if !j.ended && p.orphanCounts[j.ID] == 0 && p.isAwaited(now, j) {
+		if !j.ended && !j.tooLateToStart(now) && p.orphanCounts[j.ID] == 0 && p.isAwaited(now, j) {
 			p.placeJobAhead(now, j, &r)
 		}
 	}
--- a/src/convoy/judge.go
+++ b/src/convoy/judge.go
@@ -121,7 +121,7 @@
 			}
 			continue
 		}
-		if now.After(j.Deadline) || (p.lateStartNoted(now, j) && now.After(j.Deadline.Add(-finalAnswerLead))) {
+		if now.After(j.Deadline) || p.mustAnswer(now, j) {
 			p.logDecision(DecisionJobAbandoned, j.ID, "", "its deadline has passed")
 			p.endJob(now, j, Lost, CauseDeadline, "its deadline has passed", 0)
 		}
--- a/src/convoy/latestart.go
+++ b/src/convoy/latestart.go
@@ -62,13 +62,8 @@
 		}
 		return
 	}
-	for _, w := range p.workers {
-		for _, r := range w.runs {
-			if r.job == j && r.task != nil && r.mayComeLate() {
-				p.noteLateStart(now, j)
-				return
-			}
-		}
+	if p.hasOpenStart(j) {
+		p.noteLateStart(now, j)
 	}
 }
 
@@ -92,6 +87,39 @@
 	return now.Before(p.lateStarts[JobHash(j.ID)])
 }
 
+// answerLead returns how long before its deadline the answer to a job has to leave if one of its starts may come late.
+func (j *job) answerLead() time.Duration {
+	return min(finalAnswerLead, j.Deadline.Sub(j.Arrived)/4)
+}
+
+// tooLateToStart reports whether the answer to a start order of a job may come too late for the answer to the job.
+func (j *job) tooLateToStart(now time.Time) bool { return now.After(j.Deadline.Add(-j.answerLead())) }
+
+// mustAnswer reports whether a job has to be given up before its deadline: the entry host, whose time ends with it, does not know that a
+// start may come late. The orders that are still open have been out for half of the lead by then.
+func (p *Planner) mustAnswer(now time.Time, j *job) bool {
+	lead := j.answerLead()
+	switch {
+	case now.After(j.Deadline.Add(-lead / 2)):
+		return p.lateStartNoted(now, j) || p.hasOpenStart(j)
+	case now.After(j.Deadline.Add(-lead)):
+		return p.lateStartNoted(now, j)
+	}
+	return false
+}
+
+// hasOpenStart reports whether a start order of a job has not been answered.
+func (p *Planner) hasOpenStart(j *job) bool {
+	for _, w := range p.workers {
+		for _, r := range w.runs {
+			if r.job == j && r.mayComeLate() {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // LateStart reports whether a start of a job that this planner has ordered may still be carried out, or another planner told of one.
 func (p *Planner) LateStart(now time.Time, id string) (own, told bool) {
 	hash := JobHash(id)
--- a/src/convoy/place.go
+++ b/src/convoy/place.go
@@ -70,7 +70,7 @@
 	p.sortQueue(now)
 	r := p.newRound(now)
 	for _, j := range append([]*job(nil), p.queue...) {
-		if j.ended || p.orphanCounts[j.ID] > 0 || !p.isAwaited(now, j) {
+		if j.ended || j.tooLateToStart(now) || p.orphanCounts[j.ID] > 0 || !p.isAwaited(now, j) {
 			continue
 		}
 		p.placeJob(now, j, &r)
--- a/src/wharf/cut_test.go
+++ b/src/wharf/cut_test.go
@@ -133,3 +133,50 @@
 		}
 	}
 }
+
+// A caller whose time is over before its planner has noticed that a start is unanswered must not come back across a cut either.
+func TestShortDeadlineBehindCutRunsBesideNextAttempt(t *testing.T) {
+	for _, deadline := range []time.Duration{130, 160, 200, 250, 300, 400, 600} {
+		for _, entry := range []string{"host-a", "host-b"} {
+			for _, begins := range []time.Duration{-1500, -300, -20} {
+				for phase := range time.Duration(5) {
+					t.Run(fmt.Sprintf("%d ms at %s, cut from %d ms on, phase %d", deadline, entry, begins, phase), func(t *testing.T) {
+						s := newSimWorld(uint64(phase), nil)
+						s.tracing = true
+						s.addHost("host-a", "north", 1)
+						s.addHost("host-b", "north", 2)
+						s.addHost("host-c", "south", 3)
+						for _, h := range s.hosts {
+							h.begin()
+						}
+						s.newWorker("w0", "north", simAddress(0))
+						s.newWorker("w1", "south", simAddress(1))
+						s.run(3*time.Second + phase*37*time.Millisecond)
+						s.lateBy = func(h *simHost, o convoy.Start) time.Duration {
+							if o.Target.ID != "w0" {
+								return 0
+							}
+							s.after(time.Millisecond, func() { s.cutOff([]string{"w0"}, []string{"host-a", "host-b", "host-c"}, 3*time.Second) })
+							return 2 * time.Second
+						}
+						s.cutOff([]string{"host-a", "host-b"}, []string{"host-c"}, 8*time.Second)
+						s.run(-begins * time.Millisecond)
+						j := convoy.Job{
+							ID: "a", Route: "r", Pool: "pool", Spec: "1200", Attempts: 3, Stretch: 9, TargetLatency: 2 * time.Second,
+							Steps: []convoy.Step{{Count: 1, Need: convoy.Resources{Milli: 4000, Memory: 64}, Estimate: 20 * time.Millisecond}},
+						}
+						h := s.host(entry)
+						c := &simCaller{s: s, job: j, deadline: deadline * time.Millisecond, first: s.now, h: h, life: h.life, next: s.host("host-c")}
+						s.after(c.deadline, c.broken)
+						c.arrive(h.now())
+						s.run(8 * time.Second)
+						if len(s.twice) > 0 {
+							logSimTrace(t, s)
+						}
+						require.Empty(t, s.twice)
+					})
+				}
+			}
+		}
+	}
+}
