Hold each unresolved job against the host that stands still

TestFailureWhileWorkMoves takes a job as unresolved only if the planner that had it last is the one that stands still, in that case alone; in the others none may be. The worlds of two domains are set up in one place.

--- a/src/wharf/cut_test.go
+++ b/src/wharf/cut_test.go
@@ -64,16 +64,7 @@
 					for _, late := range []time.Duration{2 * time.Second, 4 * time.Second} {
 						for _, phase := range []time.Duration{0, 70 * time.Millisecond, 140 * time.Millisecond} {
 							t.Run(fmt.Sprintf("%s, %s, %s, %d tasks, start %s late, phase %s", where, when, fate, tasks, late, phase), func(t *testing.T) {
-								s := newSimWorld(uint64(phase), nil)
-								s.tracing = true
-								s.addHost("host-a", "north", 1)
-								s.addHost("host-b", "north", 2)
-								s.addHost("host-c", "south", 3)
-								s.addHost("host-d", "south", 5)
-								s.addHost("registry-n", "north", 4).registry = true
-								for _, h := range s.hosts {
-									h.begin()
-								}
+								s := newTwoDomains(uint64(phase), []string{"host-a", "host-b"}, []string{"host-c", "host-d"}, true)
 								s.newWorker("w0", "north", simAddress(0))
 								s.run(3*time.Second + phase)
 								planner, second, other := s.host("host-a"), s.host("host-b"), s.host("host-c")
@@ -141,14 +132,7 @@
 			for _, begins := range []time.Duration{-1500, -300, -20} {
 				for phase := range time.Duration(5) {
 					t.Run(fmt.Sprintf("%d ms at %s, cut from %d ms on, phase %d", deadline, entry, begins, phase), func(t *testing.T) {
-						s := newSimWorld(uint64(phase), nil)
-						s.tracing = true
-						s.addHost("host-a", "north", 1)
-						s.addHost("host-b", "north", 2)
-						s.addHost("host-c", "south", 3)
-						for _, h := range s.hosts {
-							h.begin()
-						}
+						s := newTwoDomains(uint64(phase), []string{"host-a", "host-b"}, []string{"host-c"}, false)
 						s.newWorker("w0", "north", simAddress(0))
 						s.newWorker("w1", "south", simAddress(1))
 						s.run(3*time.Second + phase*37*time.Millisecond)
--- a/src/wharf/outlived_test.go
+++ b/src/wharf/outlived_test.go
@@ -58,17 +58,11 @@
 			for _, late := range []time.Duration{2 * time.Second, 2200 * time.Millisecond, 3 * time.Second, 6 * time.Second} {
 				for phase := time.Duration(0); phase < flotilla.HeartbeatInterval; phase += flotilla.HeartbeatInterval / 4 {
 					t.Run(fmt.Sprintf("%s, %s, start %s late, phase %s", name, fleet, late, phase), func(t *testing.T) {
-						s := newSimWorld(uint64(phase), nil)
-						s.tracing = true
-						s.addHost("host-a", "north", 1)
+						north := []string{"host-a"}
 						if tt.second {
-							s.addHost("host-b", "north", 2)
-						}
-						s.addHost("host-c", "south", 3)
-						s.addHost("registry-n", "north", 4).registry = true
-						for _, h := range s.hosts {
-							h.begin()
+							north = append(north, "host-b")
 						}
+						s := newTwoDomains(uint64(phase), north, []string{"host-c"}, true)
 						s.newWorker("w0", "north", simAddress(0))
 						s.run(3*time.Second + phase)
 						planner, other := s.host("host-a"), s.host("host-c")
--- a/src/wharf/sim_faults_test.go
+++ b/src/wharf/sim_faults_test.go
@@ -164,6 +164,9 @@
 		if o == convoy.Completed && c.s.now.Sub(c.first) <= aim {
 			c.s.inTime[c.job.Route]++
 		}
+		if o == convoy.Unresolved {
+			c.s.unresolved = append(c.s.unresolved, c.job.ID)
+		}
 		if o == convoy.Lost {
 			c.again()
 		}
--- a/src/wharf/sim_host_test.go
+++ b/src/wharf/sim_host_test.go
@@ -70,6 +70,27 @@
 
 func (h *simHost) now() time.Time { return h.s.now.Add(h.skew) }
 
+// newTwoDomains returns a world whose hosts have begun; the registry host is in the north.
+func newTwoDomains(seed uint64, north, south []string, registry bool) *simWorld {
+	s := newSimWorld(seed, nil)
+	s.tracing = true
+	for _, name := range north {
+		s.addHost(name, "north", simHostNumbers[name])
+	}
+	for _, name := range south {
+		s.addHost(name, "south", simHostNumbers[name])
+	}
+	if registry {
+		s.addHost("registry-n", "north", 4).registry = true
+	}
+	for _, h := range s.hosts {
+		h.begin()
+	}
+	return s
+}
+
+var simHostNumbers = map[string]byte{"host-a": 1, "host-b": 2, "host-c": 3, "host-d": 5}
+
 func (s *simWorld) addHost(name, domain string, n byte) *simHost {
 	h := &simHost{s: s, name: name, domain: domain, addr: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, 0, n}), 7720)}
 	s.hosts = append(s.hosts, h)
--- a/src/wharf/sim_rooms_test.go
+++ b/src/wharf/sim_rooms_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"strings"
 	"testing"
 	"time"
 
@@ -46,6 +47,17 @@
 	}
 }
 
+// lastOffer returns the planner that a job was offered to last.
+func (s *simWorld) lastOffer(id string) string {
+	to := ""
+	for _, line := range s.trace {
+		if _, rest, ok := strings.Cut(line, " offers "+id+" to "); ok {
+			to, _, _ = strings.Cut(rest, " ")
+		}
+	}
+	return to
+}
+
 // One failure each, while work moves from the planners of one domain to those of the other: no task runs twice, a job is returned once
 // at most by a planner, and callers get what they ask for unless half of the workers lose their planner.
 func TestFailureWhileWorkMoves(t *testing.T) {
@@ -53,15 +65,15 @@
 		fail func(s *simWorld)
 		// served is the least number of the jobs that are completed.
 		served int
-		// standsStill says that a host may stand still beyond the deadline of its jobs, which nobody may hand in again then.
-		standsStill bool
+		// standsStill is the host that stands still beyond the deadline of its jobs, which nobody may hand in again then.
+		standsStill string
 	}{
 		"no failure": {fail: func(*simWorld) {}, served: 43},
 		"a planner with moved work is lost": {
 			fail: func(s *simWorld) { s.hosts[1].kill() }, served: 28,
 		},
 		"a planner with moved work is suspended": {
-			fail: func(s *simWorld) { s.hosts[1].freeze(1500 * time.Millisecond) }, served: 35, standsStill: true,
+			fail: func(s *simWorld) { s.hosts[1].freeze(1500 * time.Millisecond) }, served: 35, standsStill: "host-b",
 		},
 		"the digests of idle planners get lost": {
 			fail: func(s *simWorld) {
@@ -85,6 +97,7 @@
 		t.Run(name, func(t *testing.T) {
 			for seed := range uint64(3) {
 				s := unevenWorld(seed, true)
+				s.tracing = true
 				s.burst(3 * time.Second)
 				s.run(time.Second)
 				tt.fail(s)
@@ -92,10 +105,10 @@
 				t.Logf("seed %d: %d jobs, %v, %d returned", seed, s.jobs, s.outcomes, s.returned)
 				require.Empty(t, s.twice)
 				require.GreaterOrEqual(t, s.outcomes["completed"], tt.served)
-				final := s.outcomes["completed"] + s.outcomes["refused"]
-				if tt.standsStill {
-					final += s.outcomes["unresolved"]
+				for _, id := range s.unresolved {
+					require.Equal(t, tt.standsStill, s.lastOffer(id), "a job is unresolved only if its planner stands still")
 				}
+				final := s.outcomes["completed"] + s.outcomes["refused"] + len(s.unresolved)
 				require.GreaterOrEqual(t, final, s.jobs, "answered for good")
 				require.LessOrEqual(t, s.returned, s.jobs)
 			}
--- a/src/wharf/sim_world_test.go
+++ b/src/wharf/sim_world_test.go
@@ -67,7 +67,9 @@
 	twiceJob string
 	starts   int
 	outcomes map[string]int
-	jobs     int
+	// unresolved holds the ids of the jobs that were answered so.
+	unresolved []string
+	jobs       int
 	// inTime counts, by route, the jobs that were completed by their objective.
 	inTime map[string]int
 }
